Divide the request path into stages and draw the border between instances

Cause: the path was one file, so that admission, routing, shares and the choice of a backend server could not change apart from each other, and instances had no messages to agree on.

Change: one file for each stage of a request (admit, route, reserve, attempt); package peer with typed messages, the client and service traits and an implementation within one process for tests.

Conclusion: each decision now has one place in the daemon.

--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -193,7 +193,7 @@
 fn is_ready(daemon: &Daemon) -> bool {
     let process = daemon.process();
     process.version.load().is_some()
-        && process.members.load().as_ref().is_some_and(|members| !members.entries.is_empty())
+        && process.members.load().as_ref().is_some_and(|members| !members.members.is_empty())
 }
 
 fn settings(name: &Arc<str>, zone: &Arc<str>) -> Settings {
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -3,6 +3,7 @@
 use super::clock::{BootClock, Clock};
 use super::configuration::{self, ConfigurationActor};
 use super::metrics::Metrics;
+use super::peers::Unconnected;
 use super::{Process, membership};
 use crate::connection::dialer::{Dialer, TcpDialer};
 use crate::connection::listener::{self, Listener};
@@ -64,6 +65,7 @@
             dependencies.clock,
             dependencies.dialer,
             dependencies.store.clone(),
+            Arc::new(Unconnected),
             Metrics::new()?,
         ));
         let mut background = JoinSet::new();
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod peers;
 pub mod signal;
 
 use crate::connection::dialer::Dialer;
@@ -18,6 +19,7 @@
 use membership::Members;
 use metrics::Metrics;
 use parking_lot::Mutex;
+use peer::PeerClient;
 use platform::ObjectStore;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -37,6 +39,8 @@
     pub dialer: Arc<dyn Dialer>,
     /// The platform's object API.
     pub store: Arc<dyn ObjectStore>,
+    /// Calls other instances.
+    pub peers: Arc<dyn PeerClient>,
     /// The version in force; `None` until the first one is known.
     pub version: ArcSwapOption<Version>,
     /// The entry instances that look-ups may name.
@@ -66,6 +70,7 @@
         clock: Arc<dyn Clock>,
         dialer: Arc<dyn Dialer>,
         store: Arc<dyn ObjectStore>,
+        peers: Arc<dyn PeerClient>,
         metrics: Metrics,
     ) -> Self {
         Self {
@@ -74,6 +79,7 @@
             clock,
             dialer,
             store,
+            peers,
             version: ArcSwapOption::empty(),
             members: ArcSwapOption::empty(),
             servers: Mutex::default(),
--- a/crates/runpind/src/request/exchange.rs
+++ b/crates/runpind/src/request/exchange.rs
@@ -1,6 +1,7 @@
 //! One exchange with a backend server: its slot, its connection and the body of its answer.
 
 use super::body::BodyError;
+use super::reserve::Reservation;
 use crate::connection::pool::PooledConnection;
 use crate::process::{InFlight, Process};
 use bytes::Bytes;
@@ -18,12 +19,17 @@
     process: Arc<Process>,
     /// The backend server.
     pub(super) address: SocketAddr,
+    _reservation: Reservation,
 }
 
 impl Slot {
     /// Stands for a slot that was taken in `process.servers`.
-    pub(super) fn taken(process: Arc<Process>, address: SocketAddr) -> Self {
-        Self { process, address }
+    pub(super) fn taken(
+        process: Arc<Process>,
+        address: SocketAddr,
+        reservation: Reservation,
+    ) -> Self {
+        Self { process, address, _reservation: reservation }
     }
 }
 
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -1,15 +1,23 @@
-//! Carrying a request to a backend server and its answer back.
-
+//! Carrying a request to a backend server and its answer back, stage by stage:
+//!
+//! 1. [`Exchange::new`]: which service, class and deadline the request has;
+//! 2. [`admit`]: whether there is room for it now, or a wait for it;
+//! 3. [`route`]: which sites may run it, best first, and which arm says so;
+//! 4. [`reserve`]: spending the shares of the link and the site;
+//! 5. [`attempt`]: offering it to one backend server;
+//! 6. [`AnswerBody`]: passing the answer on.
+
+use super::attempt::{self, Attempt};
 use super::body::{Body, BodyError};
 use super::exchange::{AnswerBody, ExchangeConnection, Measurement, Slot};
 use super::headers::{TIMEOUT_HEADER, closes_connection, remove_hop_by_hop};
 use super::problem::Problem;
-use super::{deadline, lookup};
-use crate::connection::dialer::Endpoint;
+use super::route::Route;
+use super::{admit, deadline, lookup, reserve, route};
 use crate::connection::pool::PooledConnection;
 use crate::process::{InFlight, Process};
 use crate::version::Version;
-use configuration::{Class, Service, ServiceIndex, Site, ZoneIndex};
+use configuration::{Class, Service, ServiceIndex};
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, Uri, Version as HttpVersion};
 use http_body_util::BodyExt;
@@ -18,30 +26,17 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
-/// Arm of requests when the configuration names none.
-const BUILT_IN_ARM: &str = "built-in";
-
 /// What is known of a request once its head was read.
-struct Exchange {
-    process: Arc<Process>,
-    version: Arc<Version>,
-    service: ServiceIndex,
-    class: Class,
-    deadline: Instant,
-    started: Instant,
+pub(super) struct Exchange {
+    pub(super) process: Arc<Process>,
+    pub(super) version: Arc<Version>,
+    pub(super) service: ServiceIndex,
+    pub(super) class: Class,
+    pub(super) deadline: Instant,
+    pub(super) started: Instant,
     in_flight: InFlight,
 }
 
-/// How an attempt to send the request ended.
-enum Attempt {
-    /// The backend server answered.
-    Answered(Response<Incoming>, PooledConnection),
-    /// The request was not sent, and is returned.
-    NotSent(Request<Body>),
-    /// The request was sent, wholly or in part, and no answer came.
-    Broken,
-}
-
 /// Answers a caller's request with that of a backend server, or says why it can't.
 pub(super) async fn answer(
     process: Arc<Process>,
@@ -80,7 +75,7 @@
         Ok(Self { process, version, service, class, deadline, started, in_flight })
     }
 
-    fn service(&self) -> &Service {
+    pub(super) fn service(&self) -> &Service {
         &self.version.configuration.services[self.service.get()]
     }
 
@@ -100,13 +95,15 @@
     /// Offers the request to one backend server after another until one has been sent it.
     async fn send(self, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
         let mut request = prepare(request);
-        for zone in self.zones_by_delay() {
-            let Some(site) = self.site_in(zone) else { continue };
-            let Some((slot, endpoint)) = self.take_slot(site) else { continue };
+        let _admission = admit::wait(&self).await?;
+        let route = route::of_request(&self);
+        for site in &route.sites {
+            let Some(reservation) = reserve::take(&self, *site) else { continue };
+            let Some((slot, endpoint)) = attempt::pick(&self, *site, reservation) else { continue };
             self.set_timeout(&mut request)?;
-            match self.attempt(&endpoint, request).await? {
+            match attempt::send(&self, &endpoint, request).await? {
                 Attempt::Answered(response, connection) => {
-                    return Ok(self.pass_on(response, connection, slot));
+                    return Ok(self.pass_on(response, connection, slot, &route));
                 }
                 Attempt::NotSent(returned) => request = returned,
                 Attempt::Broken => return Err(Problem::Broken),
@@ -115,31 +112,6 @@
         Err(Problem::NoCapacity)
     }
 
-    fn zones_by_delay(&self) -> Vec<ZoneIndex> {
-        let configuration = &self.version.configuration;
-        let own = self.version.own_zone.unwrap_or(ZoneIndex(0));
-        let mut zones: Vec<_> =
-            (0..configuration.availability_zones.len()).map(ZoneIndex::from).collect();
-        zones.sort_by(|a, b| {
-            configuration.delay_ms(own, *a).total_cmp(&configuration.delay_ms(own, *b))
-        });
-        zones
-    }
-
-    fn site_in(&self, zone: ZoneIndex) -> Option<&Site> {
-        let site = self.version.configuration.site(self.service, zone)?;
-        Some(&self.service().sites[site.get()])
-    }
-
-    fn take_slot(&self, site: &Site) -> Option<(Slot, Endpoint)> {
-        let slots = self.service().slots_per_server;
-        let address = self.process.servers.lock().take(&site.backend_servers, slots)?;
-        let zones = &self.version.configuration.availability_zones;
-        let availability_zone = zones[site.availability_zone.get()].name.clone();
-        let endpoint = Endpoint { address, availability_zone };
-        Some((Slot::taken(self.process.clone(), address), endpoint))
-    }
-
     fn set_timeout(&self, request: &mut Request<Body>) -> Result<(), Problem> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
@@ -150,38 +122,12 @@
         Ok(())
     }
 
-    async fn attempt(
-        &self,
-        endpoint: &Endpoint,
-        request: Request<Body>,
-    ) -> Result<Attempt, Problem> {
-        let process = &self.process;
-        let limit = self.service().connections_per_server;
-        let connecting = process.pools.connect(&*process.dialer, endpoint, limit);
-        let connected = tokio::time::timeout_at(self.deadline, connecting).await;
-        let mut connection = match connected {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(_)) => return Ok(Attempt::NotSent(request)),
-            Err(_) => return Err(Problem::TimeoutBeforeSend),
-        };
-        let Some(sender) = connection.sender.as_mut() else {
-            return Ok(Attempt::NotSent(request));
-        };
-        let sent = tokio::time::timeout_at(self.deadline, sender.try_send_request(request)).await;
-        match sent {
-            Ok(Ok(response)) => Ok(Attempt::Answered(response, connection)),
-            Ok(Err(mut error)) => {
-                Ok(error.take_message().map_or(Attempt::Broken, Attempt::NotSent))
-            }
-            Err(_) => Err(Problem::TimeoutAfterSend),
-        }
-    }
-
     fn pass_on(
         self,
         response: Response<Incoming>,
         connection: PooledConnection,
         slot: Slot,
+        route: &Route,
     ) -> Response<Body> {
         let (mut parts, incoming) = response.into_parts();
         let reusable = !closes_connection(&parts.headers);
@@ -191,7 +137,7 @@
             process: self.process.clone(),
             service: self.service().name.clone(),
             class: self.class,
-            arm: BUILT_IN_ARM.into(),
+            arm: route.arm.clone(),
             started: self.started,
         };
         let connection = ExchangeConnection { connection, reusable };
--- a/crates/runpind/src/request/lookup.rs
+++ b/crates/runpind/src/request/lookup.rs
@@ -107,10 +107,10 @@
     members
         .iter()
         .flat_map(|members| members.usable())
-        .filter(|entry| !(process.is_draining() && entry.name == process.settings.name))
-        .filter_map(|entry| {
-            let zone = version.configuration.zone(&entry.availability_zone)?;
-            Some(Candidate { address: entry.caller_address, zone })
+        .filter(|member| !(process.is_draining() && member.name == process.settings.name))
+        .filter_map(|member| {
+            let zone = version.configuration.zone(&member.availability_zone)?;
+            Some(Candidate { address: member.caller_address, zone })
         })
         .collect()
 }
--- a/crates/runpind/src/request/mod.rs
+++ b/crates/runpind/src/request/mod.rs
@@ -1,6 +1,8 @@
 //! What belongs to one request.
 
 mod admin;
+mod admit;
+mod attempt;
 pub mod body;
 mod deadline;
 mod exchange;
@@ -9,6 +11,8 @@
 mod lookup;
 pub mod outcome;
 pub mod problem;
+mod reserve;
+mod route;
 
 use crate::process::Process;
 use body::Body;
