Name the successor and the horizon in a hand-over

A ledger must have one successor at most: a part that names the incarnation which is to take it over is refused by a later life of the same address. The horizon tells the successor which keys are too old to be run. Requests still in progress are handed over as such, so that the hand-over need not wait for them; their outcomes follow. The messages only; nothing sends them yet.

--- a/crates/peer/src/message/hand_over.rs
+++ b/crates/peer/src/message/hand_over.rs
@@ -6,11 +6,16 @@
 /// A part of the ledger of a home that stops.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HandOverRequest {
-    /// The incarnation that stops.
+    /// The incarnation whose keys these are.
     pub home: u64,
+    /// The incarnation that is to take them over; any other refuses.
+    pub successor: u64,
+    /// Keys issued before this are never run, in milliseconds since the Unix epoch.
+    pub horizon_ms: u64,
     /// Position of the part, from 0.
     pub part: u32,
-    /// Whether it is the last part.
+    /// Whether every key of the home is known with this part; further parts only bring outcomes
+    /// of requests that were in progress.
     pub last: bool,
     /// Keys and their outcomes.
     pub records: Vec<KeyRecord>,
@@ -45,6 +50,10 @@
     Ran,
     /// It may have been run.
     Unknown,
+    /// It is in progress at the home.
+    InProgress,
+    /// It was in progress, and ended without being run.
+    NotRun,
 }
 
 /// Whether the records are taken over.
