Settle lost answers by the history of accepted manifests

Cause: a conditional update whose answer was lost was called lost to another writer as soon as a later version had replaced it, though it had been accepted. An answer of the platform that could not be read, or a failure within it, counted as no effect.

Change: each accepted manifest is also kept under its number, before anything may replace it; a lost answer is settled by the current manifest or by the one kept under its number, and stays unsure where neither shows it. Offering the same update again is part of settling. Conflicts carry both versions with their authors. Client blocks are divided into chunks whose borders the lines themselves decide; chunks that no kept version names are deleted, on the condition that nobody wrote them again.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -5,6 +5,7 @@
 //! the platform's conditional update is a [`Manifest`].
 
 mod checked;
+mod chunking;
 mod class;
 mod error;
 mod index;
@@ -17,12 +18,13 @@
     Arm, AvailabilityZone, BackendServer, ClientBlock, Configuration, Delays, Link, LookupSettings,
     Overload, Policy, Region, Service, Site,
 };
+pub use chunking::chunk_blocks;
 pub use class::Class;
 pub use error::{ConfigurationError, Problem};
 pub use index::{LinkIndex, RegionIndex, ServiceIndex, SiteIndex, ZoneIndex};
 pub use manifest::{
-    BLOCKS_PREFIX, BlockChunk, ChunkReference, MANIFEST_KEY, MAX_VALUE_BYTES, Manifest,
-    ManifestError, chunk_blocks,
+    BLOCKS_PREFIX, BlockChunk, ChunkReference, HISTORY_LENGTH, HISTORY_PREFIX, MANIFEST_KEY,
+    MAX_VALUE_BYTES, Manifest, ManifestError, RetiredChunk, chunk_key, history_key,
 };
 pub use raw::RawConfiguration;
 pub use route::Route;
--- a/crates/configuration/src/manifest.rs
+++ b/crates/configuration/src/manifest.rs
@@ -9,18 +9,32 @@
 /// Key of the manifest in the platform's object API.
 pub const MANIFEST_KEY: &str = "runpin/configuration/current";
 
+/// Leading part of the keys of accepted manifests, which [`history_key`] completes.
+pub const HISTORY_PREFIX: &str = "runpin/configuration/history/";
+
+/// Number of accepted manifests that are kept.
+pub const HISTORY_LENGTH: u64 = 50;
+
 /// Leading part of the keys of client block chunks.
 pub const BLOCKS_PREFIX: &str = "runpin/configuration/blocks/";
 
 /// Largest value that the platform's object API holds, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 
-/// Client blocks in one chunk; at most 52 bytes a line keeps a chunk under 600 kB.
-const BLOCKS_PER_CHUNK: usize = 10_000;
+/// Returns the key under which the manifest with a number is kept.
+pub fn history_key(number: u64) -> String {
+    format!("{HISTORY_PREFIX}{number:012}")
+}
+
+/// Returns the key under which the chunk with a digest is kept.
+pub fn chunk_key(digest: &str) -> String {
+    format!("{BLOCKS_PREFIX}{digest}")
+}
 
 /// One accepted configuration.
+///
+/// Fields that a later release adds are ignored, so that two releases can run side by side.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct Manifest {
     /// Number of the version: 1 for the first, one more with each acceptance.
     pub number: u64,
@@ -34,11 +48,22 @@
     pub text: Arc<str>,
     /// Chunks of client blocks, all of which belong to this version.
     pub chunks: Vec<ChunkReference>,
+    /// Chunks that an earlier version named and this one does not, until they are removed.
+    #[serde(default)]
+    pub retired: Vec<RetiredChunk>,
+}
+
+/// A chunk that only earlier versions name.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RetiredChunk {
+    /// Digest of the chunk.
+    pub digest: Arc<str>,
+    /// Number of the last version that names it.
+    pub last_number: u64,
 }
 
 /// Names one chunk of client blocks by its content.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct ChunkReference {
     /// SHA-256 of the chunk's text in hexadecimal.
     pub digest: Arc<str>,
@@ -72,6 +97,14 @@
         /// Digest of the text.
         actual: Arc<str>,
     },
+    /// The chunks given are not those that the manifest names.
+    #[error("the manifest names {named} chunks, and the {given} given are not these")]
+    Chunks {
+        /// Number of chunks named.
+        named: usize,
+        /// Number of chunks given.
+        given: usize,
+    },
     /// A line of a chunk is not a block and a defined availability zone.
     #[error("chunk {digest}, line {line}: `{content}` is not a block and an availability zone")]
     Block {
@@ -95,9 +128,13 @@
         Ok(serde_json::to_vec(self)?)
     }
 
-    /// Checks the text and adds the client blocks of all `chunks`.
+    /// Checks the text and adds the client blocks of all `chunks`, which must be those named.
     pub fn configuration(&self, chunks: &[BlockChunk]) -> Result<Configuration, ManifestError> {
         let mut configuration: Configuration = self.text.parse()?;
+        let named = self.chunks.iter();
+        if !named.eq(chunks.iter().map(|chunk| &chunk.reference)) {
+            return Err(ManifestError::Chunks { named: self.chunks.len(), given: chunks.len() });
+        }
         for chunk in chunks {
             chunk.verify()?;
             chunk.append_to(&mut configuration)?;
@@ -109,7 +146,7 @@
 impl ChunkReference {
     /// Returns the chunk's key in the platform's object API.
     pub fn key(&self) -> String {
-        format!("{BLOCKS_PREFIX}{}", self.digest)
+        chunk_key(&self.digest)
     }
 }
 
@@ -145,11 +182,6 @@
     }
 }
 
-/// Divides sorted lines of `BLOCK ZONE` into chunks that change only where their lines change.
-pub fn chunk_blocks(lines: &[&str]) -> Vec<BlockChunk> {
-    lines.chunks(BLOCKS_PER_CHUNK).map(|chunk| BlockChunk::new(&chunk.join("\n"))).collect()
-}
-
 fn digest_of(text: &str) -> Arc<str> {
     hex::encode(Sha256::digest(text.as_bytes())).into()
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -116,6 +116,15 @@
     }
 }
 
+/// Returns what an answer says that is neither a success nor a conflict: after a failure within the
+/// platform the write may have taken effect.
+fn failed_write(status: StatusCode) -> StoreError {
+    match status.is_server_error() {
+        true => StoreError::Unsure,
+        false => StoreError::Protocol { status: status.as_u16() },
+    }
+}
+
 impl From<ObjectBody> for Object {
     fn from(body: ObjectBody) -> Self {
         let value = Bytes::copy_from_slice(body.value.as_bytes());
@@ -161,9 +170,12 @@
         };
         let path = format!("{OBJECTS_PATH}/{}?if_version={version}", encode_key(key));
         match self.call(Method::PUT, &path, value, CALL_TIMEOUT).await? {
-            (StatusCode::OK, body) => Ok(Version(decode::<VersionBody>(&body)?.version)),
+            // An answer that can't be read is as good as lost.
+            (StatusCode::OK, body) => decode::<VersionBody>(&body)
+                .map(|body| Version(body.version))
+                .map_err(|_| StoreError::Unsure),
             (StatusCode::CONFLICT, body) => Err(conflict(&body)),
-            (status, _) => Err(StoreError::Protocol { status: status.as_u16() }),
+            (status, _) => Err(failed_write(status)),
         }
     }
 
@@ -172,7 +184,7 @@
         match self.call(Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT).await? {
             (StatusCode::OK, _) => Ok(()),
             (StatusCode::CONFLICT, body) => Err(conflict(&body)),
-            (status, _) => Err(StoreError::Protocol { status: status.as_u16() }),
+            (status, _) => Err(failed_write(status)),
         }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,4 +14,4 @@
 pub use directory::{InstanceDirectory, InstanceEntry, InstanceState};
 pub use error::{StoreError, UnavailableCause};
 pub use store::{Expected, Object, ObjectStore, Version, WatchBatch};
-pub use unsure::{WriteOutcome, write_settled};
+pub use unsure::{WriteOutcome, write_once, write_settled};
--- a/crates/runpind/src/process/acceptance.rs
+++ b/crates/runpind/src/process/acceptance.rs
@@ -1,8 +1,14 @@
 //! Accepting a new configuration: the conditional update that makes it the next version.
 
-use super::Process;
-use configuration::{Configuration, ConfigurationError, MANIFEST_KEY, Manifest, ManifestError};
-use platform::{Expected, StoreError, WriteOutcome, write_settled};
+use super::history::{self, Evidence};
+use crate::version::Version;
+use configuration::{
+    BlockChunk, ChunkReference, ConfigurationError, MANIFEST_KEY, Manifest, ManifestError,
+    chunk_blocks,
+};
+use platform::{Expected, ObjectStore, StoreError, WriteOutcome, write_settled};
+use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use thiserror::Error;
@@ -12,64 +18,208 @@
 pub struct Proposal {
     /// The configuration text.
     pub text: Arc<str>,
+    /// Client blocks, lines of `BLOCK ZONE`, in place of those in force; `None` keeps these.
+    pub blocks: Option<Arc<str>>,
     /// Who proposes it.
     pub author: Arc<str>,
     /// Number of the version that it replaces; 0 for the first one, `None` for whichever it is.
     pub expected_number: Option<u64>,
 }
 
+/// A version as operators tell it from others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VersionLabel {
+    /// Its number; 0 when there is none.
+    pub number: u64,
+    /// Who applied it.
+    pub author: Arc<str>,
+}
+
 /// Why a proposal was not accepted.
 #[derive(Debug, Error)]
 pub enum AcceptanceError {
     /// The text does not pass the checks.
     #[error(transparent)]
     Configuration(#[from] ConfigurationError),
-    /// The object in the platform can't be read or written.
+    /// The client blocks do not pass the checks, or an object in the platform is not understood.
     #[error(transparent)]
     Manifest(#[from] ManifestError),
-    /// Another version is in force than the proposal expects.
-    #[error("version {current} is in force, not version {expected}")]
+    /// Another version is in force than the proposal would replace.
+    #[error("{current} is in force; {proposed} would have replaced version {expected}")]
     Conflict {
-        /// Version that the proposal expects.
+        /// Number of the version that the proposal would have replaced.
         expected: u64,
-        /// Version in force.
-        current: u64,
+        /// The version that the proposal would have become.
+        proposed: VersionLabel,
+        /// The version in force.
+        current: VersionLabel,
     },
+    /// A chunk of client blocks that the version in force names is not in the platform.
+    #[error("chunk {0} of the client blocks is not in the platform; apply them again")]
+    MissingChunk(Arc<str>),
+    /// The check of the configuration was ended by the daemon's stop.
+    #[error("the configuration was not checked: the instance is stopping")]
+    Interrupted,
     /// The platform failed.
     #[error(transparent)]
     Store(#[from] StoreError),
 }
 
-/// Makes the proposal the next version and returns its number.
+impl fmt::Display for VersionLabel {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.number {
+            0 => write!(formatter, "no version"),
+            number => write!(formatter, "version {number} by {}", self.author),
+        }
+    }
+}
+
+impl From<&Manifest> for VersionLabel {
+    fn from(manifest: &Manifest) -> Self {
+        Self { number: manifest.number, author: manifest.author.clone() }
+    }
+}
+
+/// Makes the proposal the next version and returns it as accepted.
 ///
+/// `in_force` is what this instance has, if any: its chunks need not be read again, and the next
+/// number is above its number even where the platform has lost versions.
 /// [`StoreError::Unsure`] means that it is not known whether the proposal was accepted.
-pub async fn propose(process: &Process, proposal: Proposal) -> Result<u64, AcceptanceError> {
-    let _checked: Configuration = proposal.text.parse()?;
-    let current = process.store.get(MANIFEST_KEY).await?;
-    let manifest = current.as_ref().map(|object| Manifest::from_json(&object.value)).transpose()?;
-    let number = manifest.as_ref().map_or(0, |manifest| manifest.number);
-    let expected = proposal.expected_number.unwrap_or(number);
-    if expected != number {
-        return Err(AcceptanceError::Conflict { expected, current: number });
+pub async fn propose(
+    store: &dyn ObjectStore,
+    in_force: Option<&Version>,
+    proposal: Proposal,
+) -> Result<Manifest, AcceptanceError> {
+    let object = store.get(MANIFEST_KEY).await?;
+    let stored = object.as_ref().map(|object| Manifest::from_json(&object.value)).transpose()?;
+    let own = in_force.map(|version| &*version.manifest);
+    let base = stored.iter().chain(own).max_by_key(|manifest| manifest.number);
+    let next = next_manifest(&proposal, base);
+    let expected = proposal.expected_number.unwrap_or(next.number - 1);
+    if expected != next.number - 1 {
+        return Err(conflict(expected, &next, base));
+    }
+    let known = known_chunks(in_force);
+    let chunks = match &proposal.blocks {
+        Some(blocks) => chunk_blocks(blocks),
+        None => read_chunks(store, &next.chunks, &known).await?,
+    };
+    let mut next = Manifest { chunks: references(&chunks), ..next };
+    next.retired = base.map(|base| history::retire(base, &next)).unwrap_or_default();
+    check(&next, &chunks).await?;
+    let unused = history::unused_after(store, &next).await?;
+    let named =
+        |chunk: &BlockChunk| base.is_some_and(|base| base.chunks.contains(&chunk.reference));
+    for chunk in chunks.iter().filter(|chunk| !named(chunk)) {
+        upload(store, chunk).await?;
+    }
+    if let Some(stored) = &stored {
+        history::keep(store, stored).await?;
+    }
+    let condition = object.map_or(Expected::Absent, |object| Expected::Version(object.version));
+    offer(store, &next, condition, expected).await?;
+    // The version is accepted, and whoever replaces it keeps it too.
+    if let Err(error) = history::keep(store, &next).await {
+        log::info!("version {} is not in the history yet: {error}", next.number);
     }
-    let next = Manifest {
-        number: number + 1,
+    history::delete(store, unused).await;
+    Ok(next)
+}
+
+/// Builds the version as every instance will, off the runtime's threads.
+async fn check(next: &Manifest, chunks: &[BlockChunk]) -> Result<(), AcceptanceError> {
+    let (next, chunks) = (next.clone(), chunks.to_vec());
+    let built = tokio::task::spawn_blocking(move || Version::build(next, chunks, "").map(drop));
+    built.await.map_err(|_| AcceptanceError::Interrupted)??;
+    Ok(())
+}
+
+fn next_manifest(proposal: &Proposal, base: Option<&Manifest>) -> Manifest {
+    Manifest {
+        number: base.map_or(0, |base| base.number) + 1,
         write_id: format!("{:032x}", rand::random::<u128>()).into(),
-        author: proposal.author,
+        author: proposal.author.clone(),
         applied_at_s: seconds_since_1970(),
-        text: proposal.text,
-        chunks: manifest.map(|manifest| manifest.chunks).unwrap_or_default(),
+        text: proposal.text.clone(),
+        chunks: base.map(|base| base.chunks.clone()).unwrap_or_default(),
+        retired: Vec::new(),
+    }
+}
+
+/// Offers the conditional update and claims nothing before its outcome is known.
+async fn offer(
+    store: &dyn ObjectStore,
+    next: &Manifest,
+    condition: Expected,
+    expected: u64,
+) -> Result<(), AcceptanceError> {
+    let accepted = match write_settled(store, MANIFEST_KEY, next.to_json()?.into(), condition).await
+    {
+        Ok(WriteOutcome::Written(_)) => true,
+        Ok(WriteOutcome::Lost { .. }) => false,
+        Err(StoreError::Unsure) => {
+            matches!(history::settle(store, next).await?, Evidence::Accepted)
+        }
+        Err(error) => return Err(error.into()),
     };
-    let condition = current.map_or(Expected::Absent, |object| Expected::Version(object.version));
-    let value = next.to_json()?.into();
-    match write_settled(&*process.store, MANIFEST_KEY, value, condition).await? {
-        WriteOutcome::Written(_) => Ok(next.number),
-        WriteOutcome::Lost { .. } => {
-            let current = process.store.get(MANIFEST_KEY).await?;
-            let winner = current.map(|object| Manifest::from_json(&object.value)).transpose()?;
-            let current = winner.map_or(0, |manifest| manifest.number);
-            Err(AcceptanceError::Conflict { expected, current })
+    if accepted {
+        return Ok(());
+    }
+    let winner = store.get(MANIFEST_KEY).await?;
+    let winner = winner.map(|object| Manifest::from_json(&object.value)).transpose()?;
+    Err(conflict(expected, next, winner.as_ref()))
+}
+
+fn conflict(expected: u64, next: &Manifest, current: Option<&Manifest>) -> AcceptanceError {
+    let none = VersionLabel { number: 0, author: "nobody".into() };
+    AcceptanceError::Conflict {
+        expected,
+        proposed: VersionLabel { number: expected + 1, author: next.author.clone() },
+        current: current.map_or(none, VersionLabel::from),
+    }
+}
+
+fn references(chunks: &[BlockChunk]) -> Vec<ChunkReference> {
+    chunks.iter().map(|chunk| chunk.reference.clone()).collect()
+}
+
+fn known_chunks(in_force: Option<&Version>) -> HashMap<&ChunkReference, &BlockChunk> {
+    let chunks = in_force.into_iter().flat_map(|version| &version.chunks);
+    chunks.map(|chunk| (&chunk.reference, chunk)).collect()
+}
+
+async fn read_chunks(
+    store: &dyn ObjectStore,
+    references: &[ChunkReference],
+    known: &HashMap<&ChunkReference, &BlockChunk>,
+) -> Result<Vec<BlockChunk>, AcceptanceError> {
+    let mut chunks = Vec::with_capacity(references.len());
+    for reference in references {
+        if let Some(chunk) = known.get(reference) {
+            chunks.push((*chunk).clone());
+            continue;
+        }
+        let missing = || AcceptanceError::MissingChunk(reference.digest.clone());
+        let object = store.get(&reference.key()).await?.ok_or_else(missing)?;
+        let text = String::from_utf8_lossy(&object.value).into();
+        chunks.push(BlockChunk { reference: reference.clone(), text });
+    }
+    Ok(chunks)
+}
+
+/// Writes a chunk; one that is there is written again, so that no earlier deletion can hit it.
+async fn upload(store: &dyn ObjectStore, chunk: &BlockChunk) -> Result<(), AcceptanceError> {
+    let key = chunk.reference.key();
+    let present = store.get(&key).await?;
+    let expected = present.map_or(Expected::Absent, |object| Expected::Version(object.version));
+    let value = chunk.text.as_bytes().to_vec().into();
+    match write_settled(store, &key, value, expected).await {
+        // Whoever came first wrote the same bytes, or deleted them.
+        Ok(WriteOutcome::Lost { current: None }) => {
+            Err(StoreError::Conflict { current: None }.into())
         }
+        Ok(WriteOutcome::Written(_) | WriteOutcome::Lost { .. }) => Ok(()),
+        Err(error) => Err(error.into()),
     }
 }
 
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod daemon;
+pub mod history;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/crates/runpind/src/request/admin.rs
+++ b/crates/runpind/src/request/admin.rs
@@ -89,9 +89,10 @@
     let Ok(text) = String::from_utf8(body.to_bytes().into()) else {
         return refuse(StatusCode::BAD_REQUEST, "the text is not UTF-8".to_owned());
     };
-    let proposal = Proposal { text: text.into(), author, expected_number };
-    match propose(process, proposal).await {
-        Ok(number) => json(StatusCode::OK, &serde_json::json!({ "number": number })),
+    let proposal = Proposal { text: text.into(), blocks: None, author, expected_number };
+    let in_force = process.version.load_full();
+    match propose(&*process.store, in_force.as_deref(), proposal).await {
+        Ok(accepted) => json(StatusCode::OK, &serde_json::json!({ "number": accepted.number })),
         Err(error) => refuse(status_of(&error), error.to_string()),
     }
 }
@@ -102,7 +103,10 @@
         AcceptanceError::Conflict { .. } => StatusCode::CONFLICT,
         AcceptanceError::Store(StoreError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
         AcceptanceError::Store(StoreError::Unsure) => StatusCode::GATEWAY_TIMEOUT,
-        AcceptanceError::Store(_) | AcceptanceError::Manifest(_) => StatusCode::SERVICE_UNAVAILABLE,
+        AcceptanceError::Manifest(_) | AcceptanceError::MissingChunk(_) => {
+            StatusCode::UNPROCESSABLE_ENTITY
+        }
+        AcceptanceError::Store(_) | AcceptanceError::Interrupted => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/runpind/tests/common/mod.rs
+++ b/crates/runpind/tests/common/mod.rs
@@ -96,6 +96,7 @@
         applied_at_s: 0,
         text: text.into(),
         chunks: Vec::new(),
+        retired: Vec::new(),
     };
     let value = manifest.to_json().expect("manifest").into();
     platform.put(MANIFEST_KEY, value, Expected::Absent).await.expect("accepted");
--- /dev/null
+++ b/crates/runpind/tests/faults/mod.rs
@@ -0,0 +1,119 @@
+//! A store between a proposer and the stand-in platform that loses answers, from a seed.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use lab::PlatformStandIn;
+use parking_lot::Mutex;
+use platform::{Expected, Object, ObjectStore, StoreError, UnavailableCause, Version, WatchBatch};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::sync::Arc;
+use std::time::Duration;
+
+const MAX_DELAY_MS: u64 = 200;
+
+/// What happens to one write.
+enum Fate {
+    /// It takes effect and its answer arrives.
+    Answered,
+    /// It takes effect and its answer is lost.
+    AnswerLost,
+    /// Its answer is lost at once and it takes effect later.
+    Late,
+    /// It has no effect.
+    Refused,
+}
+
+/// Loses answers of writes, delays every call and fails some reads.
+pub(crate) struct FaultyStore {
+    platform: Arc<PlatformStandIn>,
+    random: Mutex<StdRng>,
+}
+
+impl FaultyStore {
+    pub(crate) fn new(platform: Arc<PlatformStandIn>, seed: u64) -> Self {
+        Self { platform, random: Mutex::new(StdRng::seed_from_u64(seed)) }
+    }
+
+    async fn delay(&self) {
+        let delay_ms = self.random.lock().random_range(0..MAX_DELAY_MS);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+
+    fn fate(&self) -> Fate {
+        match self.random.lock().random_range(0..100) {
+            0..20 => Fate::AnswerLost,
+            20..35 => Fate::Late,
+            35..40 => Fate::Refused,
+            _ => Fate::Answered,
+        }
+    }
+
+    async fn fails_read(&self) -> Result<(), StoreError> {
+        self.delay().await;
+        match self.random.lock().random_bool(0.1) {
+            true => Err(StoreError::Unavailable(UnavailableCause::Timeout)),
+            false => Ok(()),
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for FaultyStore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
+        self.fails_read().await?;
+        let object = self.platform.get(key).await;
+        self.delay().await;
+        object
+    }
+
+    async fn list(&self, prefix: &str) -> Result<WatchBatch, StoreError> {
+        self.platform.list(prefix).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expected: Expected,
+    ) -> Result<Version, StoreError> {
+        self.delay().await;
+        match self.fate() {
+            Fate::Refused => Err(StoreError::Unavailable(UnavailableCause::Connect)),
+            Fate::Late => {
+                let (platform, key) = (self.platform.clone(), key.to_owned());
+                let delay_ms = self.random.lock().random_range(0..2 * MAX_DELAY_MS);
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                    platform.put(&key, value, expected).await
+                });
+                Err(StoreError::Unsure)
+            }
+            Fate::AnswerLost => {
+                // Whether it took effect is what the proposer has to find out.
+                let _ = self.platform.put(key, value, expected).await;
+                self.delay().await;
+                Err(StoreError::Unsure)
+            }
+            Fate::Answered => {
+                let version = self.platform.put(key, value, expected).await;
+                self.delay().await;
+                version
+            }
+        }
+    }
+
+    async fn delete(&self, key: &str, expected: Version) -> Result<(), StoreError> {
+        self.delay().await;
+        self.platform.delete(key, expected).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<WatchBatch, StoreError> {
+        self.platform.watch(prefix, after, wait).await
+    }
+}
