Run a write with an idempotency key at most once at its home

Cause: a retried write was run again. Change: a ledger per incarnation, without input or output, which remembers each key and what became of it, bounded by keys and bytes. Forgetting is safe: a key carries the time at which a look-up gave its prefix, and the ledger refuses keys issued before a horizon that only moves forward; every later key has a record or was never run. Keys of other homes are still run without a ledger, as before: forwarding them needs the members' incarnations.

--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -105,7 +105,11 @@
         self.process.start_draining();
         self.callers.close();
         let timeout = Duration::from_millis(self.process.settings.drain_timeout_ms);
-        if tokio::time::timeout(timeout, self.callers.closed()).await.is_err() {
+        let finished = async {
+            self.callers.closed().await;
+            self.process.ledger.exchanges_ended().await;
+        };
+        if tokio::time::timeout(timeout, finished).await.is_err() {
             log::warn!("drain timeout with {} requests in flight", self.process.in_flight());
         }
         self.admin.close();
@@ -116,6 +120,7 @@
     /// Ends at once, as a killed process would: connections break, nothing is handed on.
     pub fn kill(mut self) {
         self.callers.abort();
+        self.process.ledger.abort();
         self.admin.abort();
         self.background.abort_all();
     }
--- /dev/null
+++ b/crates/runpind/src/process/ledger.rs
@@ -0,0 +1,199 @@
+//! The ledger of idempotency keys, as the requests of one daemon share it.
+
+use super::clock::Clock;
+use crate::version::Version;
+use parking_lot::Mutex;
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime};
+use steering::ledger::{Begin, Ended, Fingerprint, Ledger, LedgerStatus, Limits, Outcome, Settled};
+use steering::{IdempotencyKey, Incarnation};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Counters of requests with an idempotency key.
+#[derive(Clone)]
+pub struct LedgerMetrics {
+    /// Keys remembered.
+    keys: IntGauge,
+    /// Memory that they take, in bytes, as reckoned for the limit.
+    bytes: IntGauge,
+    /// Requests with a key, by what was decided.
+    requests: IntCounterVec,
+}
+
+impl LedgerMetrics {
+    /// Registers the metrics.
+    pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let keys = IntGauge::new("runpin_idempotency_keys", "Idempotency keys remembered.")?;
+        let bytes = IntGauge::new(
+            "runpin_idempotency_keys_bytes",
+            "Memory of the idempotency keys remembered, in bytes.",
+        )?;
+        let requests = IntCounterVec::new(
+            Opts::new(
+                "runpin_idempotency_key_requests_total",
+                "Requests with an idempotency key, by what was decided.",
+            ),
+            &["decision"],
+        )?;
+        registry.register(Box::new(keys.clone()))?;
+        registry.register(Box::new(bytes.clone()))?;
+        registry.register(Box::new(requests.clone()))?;
+        Ok(Self { keys, bytes, requests })
+    }
+
+    /// Counts a decision.
+    pub(crate) fn count(&self, decision: &str) {
+        self.requests.with_label_values(&[decision]).inc();
+    }
+
+    fn set_size(&self, status: &LedgerStatus) {
+        self.keys.set(i64::try_from(status.keys).unwrap_or(i64::MAX));
+        self.bytes.set(i64::try_from(status.bytes).unwrap_or(i64::MAX));
+    }
+}
+
+/// The ledger with the exchanges whose outcomes it waits for.
+pub struct LedgerState {
+    clock: Arc<dyn Clock>,
+    metrics: LedgerMetrics,
+    ledger: Mutex<Ledger>,
+    exchanges: TaskTracker,
+    aborting: CancellationToken,
+}
+
+impl LedgerState {
+    /// Makes the empty ledger of an incarnation.
+    pub fn new(home: Incarnation, clock: Arc<dyn Clock>, metrics: LedgerMetrics) -> Self {
+        let ledger = Ledger::new(home, Limits::default(), clock.now(), unix_ms());
+        Self {
+            clock,
+            metrics,
+            ledger: Mutex::new(ledger),
+            exchanges: TaskTracker::new(),
+            aborting: CancellationToken::new(),
+        }
+    }
+
+    /// Returns what the ledger holds.
+    pub fn status(&self) -> LedgerStatus {
+        self.ledger.lock().status()
+    }
+
+    /// Returns the prefix of keys whose home is `home`, given now.
+    pub fn prefix(&self, home: Incarnation) -> String {
+        let issued_ms = self.ledger.lock().issue_ms(self.clock.now());
+        IdempotencyKey::prefix(home, issued_ms)
+    }
+
+    /// Decides what is done with a request that has a key.
+    pub fn begin(
+        &self,
+        version: &Version,
+        key: &IdempotencyKey,
+        fingerprint: Fingerprint,
+    ) -> Begin {
+        let ttl = Duration::from_millis(version.configuration.lookup.idempotency_key_ttl_ms);
+        let mut ledger = self.ledger.lock();
+        ledger.set_ttl(ttl);
+        let begin = ledger.begin(key, fingerprint, self.clock.now());
+        drop(ledger);
+        self.metrics.count(decision_name(&begin));
+        begin
+    }
+
+    /// Runs the exchange of a key to its end, whether or not its caller waits for it.
+    pub fn spawn(&self, exchange: impl Future<Output = ()> + Send + 'static) {
+        let aborting = self.aborting.clone();
+        self.exchanges.spawn(async move {
+            tokio::select! {
+                () = exchange => {}
+                () = aborting.cancelled() => {}
+            }
+        });
+    }
+
+    /// Waits until every exchange with a key has ended.
+    pub async fn exchanges_ended(&self) {
+        self.exchanges.close();
+        self.exchanges.wait().await;
+    }
+
+    /// Breaks off the exchanges, as the end of the process would.
+    pub fn abort(&self) {
+        self.aborting.cancel();
+    }
+
+    /// Puts the size of the ledger into the metrics.
+    pub fn publish_size(&self) {
+        self.ledger.lock().expire(self.clock.now());
+        self.metrics.set_size(&self.status());
+    }
+}
+
+/// A key whose request is in progress here.
+///
+/// If it is dropped before it is finished, the request counts as possibly run as soon as a backend
+/// server may have been offered a byte of it.
+pub struct RunningKey {
+    state: Arc<LedgerState>,
+    key: IdempotencyKey,
+    /// Set by the first end: the key may be in use again after it.
+    finished: AtomicBool,
+}
+
+impl RunningKey {
+    /// Stands for a key that [`LedgerState::begin`] let run.
+    pub fn new(state: Arc<LedgerState>, key: IdempotencyKey) -> Self {
+        Self { state, key, finished: AtomicBool::new(false) }
+    }
+
+    /// Notes that a backend server may be offered a byte of the request from now on.
+    pub fn sent(&self) {
+        self.state.ledger.lock().sent(&self.key);
+    }
+
+    /// Notes that the request came back with no byte offered.
+    pub fn returned(&self) {
+        self.state.ledger.lock().returned(&self.key);
+    }
+
+    /// Ends the request, and returns what the caller may be told; only the first end counts.
+    pub fn finish(&self, ended: Ended) -> Settled {
+        if self.finished.swap(true, Ordering::SeqCst) {
+            return Settled::Unknown;
+        }
+        self.state.ledger.lock().finish(&self.key, ended, self.state.clock.now())
+    }
+}
+
+impl Drop for RunningKey {
+    fn drop(&mut self) {
+        self.finish(Ended::NotSent);
+    }
+}
+
+fn decision_name(begin: &Begin) -> &'static str {
+    match begin {
+        Begin::Run => "run",
+        Begin::Replay(Outcome::Answered(_)) => "replay",
+        Begin::Replay(Outcome::Ran) => "ran-before",
+        Begin::Replay(Outcome::Unknown) => "unknown-before",
+        Begin::InProgress => "in-progress",
+        Begin::Mismatch => "mismatch",
+        Begin::Full => "full",
+        Begin::Expired => "expired",
+        Begin::NotIssued => "not-issued",
+        Begin::Closed => "closed",
+        Begin::NotHome => "not-home",
+    }
+}
+
+/// Returns milliseconds since the Unix epoch.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/runpind/src/process/metrics.rs
+++ b/crates/runpind/src/process/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of the daemon, in the form of Prometheus.
 
+use super::ledger::LedgerMetrics;
 use configuration::Class;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -21,6 +22,8 @@
     pub lookups: IntCounterVec,
     /// Number of the configuration version in force.
     pub configuration_version: IntGauge,
+    /// Idempotency keys.
+    pub ledger: LedgerMetrics,
 }
 
 impl Metrics {
@@ -51,7 +54,8 @@
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(lookups.clone()))?;
         registry.register(Box::new(configuration_version.clone()))?;
-        Ok(Self { registry, requests, latency, lookups, configuration_version })
+        let ledger = LedgerMetrics::register(&registry)?;
+        Ok(Self { registry, requests, latency, lookups, configuration_version, ledger })
     }
 
     /// Returns the registry, for further metrics.
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod configuration;
 pub mod daemon;
 pub mod history;
+pub mod ledger;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
@@ -17,6 +18,7 @@
 use crate::version::Version;
 use arc_swap::ArcSwapOption;
 use clock::Clock;
+use ledger::LedgerState;
 use membership::Members;
 use metrics::Metrics;
 use parking_lot::Mutex;
@@ -50,6 +52,8 @@
     pub servers: Mutex<Servers>,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// The ledger of idempotency keys.
+    pub ledger: Arc<LedgerState>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Set once a planned stop began.
@@ -74,6 +78,7 @@
         peers: Arc<dyn PeerClient>,
         metrics: Metrics,
     ) -> Self {
+        let ledger = LedgerState::new(incarnation, clock.clone(), metrics.ledger.clone());
         Self {
             settings,
             incarnation,
@@ -85,6 +90,7 @@
             members: ArcSwapOption::empty(),
             servers: Mutex::default(),
             pools: Pools::default(),
+            ledger: Arc::new(ledger),
             metrics,
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/runpind/src/request/admin.rs
+++ b/crates/runpind/src/request/admin.rs
@@ -30,7 +30,7 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
         (&Method::GET, "/readyz") => ready(&process),
-        (&Method::GET, "/metrics") => match process.metrics.render() {
+        (&Method::GET, "/metrics") => match render_metrics(&process) {
             Ok(metrics) => Response::new(body::full(metrics)),
             Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
         },
@@ -50,6 +50,11 @@
     }
 }
 
+fn render_metrics(process: &Process) -> Result<Vec<u8>, prometheus::Error> {
+    process.ledger.publish_size();
+    process.metrics.render()
+}
+
 fn is_allowed<B>(request: &Request<B>, token: &Secret) -> bool {
     request
         .headers()
--- a/crates/runpind/src/request/attempt.rs
+++ b/crates/runpind/src/request/attempt.rs
@@ -52,10 +52,21 @@
         Err(_) => return Err(Problem::TimeoutBeforeSend),
     };
     let Some(sender) = connection.sender.as_mut() else { return Ok(Attempt::NotSent(request)) };
+    if let Some(key) = &exchange.key {
+        key.sent();
+    }
     let sending = sender.try_send_request(request);
     match tokio::time::timeout_at(exchange.deadline, sending).await {
         Ok(Ok(response)) => Ok(Attempt::Answered(response, connection)),
-        Ok(Err(mut error)) => Ok(error.take_message().map_or(Attempt::Broken, Attempt::NotSent)),
+        Ok(Err(mut error)) => Ok(match error.take_message() {
+            Some(request) => {
+                if let Some(key) = &exchange.key {
+                    key.returned();
+                }
+                Attempt::NotSent(request)
+            }
+            None => Attempt::Broken,
+        }),
         Err(_) => Err(Problem::TimeoutAfterSend),
     }
 }
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -11,15 +11,18 @@
 use super::body::{Body, BodyError};
 use super::exchange::{AnswerBody, ExchangeConnection, Measurement, Slot};
 use super::headers::{TIMEOUT_HEADER, closes_connection, remove_hop_by_hop};
+use super::outcome::{OUTCOME_HEADER, Outcome};
 use super::problem::Problem;
+use super::replay::Shed;
 use super::route::Route;
-use super::{admit, deadline, lookup, reserve, route};
+use super::{admit, deadline, key, lookup, reserve, route};
 use crate::connection::pool::PooledConnection;
+use crate::process::ledger::RunningKey;
 use crate::process::{InFlight, Process};
 use crate::version::Version;
 use configuration::{Class, Service, ServiceIndex};
 use http::header::HOST;
-use http::{HeaderValue, Request, Response, Uri, Version as HttpVersion};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, Version as HttpVersion};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
@@ -34,6 +37,8 @@
     pub(super) class: Class,
     pub(super) deadline: Instant,
     pub(super) started: Instant,
+    /// The idempotency key that is run here.
+    pub(super) key: Option<Arc<RunningKey>>,
     in_flight: InFlight,
 }
 
@@ -45,7 +50,7 @@
 ) -> Response<Body> {
     let in_flight = process.enter();
     match Exchange::new(process, peer, &request, in_flight) {
-        Ok(exchange) => exchange.run(request).await,
+        Ok(exchange) => key::answer(exchange, request).await,
         Err(problem) => problem.response(),
     }
 }
@@ -72,14 +77,22 @@
         let timeout_ms = version.configuration.overload.default_timeout_ms;
         let deadline = deadline::of_request(request.headers(), class, timeout_ms)?;
         let started = Instant::now();
-        Ok(Self { process, version, service, class, deadline, started, in_flight })
+        Ok(Self { process, version, service, class, deadline, started, key: None, in_flight })
     }
 
     pub(super) fn service(&self) -> &Service {
         &self.version.configuration.services[self.service.get()]
     }
 
-    async fn run(self, request: Request<Incoming>) -> Response<Body> {
+    /// Refuses the request.
+    pub(super) fn refuse(self, problem: Problem) -> Response<Body> {
+        let outcome = problem.outcome().as_str();
+        self.process.metrics.count_request(&self.service().name, self.class, outcome);
+        problem.response()
+    }
+
+    /// Runs the request, or says why it can't.
+    pub(super) async fn run(self, request: Request<Incoming>) -> Response<Body> {
         let process = self.process.clone();
         let service = self.service().name.clone();
         let class = self.class;
@@ -133,6 +146,14 @@
         let reusable = !closes_connection(&parts.headers);
         remove_hop_by_hop(&mut parts.headers);
         parts.version = HttpVersion::default();
+        // It is ours to say.
+        parts.headers.remove(OUTCOME_HEADER);
+        if parts.status == StatusCode::SERVICE_UNAVAILABLE && self.service().shed_status_not_run {
+            let not_run = Outcome::NotRun;
+            parts.headers.insert(OUTCOME_HEADER, HeaderValue::from_static(not_run.as_str()));
+            parts.extensions.insert(not_run);
+            parts.extensions.insert(Shed);
+        }
         let measurement = Measurement {
             process: self.process.clone(),
             service: self.service().name.clone(),
--- /dev/null
+++ b/crates/runpind/src/request/key.rs
@@ -0,0 +1,81 @@
+//! Requests with an idempotency key: run at most once, at the key's home.
+
+use super::body::{self, Body};
+use super::forward::Exchange;
+use super::key_problem::KeyProblem;
+use super::problem::Problem;
+use super::replay;
+use crate::process::ledger::RunningKey;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use steering::IdempotencyKey;
+use steering::ledger::{Answer, Begin, Fingerprint, Outcome};
+
+/// The caller's idempotency key.
+pub(super) const KEY_HEADER: &str = "idempotency-key";
+
+/// Tells that an answer was given before, to the first request with the same key.
+const REPLAYED_HEADER: &str = "runpin-replayed";
+
+/// Answers a request: one that may repeat, or has no key, is run at once.
+pub(super) async fn answer(exchange: Exchange, request: Request<Incoming>) -> Response<Body> {
+    if exchange.class.is_repeatable() || !request.headers().contains_key(KEY_HEADER) {
+        return exchange.run(request).await;
+    }
+    let key = match key_of(&request) {
+        Ok(key) => key,
+        Err(problem) => return exchange.refuse(problem.into()),
+    };
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    let fingerprint = Fingerprint::of(request.method().as_str(), path);
+    let ledger = exchange.process.ledger.clone();
+    let problem = match ledger.begin(&exchange.version, &key, fingerprint) {
+        Begin::Run => {
+            let running = Arc::new(RunningKey::new(ledger, key));
+            return replay::run(exchange, request, running).await;
+        }
+        Begin::Replay(Outcome::Answered(answer)) => return again(&answer),
+        Begin::Replay(Outcome::Ran) => KeyProblem::Ran,
+        Begin::Replay(Outcome::Unknown) => KeyProblem::Unknown,
+        Begin::InProgress => KeyProblem::InProgress,
+        Begin::Mismatch => KeyProblem::Mismatch,
+        Begin::Full => KeyProblem::Full,
+        Begin::Expired => KeyProblem::Expired,
+        Begin::NotIssued => KeyProblem::NotIssued,
+        Begin::Closed => KeyProblem::HomeStopping,
+        Begin::NotHome => return exchange.run(request).await,
+    };
+    exchange.refuse(problem.into())
+}
+
+fn key_of(request: &Request<Incoming>) -> Result<IdempotencyKey, KeyProblem> {
+    let values = request.headers().get_all(KEY_HEADER);
+    let mut texts = values.iter().map(|value| value.to_str().unwrap_or_default());
+    match (texts.next(), texts.next()) {
+        (Some(text), None) => Ok(text.parse()?),
+        _ => Err(KeyProblem::Bad(steering::KeyError::Character)),
+    }
+}
+
+/// Makes the answer that the first request with the key got.
+fn again(answer: &Answer) -> Response<Body> {
+    let mut response = Response::new(body::full(answer.body.clone()));
+    // A status that was received once is valid.
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    if let Ok(content_type) = HeaderValue::from_str(&answer.content_type)
+        && !answer.content_type.is_empty()
+    {
+        headers.insert(CONTENT_TYPE, content_type);
+    }
+    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+    response
+}
+
+impl From<KeyProblem> for Problem {
+    fn from(problem: KeyProblem) -> Self {
+        Problem::Key(problem)
+    }
+}
--- a/crates/runpind/src/request/lookup.rs
+++ b/crates/runpind/src/request/lookup.rs
@@ -11,7 +11,6 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use steering::IdempotencyKey;
 use steering::lookup::{Candidate, choose};
 
 /// Answer to a look-up.
@@ -66,7 +65,7 @@
             .map(|choice| InstanceAnswer { address: choice.address, weight: choice.weight })
             .collect(),
         ttl_ms: configuration.lookup.ttl_ms,
-        idempotency_key_prefix: IdempotencyKey::prefix(process.incarnation),
+        idempotency_key_prefix: process.ledger.prefix(process.incarnation),
         configuration_version: version.number,
     };
     let text = serde_json::to_vec(&answer).map_err(|_| Problem::NoConfiguration)?;
--- a/crates/runpind/src/request/mod.rs
+++ b/crates/runpind/src/request/mod.rs
@@ -8,9 +8,12 @@
 mod exchange;
 mod forward;
 mod headers;
+mod key;
+pub mod key_problem;
 mod lookup;
 pub mod outcome;
 pub mod problem;
+mod replay;
 mod reserve;
 mod route;
 
--- a/crates/runpind/src/request/problem.rs
+++ b/crates/runpind/src/request/problem.rs
@@ -1,6 +1,7 @@
 //! Refusals: a status, an outcome and a body after RFC 9457.
 
 use super::body::{self, Body};
+use super::key_problem::KeyProblem;
 use super::outcome::{OUTCOME_HEADER, Outcome};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
@@ -44,6 +45,9 @@
     /// The exchange with the backend server broke after the request was sent.
     #[error("the exchange with the backend server broke")]
     Broken,
+    /// The idempotency key forbids it.
+    #[error("{0}")]
+    Key(KeyProblem),
 }
 
 impl Problem {
@@ -57,6 +61,7 @@
             Problem::MissingParameter(_) | Problem::BadHeader { .. } => StatusCode::BAD_REQUEST,
             Problem::TimeoutBeforeSend | Problem::TimeoutAfterSend => StatusCode::GATEWAY_TIMEOUT,
             Problem::Broken => StatusCode::BAD_GATEWAY,
+            Problem::Key(problem) => problem.status(),
         }
     }
 
@@ -64,6 +69,7 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             Problem::TimeoutAfterSend | Problem::Broken => Outcome::Unknown,
+            Problem::Key(problem) => problem.outcome(),
             _ => Outcome::NotRun,
         }
     }
@@ -80,24 +86,35 @@
             Problem::TimeoutBeforeSend => "timeout-before-send",
             Problem::TimeoutAfterSend => "timeout-after-send",
             Problem::Broken => "broken-exchange",
+            Problem::Key(problem) => problem.kind(),
         }
     }
 
     /// Returns the refusal as an answer to the caller.
     pub fn response(&self) -> Response<Body> {
         let status = self.status();
-        let text = serde_json::json!({
+        let mut text = serde_json::json!({
             "type": format!("urn:runpin:problem:{}", self.kind()),
             "title": self.to_string(),
             "status": status.as_u16(),
             "outcome": self.outcome().as_str(),
         });
+        if let Problem::Key(problem) = self
+            && problem.attempt_not_run()
+        {
+            text["attempt"] = Outcome::NotRun.as_str().into();
+        }
         let mut response = Response::new(body::full(text.to_string()));
+        response.extensions_mut().insert(self.outcome());
         *response.status_mut() = status;
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
         headers.insert(OUTCOME_HEADER, HeaderValue::from_static(self.outcome().as_str()));
-        if status == StatusCode::SERVICE_UNAVAILABLE {
+        let may_pass = match self {
+            Problem::Key(problem) => problem.is_passing(),
+            _ => status == StatusCode::SERVICE_UNAVAILABLE,
+        };
+        if may_pass {
             headers.insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
         }
         response
--- /dev/null
+++ b/crates/runpind/tests/fleet/mod.rs
@@ -0,0 +1,259 @@
+//! Daemons as tasks, with a backend server that counts what it runs and fails as its paths say.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use bytes::Bytes;
+use configuration::{MANIFEST_KEY, Manifest};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use lab::PlatformStandIn;
+use parking_lot::Mutex;
+use platform::{Expected, InstanceEntry, InstanceState, ObjectStore};
+use runpind::process::clock::BootClock;
+use runpind::settings::{LogFormat, Secret};
+use runpind::{Daemon, Dependencies, Settings, TcpDialer};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+const SECRET: &str = "0123456789abcdef";
+const POLL: Duration = Duration::from_millis(5);
+
+/// Runs and answers `/files/ok`; loses the answer of `/files/lost`; answers `/files/large` with
+/// much; answers `/files/gate` once the gate opens; sheds `/files/shed` without running it.
+pub(crate) struct FakeServer {
+    pub(crate) address: SocketAddr,
+    state: Arc<FakeState>,
+}
+
+struct FakeState {
+    runs: Mutex<HashMap<String, u32>>,
+    gate: Semaphore,
+}
+
+/// Bytes of the answer to `/files/large`.
+pub(crate) const LARGE_BYTES: usize = 200_000;
+
+impl FakeServer {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+        let address = listener.local_addr().expect("address");
+        let state = Arc::new(FakeState { runs: Mutex::default(), gate: Semaphore::new(0) });
+        let shared = state.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let shared = shared.clone();
+                let service = service_fn(move |request| fake_answer(shared.clone(), request));
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(connection);
+            }
+        });
+        Self { address, state }
+    }
+
+    pub(crate) fn times_run(&self, key: &str) -> u32 {
+        self.state.runs.lock().get(key).copied().unwrap_or(0)
+    }
+
+    pub(crate) async fn wait_run(&self, key: &str) {
+        while self.times_run(key) == 0 {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    pub(crate) fn open_gate(&self) {
+        self.state.gate.add_permits(1_000);
+    }
+}
+
+async fn fake_answer(
+    state: Arc<FakeState>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    let key = request.headers().get("idempotency-key").and_then(|key| key.to_str().ok());
+    let key = key.unwrap_or_default().to_owned();
+    let path = request.uri().path().to_owned();
+    let _ = request.into_body().collect().await;
+    let mut response = Response::new(Full::default());
+    if path == "/files/shed" {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return Ok(response);
+    }
+    let times = {
+        let mut runs = state.runs.lock();
+        let times = runs.entry(key).or_default();
+        *times += 1;
+        *times
+    };
+    *response.status_mut() = StatusCode::CREATED;
+    *response.body_mut() = format!("run {times}").into();
+    match path.as_str() {
+        "/files/lost" => return Err(std::io::Error::other("the answer is lost")),
+        "/files/large" => *response.body_mut() = vec![b'x'; LARGE_BYTES].into(),
+        "/files/gate" => drop(state.gate.acquire().await),
+        _ => {}
+    }
+    Ok(response)
+}
+
+/// An answer read to its end.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) outcome: Option<String>,
+    pub(crate) text: String,
+}
+
+/// A deployment with one availability zone and one service, `files`.
+pub(crate) struct Fleet {
+    pub(crate) platform: Arc<PlatformStandIn>,
+    pub(crate) server: FakeServer,
+    client: Client<HttpConnector, Full<Bytes>>,
+    entries: Mutex<Vec<InstanceEntry>>,
+}
+
+impl Fleet {
+    pub(crate) async fn start() -> Self {
+        let server = FakeServer::start().await;
+        let platform = Arc::new(PlatformStandIn::default());
+        let manifest = Manifest {
+            number: 1,
+            write_id: "test".into(),
+            author: "test".into(),
+            applied_at_s: 0,
+            text: configuration_text(server.address).into(),
+            chunks: Vec::new(),
+            retired: Vec::new(),
+        };
+        let value = manifest.to_json().expect("manifest").into();
+        platform.put(MANIFEST_KEY, value, Expected::Absent).await.expect("accepted");
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Self { platform, server, client, entries: Mutex::default() }
+    }
+
+    pub(crate) async fn daemon(&self, name: &str) -> Daemon {
+        self.daemon_on(name, SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    pub(crate) async fn daemon_on(&self, name: &str, caller_address: SocketAddr) -> Daemon {
+        let dependencies = Dependencies {
+            store: self.platform.clone(),
+            directory: self.platform.clone(),
+            dialer: Arc::new(TcpDialer),
+            clock: Arc::new(BootClock),
+        };
+        let settings = settings(name, caller_address);
+        let daemon = Daemon::start(settings, dependencies).await.expect("daemon starts");
+        self.list(name, &daemon);
+        let process = daemon.process();
+        let listed =
+            || process.members.load().as_ref().is_some_and(|list| !list.members.is_empty());
+        while process.version.load().is_none() || !listed() {
+            tokio::time::sleep(POLL).await;
+        }
+        daemon
+    }
+
+    fn list(&self, name: &str, daemon: &Daemon) {
+        let mut entries = self.entries.lock();
+        entries.retain(|entry| &*entry.name != name);
+        entries.push(InstanceEntry {
+            name: name.into(),
+            availability_zone: "n1".into(),
+            caller_address: daemon.caller_address(),
+            peer_address: daemon.process().settings.peer_address,
+            state: InstanceState::Live,
+        });
+        self.platform.set_entry_instances(entries.clone());
+    }
+
+    pub(crate) async fn send(&self, to: SocketAddr, path: &str, key: &str) -> Answer {
+        self.try_send(to, path, key).await.expect("an answer")
+    }
+
+    pub(crate) async fn try_send(&self, to: SocketAddr, path: &str, key: &str) -> Option<Answer> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{to}{path}"))
+            .header("idempotency-key", key)
+            .body(Full::from("body"))
+            .expect("request");
+        let response = self.client.request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let outcome = response.headers().get("runpin-outcome");
+        let outcome = outcome.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some(Answer { status, outcome, text: String::from_utf8_lossy(&body).into_owned() })
+    }
+}
+
+/// A fresh key whose home is the daemon.
+pub(crate) fn key_of(daemon: &Daemon, name: &str) -> String {
+    let process = daemon.process();
+    format!("{}{name}", process.ledger.prefix(process.incarnation))
+}
+
+fn settings(name: &str, caller_address: SocketAddr) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        name: name.into(),
+        availability_zone: "n1".into(),
+        caller_address,
+        peer_address: any,
+        admin_address: any,
+        platform_address: any,
+        peer_keys: vec![Secret::from(SECRET)],
+        read_token: Secret::from(SECRET),
+        change_token: Secret::from(SECRET),
+        log_format: LogFormat::Text,
+        drain_timeout_ms: 10_000,
+        trust_caller_header: true,
+    }
+}
+
+fn configuration_text(backend_server: SocketAddr) -> String {
+    format!(
+        r#"
+[deployment]
+name = "small"
+lookup_ttl_ms = 1000
+lookup_instances = 2
+idempotency_key_ttl_ms = 60000
+
+[[region]]
+name = "north"
+availability_zones = ["n1"]
+
+[delays]
+same_region_ms = 1.0
+between_regions_ms = 30.0
+client_ms = 2.0
+
+[[service]]
+name = "files"
+path_prefix = "/files"
+slots_per_server = 100
+target_utilization = 1.0
+shed_status_not_run = true
+
+[[service.site]]
+availability_zone = "n1"
+backend_servers = ["{backend_server}"]
+
+[link_defaults]
+cap_requests_per_s = 1000
+floor_percent = 100.0
+instance_slots = 2
+shift_percent_per_s = 100.0
+"#
+    )
+}
--- a/crates/steering/src/key.rs
+++ b/crates/steering/src/key.rs
@@ -1,6 +1,8 @@
 //! Idempotency keys and the incarnations that are their homes.
 
+use std::cmp::Ordering;
 use std::fmt;
+use std::hash::{Hash, Hasher};
 use std::str::FromStr;
 use std::sync::Arc;
 use thiserror::Error;
@@ -11,6 +13,12 @@
 /// Hexadecimal digits of an incarnation.
 const INCARNATION_DIGITS: usize = 16;
 
+/// Shortest idempotency key, in bytes: home, time of issue and one character, with two hyphens.
+const MIN_KEY_BYTES: usize = INCARNATION_DIGITS + 4;
+
+/// Base of the numbers in a key.
+const HEXADECIMAL: u32 = 16;
+
 /// One life of one instance: drawn at random when the process starts, never used again.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Incarnation(pub u64);
@@ -25,31 +33,34 @@
     type Err = KeyError;
 
     fn from_str(text: &str) -> Result<Self, KeyError> {
-        let digits = text.len() == INCARNATION_DIGITS;
-        let all_hex = text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
-        match u64::from_str_radix(text, 16) {
-            Ok(number) if digits && all_hex => Ok(Incarnation(number)),
-            _ => Err(KeyError::Home),
+        match parse_hexadecimal(text) {
+            Some(number) if text.len() == INCARNATION_DIGITS => Ok(Incarnation(number)),
+            _ => Err(KeyError::Prefix),
         }
     }
 }
 
-/// An idempotency key: `HOME-REST`, where `HOME` is the incarnation that alone may run it.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+/// An idempotency key: `HOME-ISSUED-REST`.
+///
+/// `HOME` is the incarnation that alone may run the request, `ISSUED` the time at which a look-up
+/// gave the prefix `HOME-ISSUED-`, in hexadecimal milliseconds since the Unix epoch, and `REST`
+/// what the caller chose.
+#[derive(Clone, Debug, Eq)]
 pub struct IdempotencyKey {
     text: Arc<str>,
     home: Incarnation,
+    issued_ms: u64,
 }
 
 /// Why a text is not an idempotency key.
 #[derive(Clone, Copy, Debug, Error, Eq, PartialEq)]
 pub enum KeyError {
     /// It is empty or too long.
-    #[error("an idempotency key has 18 to {MAX_KEY_BYTES} bytes")]
+    #[error("an idempotency key has {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes")]
     Length,
     /// It does not start with the prefix that a look-up gave.
     #[error("an idempotency key starts with the prefix that the look-up gave")]
-    Home,
+    Prefix,
     /// It contains a byte that is not a visible ASCII character.
     #[error("an idempotency key holds visible ASCII characters only")]
     Character,
@@ -66,9 +77,15 @@
         &self.text
     }
 
-    /// Returns the prefix of all keys whose home is `incarnation`.
-    pub fn prefix(incarnation: Incarnation) -> String {
-        format!("{incarnation}-")
+    /// Returns when the prefix was given, in milliseconds since the Unix epoch, as the instance
+    /// that answered the look-up counts them.
+    pub fn issued_ms(&self) -> u64 {
+        self.issued_ms
+    }
+
+    /// Returns the prefix of keys whose home is `home`, given at `issued_ms`.
+    pub fn prefix(home: Incarnation, issued_ms: u64) -> String {
+        format!("{home}-{issued_ms:x}-")
     }
 }
 
@@ -76,13 +93,50 @@
     type Err = KeyError;
 
     fn from_str(text: &str) -> Result<Self, KeyError> {
-        if text.len() < INCARNATION_DIGITS + 2 || text.len() > MAX_KEY_BYTES {
+        if text.len() < MIN_KEY_BYTES || text.len() > MAX_KEY_BYTES {
             return Err(KeyError::Length);
         }
         if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
             return Err(KeyError::Character);
         }
-        let (home, _) = text.split_once('-').ok_or(KeyError::Home)?;
-        Ok(Self { text: text.into(), home: home.parse()? })
+        let mut fields = text.splitn(3, '-');
+        let home = fields.next().ok_or(KeyError::Prefix)?.parse()?;
+        let issued_ms = fields.next().and_then(parse_hexadecimal).ok_or(KeyError::Prefix)?;
+        fields.next().filter(|rest| !rest.is_empty()).ok_or(KeyError::Prefix)?;
+        Ok(Self { text: text.into(), home, issued_ms })
+    }
+}
+
+// The text decides alone: the other fields follow from it.
+impl PartialEq for IdempotencyKey {
+    fn eq(&self, other: &Self) -> bool {
+        self.text == other.text
+    }
+}
+
+impl PartialOrd for IdempotencyKey {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for IdempotencyKey {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.text.cmp(&other.text)
+    }
+}
+
+impl Hash for IdempotencyKey {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.text.hash(state);
+    }
+}
+
+/// Parses lower-case hexadecimal digits, without the sign that the standard library allows.
+fn parse_hexadecimal(digits: &str) -> Option<u64> {
+    let lower_hex = |byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+    match digits.bytes().all(lower_hex) {
+        true => u64::from_str_radix(digits, HEXADECIMAL).ok(),
+        false => None,
     }
 }
--- /dev/null
+++ b/crates/steering/src/ledger/hand_over.rs
@@ -0,0 +1,209 @@
+//! Handing a closed book to one successor, part by part.
+//!
+//! The part marked `last` is the point of no return: once it may have reached a successor, it is
+//! offered to no other, as both would then run keys of the home.
+
+use super::record::{Fingerprint, Outcome};
+use crate::key::{IdempotencyKey, Incarnation};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Most records in a part.
+const MAX_PART_RECORDS: usize = 500;
+
+/// Most bytes of bodies in a part, unless one body alone is larger.
+const MAX_PART_BYTES: usize = 256 << 10;
+
+/// A part of a book on its way to a successor.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// The home whose keys these are.
+    pub home: Incarnation,
+    /// The incarnation that is to take them over.
+    pub successor: Incarnation,
+    /// Position, from 0.
+    pub number: u32,
+    /// Whether every key of the home is known with this part.
+    pub last: bool,
+    /// Keys issued before this are never run, in milliseconds since the Unix epoch.
+    pub horizon_ms: u64,
+    /// Keys and what is known of them.
+    pub records: Vec<HandedRecord>,
+}
+
+/// A key and what is known of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HandedRecord {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// Fingerprint of its request.
+    pub fingerprint: Fingerprint,
+    /// How long it is to be kept.
+    pub keep: Duration,
+    /// What is known of the request.
+    pub outcome: HandedOutcome,
+}
+
+/// What a home tells its successor of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HandedOutcome {
+    /// It ended, and was or may have been run.
+    Known(Outcome),
+    /// It is in progress at the home.
+    InProgress,
+    /// It was in progress at the home and ended without being run.
+    NotRun,
+}
+
+/// What came back for a part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PartReply {
+    /// The successor has it.
+    Accepted,
+    /// The successor does not take it.
+    Refused,
+    /// It did not leave this instance.
+    NotSent,
+    /// It may have arrived.
+    Unsure,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Send the next part, if there is one, to the same successor.
+    Continue,
+    /// Send the same part to the same successor again.
+    Repeat,
+    /// Begin anew with another successor.
+    Another,
+    /// Give up: keys of the home that are not known here stay unknown for ever.
+    GiveUp,
+}
+
+/// The hand-over of one home's book.
+#[derive(Debug)]
+pub struct HandOver {
+    home: Incarnation,
+    horizon_ms: u64,
+    /// Parts of the closed book, then updates; their content never changes.
+    parts: Vec<Vec<HandedRecord>>,
+    /// Position of the part that makes the successor's book whole.
+    last: usize,
+    next: usize,
+    successor: Option<Incarnation>,
+    /// Whether a `last` part may have reached the successor.
+    committed: bool,
+    given_up: bool,
+}
+
+impl HandOver {
+    pub(super) fn new(home: Incarnation, horizon_ms: u64, records: Vec<HandedRecord>) -> Self {
+        let parts = split(records);
+        let last = parts.len() - 1;
+        Self {
+            home,
+            horizon_ms,
+            parts,
+            last,
+            next: 0,
+            successor: None,
+            committed: false,
+            given_up: false,
+        }
+    }
+
+    /// Returns the home whose book it is.
+    pub fn home(&self) -> Incarnation {
+        self.home
+    }
+
+    /// Returns the successor, once one accepted the whole book.
+    pub fn taken_over_by(&self) -> Option<Incarnation> {
+        self.successor.filter(|_| self.next > self.last)
+    }
+
+    /// Tells whether a successor may have the whole book.
+    pub fn is_committed(&self) -> bool {
+        self.committed
+    }
+
+    /// Begins with a successor; refused once another one may have the whole book.
+    pub fn begin(&mut self, successor: Incarnation) -> bool {
+        if self.given_up || self.committed {
+            return false;
+        }
+        self.successor = Some(successor);
+        self.next = 0;
+        true
+    }
+
+    /// Adds outcomes that came after the book was closed.
+    pub fn push_updates(&mut self, updates: Vec<HandedRecord>) {
+        if !updates.is_empty() {
+            self.parts.extend(split(updates));
+        }
+    }
+
+    /// Returns the part to send now; `None` when there is none.
+    pub fn next_part(&self) -> Option<Part> {
+        let successor = self.successor.filter(|_| !self.given_up)?;
+        let records = self.parts.get(self.next)?.clone();
+        Some(Part {
+            home: self.home,
+            successor,
+            number: u32::try_from(self.next).ok()?,
+            last: self.next == self.last,
+            horizon_ms: self.horizon_ms,
+            records,
+        })
+    }
+
+    /// Takes in what came back for the part that [`next_part`](Self::next_part) returned.
+    pub fn replied(&mut self, reply: PartReply) -> Step {
+        let is_last = self.next == self.last;
+        match reply {
+            PartReply::Accepted => {
+                self.committed |= is_last;
+                self.next += 1;
+                Step::Continue
+            }
+            PartReply::Unsure => {
+                self.committed |= is_last;
+                Step::Repeat
+            }
+            PartReply::NotSent if self.committed => Step::Repeat,
+            PartReply::Refused if self.committed => {
+                self.given_up = true;
+                Step::GiveUp
+            }
+            PartReply::NotSent | PartReply::Refused => {
+                self.successor = None;
+                Step::Another
+            }
+        }
+    }
+}
+
+/// Divides records into parts of bounded size, at least one.
+fn split(records: Vec<HandedRecord>) -> Vec<Vec<HandedRecord>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    let mut queue = VecDeque::from(records);
+    while let Some(record) = queue.pop_front() {
+        let body_bytes = match &record.outcome {
+            HandedOutcome::Known(outcome) => outcome.body_bytes(),
+            HandedOutcome::InProgress | HandedOutcome::NotRun => 0,
+        };
+        let Some(part) = parts.last_mut() else { return parts };
+        let full = part.len() == MAX_PART_RECORDS || bytes + body_bytes > MAX_PART_BYTES;
+        if full && !part.is_empty() {
+            parts.push(vec![record]);
+            bytes = body_bytes;
+        } else {
+            part.push(record);
+            bytes += body_bytes;
+        }
+    }
+    parts
+}
--- /dev/null
+++ b/crates/steering/src/ledger/limits.rs
@@ -0,0 +1,51 @@
+//! How much a ledger may remember.
+
+/// Bounds of a ledger.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Number of keys.
+    pub max_keys: usize,
+    /// Memory of keys and answers, in bytes.
+    pub max_bytes: usize,
+    /// Part of `max_bytes` that bodies of answers leave free for further keys.
+    pub reserved_for_keys_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { max_keys: 100_000, max_bytes: 80 << 20, reserved_for_keys_bytes: 48 << 20 }
+    }
+}
+
+/// What a ledger remembers now, against its bounds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Usage {
+    pub(super) limits: Limits,
+    pub(super) keys: usize,
+    pub(super) bytes: usize,
+}
+
+impl Usage {
+    pub(super) fn new(limits: Limits) -> Self {
+        Self { limits, keys: 0, bytes: 0 }
+    }
+
+    pub(super) fn has_room(&self, keys: usize, bytes: usize) -> bool {
+        self.keys + keys <= self.limits.max_keys && self.bytes + bytes <= self.limits.max_bytes
+    }
+
+    pub(super) fn has_room_for_body(&self, bytes: usize) -> bool {
+        let reserved = self.limits.reserved_for_keys_bytes;
+        bytes == 0 || self.bytes + bytes <= self.limits.max_bytes.saturating_sub(reserved)
+    }
+
+    pub(super) fn add(&mut self, bytes: usize) {
+        self.keys += 1;
+        self.bytes += bytes;
+    }
+
+    pub(super) fn remove(&mut self, bytes: usize) {
+        self.keys -= 1;
+        self.bytes -= bytes;
+    }
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod blocks;
 pub mod key;
+pub mod ledger;
 pub mod lookup;
 pub mod servers;
 pub mod time;
