--- a/crates/configuration/src/checked.rs
+++ b/crates/configuration/src/checked.rs
@@ -1,6 +1,6 @@
 //! The checked configuration: every name is unique, every reference is an index.
 
-use crate::{LinkIndex, RegionIndex, Route, ServiceIndex, SiteIndex, ZoneIndex};
+use crate::{Drained, LinkIndex, RegionIndex, Route, ServiceIndex, SiteIndex, ZoneIndex};
 use ipnet::IpNet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +30,8 @@
     pub policies: Vec<Policy>,
     /// Arms, of which those that are not shadow arms share the callers.
     pub arms: Vec<Arm>,
+    /// What operators drained; its backend servers are not in the sites above.
+    pub drained: Drained,
 }
 
 /// What look-ups answer.
@@ -115,7 +117,8 @@
     pub availability_zone: ZoneIndex,
     /// The backend servers.
     pub backend_servers: Vec<BackendServer>,
-    /// Slots that steering may fill: servers x slots x target, rounded down, at least 1.
+    /// Slots that steering may fill: servers x slots x target, rounded down, at least 1 but for a
+    /// site without backend servers.
     pub capacity_slots: u32,
 }
 
@@ -176,6 +179,13 @@
     pub shadow: bool,
 }
 
+/// Returns the slots that steering may fill at a site with this many backend servers.
+pub(crate) fn capacity_slots(backend_servers: usize, slots_per_server: u32, target: f64) -> u32 {
+    let slots = backend_servers as f64 * f64::from(slots_per_server);
+    let least = u32::from(backend_servers > 0);
+    ((slots * target).floor() as u32).max(least)
+}
+
 impl Configuration {
     /// Finds an availability zone by name.
     pub fn zone(&self, name: &str) -> Option<ZoneIndex> {
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -7,6 +7,7 @@
 mod checked;
 mod chunking;
 mod class;
+mod drain;
 mod error;
 mod index;
 mod manifest;
@@ -20,6 +21,7 @@
 };
 pub use chunking::chunk_blocks;
 pub use class::Class;
+pub use drain::{Drain, DrainError, Drained, MAX_DRAINS, remove_drain};
 pub use error::{ConfigurationError, Problem};
 pub use index::{LinkIndex, RegionIndex, ServiceIndex, SiteIndex, ZoneIndex};
 pub use manifest::{
--- a/crates/configuration/src/manifest.rs
+++ b/crates/configuration/src/manifest.rs
@@ -1,6 +1,6 @@
 //! The accepted form of a configuration: one object whose conditional update is the acceptance.
 
-use crate::{Configuration, ConfigurationError};
+use crate::{Configuration, ConfigurationError, Drain};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
@@ -34,7 +34,7 @@
 /// One accepted configuration.
 ///
 /// Fields that a later release adds are ignored, so that two releases can run side by side.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Manifest {
     /// Number of the version: 1 for the first, one more with each acceptance.
     pub number: u64,
@@ -51,6 +51,9 @@
     /// Chunks that an earlier version named and this one does not, until they are removed.
     #[serde(default)]
     pub retired: Vec<RetiredChunk>,
+    /// What takes no new work, whatever the text says of it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drains: Vec<Drain>,
 }
 
 /// A chunk that only earlier versions name.
@@ -128,7 +131,8 @@
         Ok(serde_json::to_vec(self)?)
     }
 
-    /// Checks the text and adds the client blocks of all `chunks`, which must be those named.
+    /// Checks the text, adds the client blocks of all `chunks`, which must be those named, and
+    /// applies the drains.
     pub fn configuration(&self, chunks: &[BlockChunk]) -> Result<Configuration, ManifestError> {
         let mut configuration: Configuration = self.text.parse()?;
         let named = self.chunks.iter();
@@ -139,6 +143,7 @@
             chunk.verify()?;
             chunk.append_to(&mut configuration)?;
         }
+        configuration.apply_drains(&self.drains);
         Ok(configuration)
     }
 }
--- a/crates/configuration/src/resolve.rs
+++ b/crates/configuration/src/resolve.rs
@@ -1,10 +1,11 @@
 //! From a raw configuration to a checked one.
 
+use crate::checked::capacity_slots;
 use crate::raw::{RawLink, RawLinkDefaults, RawPolicy, RawRegion, RawService, RawSite};
 use crate::{
     Arm, AvailabilityZone, BackendServer, ClientBlock, Configuration, ConfigurationError, Delays,
-    Link, LookupSettings, Overload, Policy, Problem, RawConfiguration, Region, RegionIndex, Route,
-    Service, Site, ZoneIndex,
+    Drained, Link, LookupSettings, Overload, Policy, Problem, RawConfiguration, Region,
+    RegionIndex, Route, Service, Site, ZoneIndex,
 };
 use std::collections::HashSet;
 use std::str::FromStr;
@@ -116,6 +117,7 @@
         client_blocks,
         policies,
         arms,
+        drained: Drained::default(),
     })
 }
 
@@ -161,7 +163,7 @@
     raw: &RawService,
     zone_named: &impl Fn(&Spanned<String>, &'static str) -> Checked<ZoneIndex>,
 ) -> Checked<Service> {
-    let slots = in_range(&raw.slots_per_server, "service.slots_per_server", 1, 100_000)?;
+    let slots = in_range(&raw.slots_per_server, "service.slots_per_server", 1, 100_000)? as u32;
     let target = fraction(&raw.target_utilization, "service.target_utilization", 0.01, 1.0)?;
     if raw.sites.is_empty() {
         return Err(Refusal::new(&raw.name, "service.site", Problem::Empty));
@@ -191,7 +193,7 @@
             .map(|host| text(host, "service.host").map(Arc::from))
             .transpose()?,
         path_prefix: text(&raw.path_prefix, "service.path_prefix")?.into(),
-        slots_per_server: slots as u32,
+        slots_per_server: slots,
         connections_per_server: u32::try_from(raw.connections_per_server).unwrap_or(u32::MAX),
         target_utilization: target,
         shed_status_not_run: raw.shed_status_not_run,
@@ -202,7 +204,7 @@
 
 fn resolve_site(
     raw: &RawSite,
-    slots: u64,
+    slots: u32,
     target: f64,
     zone_named: &impl Fn(&Spanned<String>, &'static str) -> Checked<ZoneIndex>,
 ) -> Checked<Site> {
@@ -225,11 +227,10 @@
             Ok(BackendServer { address })
         })
         .collect::<Checked<Vec<_>>>()?;
-    let slots = (servers.len() as u64 * slots) as f64;
     Ok(Site {
         availability_zone: zone_named(&raw.availability_zone, "service.site.availability_zone")?,
+        capacity_slots: capacity_slots(servers.len(), slots, target),
         backend_servers,
-        capacity_slots: ((slots * target).floor() as u32).max(1),
     })
 }
 
--- /dev/null
+++ b/crates/configuration/tests/drains.rs
@@ -0,0 +1,92 @@
+//! What a drain takes out of use, and which ones are refused.
+
+use configuration::{Configuration, Drain, DrainError, remove_drain};
+use std::path::Path;
+
+const SERVER: &str = "10.1.1.11:8080";
+
+fn address_deployment() -> Configuration {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/address.toml");
+    let text = std::fs::read_to_string(path).expect("the example is there");
+    text.parse().expect("the example passes the checks")
+}
+
+fn drain(kind: &str, name: &str) -> Drain {
+    Drain::parse(kind, name).expect("well formed")
+}
+
+#[test]
+fn drained_backend_server_leaves_its_site_and_the_capacity() {
+    let mut configuration = address_deployment();
+
+    configuration.apply_drains(&[drain("backend-server", SERVER)]);
+
+    let site = &configuration.services[0].sites[0];
+    assert_eq!(site.backend_servers.len(), 2);
+    assert!(site.backend_servers.iter().all(|server| server.address.to_string() != SERVER));
+    // 2 servers x 6 slots x 0.9, rounded down.
+    assert_eq!(site.capacity_slots, 10);
+    assert_eq!(configuration.services[0].sites[1], address_deployment().services[0].sites[1]);
+}
+
+#[test]
+fn drained_zone_empties_its_sites_and_leaves_the_others() {
+    let whole = address_deployment();
+    let mut configuration = address_deployment();
+    let zone = configuration.zone("trt-veeriku").expect("in the example");
+
+    configuration.apply_drains(&[drain("availability-zone", "trt-veeriku")]);
+
+    for (service, before) in configuration.services.iter().zip(&whole.services) {
+        for (site, before) in service.sites.iter().zip(&before.sites) {
+            if site.availability_zone == zone {
+                assert!(site.backend_servers.is_empty());
+                assert_eq!(site.capacity_slots, 0);
+            } else {
+                assert_eq!(site, before);
+            }
+        }
+    }
+    assert_eq!(configuration.drained.backend_servers_in(zone).count(), 7);
+    assert!(configuration.drained.has_instance("any", Some(zone)));
+}
+
+#[test]
+fn drain_of_the_last_backend_server_of_a_service_is_refused() {
+    let configuration = address_deployment();
+    let zones = ["hrj-lasnamae", "hrj-kristiine", "trt-annelinn", "trt-veeriku", "prn-ranna"];
+    let drains = zones.iter().fold(Vec::new(), |drains, zone| {
+        configuration.add_drain(&drains, drain("availability-zone", zone)).expect("one is left")
+    });
+
+    let refused = configuration.add_drain(&drains, drain("availability-zone", "prn-raekula"));
+
+    assert_eq!(refused, Err(DrainError::NoBackendServer("otsing-api".into())));
+}
+
+#[test]
+fn unknown_things_and_bad_names_are_refused() {
+    let configuration = address_deployment();
+    let unknown = drain("backend-server", "10.9.9.9:1");
+
+    let refused = configuration.add_drain(&[], unknown.clone());
+
+    assert_eq!(refused, Err(DrainError::Unknown(unknown)));
+    assert_eq!(Drain::parse("rack", "a"), Err(DrainError::Kind("rack".into())));
+    assert_eq!(Drain::parse("instance", "a b"), Err(DrainError::Name("a b".into())));
+    assert_eq!(Drain::parse("backend-server", "a"), Err(DrainError::Address("a".into())));
+}
+
+#[test]
+fn drain_and_undrain_lead_back_and_repeat_without_effect() {
+    let configuration = address_deployment();
+    let server = drain("backend-server", SERVER);
+
+    let once = configuration.add_drain(&[], server.clone()).expect("drained");
+    let twice = configuration.add_drain(&once, server.clone()).expect("drained already");
+    let none = remove_drain(&twice, &server).expect("undrained");
+
+    assert_eq!(once, twice);
+    assert!(none.is_empty());
+    assert_eq!(remove_drain(&none, &server), Err(DrainError::NotDrained(server)));
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -270,6 +270,7 @@
         text: text.into(),
         chunks: Vec::new(),
         retired: Vec::new(),
+        drains: Vec::new(),
     };
     let value = serde_json::to_vec(&manifest).unwrap_or_default();
     platform.put(MANIFEST_KEY, value.into(), Expected::Absent).await?;
--- /dev/null
+++ b/crates/runpin/src/command/config/mod.rs
@@ -0,0 +1,59 @@
+//! `runpin config`: check, apply and show the configuration.
+
+mod apply;
+mod check;
+mod diff;
+mod get;
+
+use super::read_file;
+use crate::client::Client;
+use crate::error::CommandError;
+use crate::exit::Exit;
+use argh::FromArgs;
+use configuration::{Configuration, Manifest};
+use std::path::Path;
+
+/// Page of the manifest in force.
+pub(super) const CONFIGURATION_PATH: &str = "/v1/configuration";
+
+/// check, compare, apply and show the configuration
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "config")]
+pub(crate) struct Config {
+    #[argh(subcommand)]
+    command: ConfigCommand,
+}
+
+/// What to do with the configuration.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum ConfigCommand {
+    Check(check::ConfigCheck),
+    Get(get::ConfigGet),
+    Diff(diff::ConfigDiff),
+    Apply(apply::ConfigApply),
+}
+
+/// Runs one of the subcommands.
+pub(super) async fn run(options: Config) -> Result<Exit, CommandError> {
+    match options.command {
+        ConfigCommand::Check(options) => check::run(&options),
+        ConfigCommand::Get(options) => get::run(&options).await,
+        ConfigCommand::Diff(options) => diff::run(&options).await,
+        ConfigCommand::Apply(options) => apply::run(options).await,
+    }
+}
+
+/// Reads a file and checks it.
+fn read_configuration(path: &Path) -> Result<(String, Configuration), CommandError> {
+    let text = read_file(path)?;
+    let configuration = text
+        .parse()
+        .map_err(|source| CommandError::Configuration { path: path.to_owned(), source })?;
+    Ok((text, configuration))
+}
+
+/// Returns the manifest in force at the first instance that answers.
+pub(super) async fn manifest_in_force(client: &Client) -> Result<Manifest, CommandError> {
+    client.read(CONFIGURATION_PATH).await
+}
--- a/crates/runpin/src/command/lab.rs
+++ b/crates/runpin/src/command/lab.rs
@@ -1,19 +1,84 @@
 //! `runpin lab`.
 
-use super::print;
 use crate::error::CommandError;
-use crate::options::{Lab, LabBackend, LabCommand, LabPlatform, LabRun};
+use crate::exit::Exit;
+use crate::output::print;
+use argh::FromArgs;
 use lab::{
     BackendOptions, BackendStandIn, Experiment, PlatformStandIn, RunOptions, RunRecord,
     serve_platform,
 };
 use platform::{InstanceEntry, InstanceState};
 use std::io::Write;
-use std::process::ExitCode;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
-pub(super) async fn run(options: Lab) -> eyre::Result<ExitCode> {
+/// run experiments and stand-ins on loopback
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "lab")]
+pub(crate) struct Lab {
+    #[argh(subcommand)]
+    command: LabCommand,
+}
+
+/// What to run.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum LabCommand {
+    Run(LabRun),
+    Platform(LabPlatform),
+    Backend(LabBackend),
+}
+
+/// run an experiment and show its table
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+struct LabRun {
+    /// file of the experiment
+    #[argh(positional)]
+    experiment: PathBuf,
+    /// seed of callers and backend servers; default 1
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// length of the run in seconds, in place of the experiment's
+    #[argh(option)]
+    duration_s: Option<u64>,
+    /// file to write the report to, as JSON
+    #[argh(option)]
+    report: Option<PathBuf>,
+}
+
+/// serve a stand-in of the platform until interrupted
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct LabPlatform {
+    /// address to listen on, IP:PORT
+    #[argh(option)]
+    listen: SocketAddr,
+    /// an entry instance, NAME,ZONE,CALLER_ADDRESS,PEER_ADDRESS; may be repeated
+    #[argh(option)]
+    entry: Vec<String>,
+}
+
+/// serve a stand-in of a backend server until interrupted
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "backend")]
+struct LabBackend {
+    /// address to listen on, IP:PORT
+    #[argh(option)]
+    listen: SocketAddr,
+    /// mean service time in milliseconds; default 10
+    #[argh(option, default = "10.0")]
+    mean_service_ms: f64,
+    /// requests run at once; default 6
+    #[argh(option, default = "6")]
+    slots: u32,
+}
+
+/// Runs one of the subcommands.
+pub(super) async fn run(options: Lab) -> Result<Exit, CommandError> {
     match options.command {
         LabCommand::Run(options) => run_experiment(options).await,
         LabCommand::Platform(options) => run_platform(options).await,
@@ -21,7 +86,7 @@
     }
 }
 
-async fn run_experiment(options: LabRun) -> eyre::Result<ExitCode> {
+async fn run_experiment(options: LabRun) -> Result<Exit, CommandError> {
     let experiment = Experiment::read(&options.experiment)?;
     let run_options = RunOptions { seed: options.seed, duration_s: options.duration_s };
     let report = lab::run(&experiment, run_options, show_progress).await?;
@@ -31,7 +96,7 @@
         let text = serde_json::to_string_pretty(&report)?;
         std::fs::write(&path, text).map_err(|source| CommandError::File { path, source })?;
     }
-    Ok(if report.has_violations() { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+    Ok(if report.has_violations() { Exit::Failed } else { Exit::Done })
 }
 
 /// Overwrites the progress line on standard error.
@@ -40,7 +105,7 @@
     let _ = write!(std::io::stderr(), "\r{line:76}");
 }
 
-async fn run_platform(options: LabPlatform) -> eyre::Result<ExitCode> {
+async fn run_platform(options: LabPlatform) -> Result<Exit, CommandError> {
     let platform = Arc::new(PlatformStandIn::default());
     let entries = options.entry.iter().map(|text| parse_entry(text));
     platform.set_entry_instances(entries.collect::<Result<_, _>>()?);
@@ -50,7 +115,7 @@
         .map_err(|source| CommandError::Listen { address, source })?;
     print(format_args!("platform on {}", listener.local_addr()?));
     serve_platform(listener, platform).await;
-    Ok(ExitCode::SUCCESS)
+    Ok(Exit::Done)
 }
 
 fn parse_entry(text: &str) -> Result<InstanceEntry, CommandError> {
@@ -66,7 +131,7 @@
     })
 }
 
-async fn run_backend(options: LabBackend) -> eyre::Result<ExitCode> {
+async fn run_backend(options: LabBackend) -> Result<Exit, CommandError> {
     let address = options.listen;
     let backend_options =
         BackendOptions { slots: options.slots, mean_service_ms: options.mean_service_ms, seed: 1 };
@@ -75,5 +140,5 @@
         .map_err(|source| CommandError::Listen { address, source })?;
     print(format_args!("backend server on {}", backend.address));
     tokio::signal::ctrl_c().await?;
-    Ok(ExitCode::SUCCESS)
+    Ok(Exit::Done)
 }
--- a/crates/runpin/src/command/lookup.rs
+++ b/crates/runpin/src/command/lookup.rs
@@ -1,15 +1,72 @@
 //! `runpin lookup`.
 
-use super::print;
-use crate::client;
-use crate::options::Lookup;
-use bytes::Bytes;
-use hyper::Method;
-use std::process::ExitCode;
-
-pub(super) async fn run(options: Lookup) -> eyre::Result<ExitCode> {
-    let path = format!("/lookup?service={}", options.service);
-    let answer = client::ask(options.instance, Method::GET, &path, None, Bytes::new()).await?;
-    print(String::from_utf8_lossy(&answer));
-    Ok(ExitCode::SUCCESS)
+use crate::client::Client;
+use crate::error::CommandError;
+use crate::exit::Exit;
+use crate::output::Output;
+use crate::table::Table;
+use argh::FromArgs;
+use serde::{Deserialize, Serialize};
+use std::net::{IpAddr, SocketAddr};
+
+/// show which instances a caller is told to use
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "lookup")]
+pub(crate) struct Lookup {
+    /// address for operators of an instance, IP:PORT; may be repeated (RUNPIN_INSTANCE)
+    #[argh(option)]
+    instance: Vec<SocketAddr>,
+    /// name of the service
+    #[argh(option)]
+    service: String,
+    /// address of the caller; default the instance's own
+    #[argh(option)]
+    caller: Option<IpAddr>,
+    /// form of the result, `text` or `json`; default `text`
+    #[argh(option, default = "Output::Text")]
+    output: Output,
+}
+
+/// What a caller is told.
+#[derive(Debug, Deserialize, Serialize)]
+struct Answer {
+    service: String,
+    availability_zone: String,
+    instances: Vec<AnswerInstance>,
+    ttl_ms: u64,
+    idempotency_key_prefix: String,
+    configuration_version: u64,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct AnswerInstance {
+    address: SocketAddr,
+    weight: u32,
+}
+
+/// Asks an instance and shows its answer.
+pub(super) async fn run(options: Lookup) -> Result<Exit, CommandError> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+    if options.service.is_empty() || !options.service.chars().all(allowed) {
+        return Err(CommandError::Name { flag: "service", value: options.service });
+    }
+    let mut path = format!("/v1/lookup?service={}", options.service);
+    if let Some(caller) = options.caller {
+        path.push_str(&format!("&caller={caller}"));
+    }
+    let client = Client::for_reading(&options.instance)?;
+    let answer: Answer = client.read(&path).await?;
+    options.output.show(&answer, describe(&answer))?;
+    Ok(Exit::Done)
+}
+
+fn describe(answer: &Answer) -> String {
+    let mut instances = Table::new(["INSTANCE", "WEIGHT"]);
+    for instance in &answer.instances {
+        instances.row([instance.address.to_string(), instance.weight.to_string()]);
+    }
+    format!(
+        "service {}, nearest availability zone {}, for {} ms, configuration version {}\n{instances}",
+        answer.service, answer.availability_zone, answer.ttl_ms, answer.configuration_version
+    )
 }
--- a/crates/runpin/src/command/mod.rs
+++ b/crates/runpin/src/command/mod.rs
@@ -1,21 +1,28 @@
 //! The subcommands, one in each file.
 
-mod config;
-mod lab;
-mod lookup;
+pub(crate) mod config;
+pub(crate) mod drain;
+pub(crate) mod lab;
+pub(crate) mod lookup;
+pub(crate) mod status;
+
+mod change;
 
 use crate::error::CommandError;
+use crate::exit::Exit;
 use crate::options::{Command, Options};
 use std::path::Path;
-use std::process::ExitCode;
 
-/// Runs the command and returns the exit code.
-pub(crate) fn run(options: Options) -> eyre::Result<ExitCode> {
+/// Runs the command and returns how it ended.
+pub(crate) fn run(options: Options) -> Result<Exit, CommandError> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         match options.command {
             Command::Lookup(options) => lookup::run(options).await,
+            Command::Status(options) => status::run(options).await,
             Command::Config(options) => config::run(options).await,
+            Command::Drain(options) => drain::run(options).await,
+            Command::Undrain(options) => drain::run_undrain(options).await,
             Command::Lab(options) => lab::run(options).await,
         }
     })
@@ -25,8 +32,3 @@
     std::fs::read_to_string(path)
         .map_err(|source| CommandError::File { path: path.to_owned(), source })
 }
-
-#[expect(clippy::print_stdout, reason = "the one place that prints results")]
-fn print(text: impl std::fmt::Display) {
-    println!("{text}");
-}
--- a/crates/runpin/src/error.rs
+++ b/crates/runpin/src/error.rs
@@ -1,11 +1,13 @@
 //! Errors of the command line.
 
-use configuration::ConfigurationError;
+use crate::exit::Exit;
+use configuration::{ConfigurationError, DrainError, ManifestError};
+use lab::LabError;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
 
-/// Why a command failed.
+/// Why a command failed, and what to do next.
 #[derive(Debug, Error)]
 pub(crate) enum CommandError {
     /// A file can't be read or written.
@@ -14,19 +16,110 @@
     /// A configuration file is not valid.
     #[error("{}: {source}", path.display())]
     Configuration { path: PathBuf, source: ConfigurationError },
-    /// An instance could not be asked.
-    #[error("instance {instance} can't be asked: {cause}; try another one")]
-    Unreachable { instance: SocketAddr, cause: String },
+    /// What an instance has in force can't be used.
+    #[error("the configuration in force can't be read: {0}")]
+    Manifest(#[from] ManifestError),
+    /// The thing to drain is not well named.
+    #[error(transparent)]
+    Drain(#[from] DrainError),
+    /// No instance was named.
+    #[error("name an instance: --instance IP:PORT (its address for operators) or RUNPIN_INSTANCE")]
+    MissingInstance,
+    /// The variable that names instances is not a list of addresses.
+    #[error("RUNPIN_INSTANCE: `{0}` is not an IP address with a port, or several with commas")]
+    Instance(String),
+    /// No instance could be asked.
+    #[error("no instance can be asked: {}; name another one with --instance", list(.0))]
+    Unreachable(Vec<(SocketAddr, String)>),
+    /// A change was sent and its answer lost.
+    #[error(
+        "instance {instance} did not answer ({cause}), so the change may have been accepted; \
+         see `runpin status` before trying again"
+    )]
+    Unsure { instance: SocketAddr, cause: String },
     /// An instance refused.
-    #[error("instance {instance} answers {status}: {message}")]
+    #[error("instance {instance} answers {status}: {message}{}", advice(*.status))]
     Refused { instance: SocketAddr, status: u16, message: String },
     /// A token is needed and not set.
     #[error("set {0} to the token of the instances")]
     MissingToken(&'static str),
+    /// A name has characters that names don't have.
+    #[error("--{flag}: `{value}` is not a name of letters, digits, `-` and `_`")]
+    Name { flag: &'static str, value: String },
     /// An entry instance is not written as it should be.
     #[error("--entry: `{0}` is not NAME,ZONE,CALLER_ADDRESS,PEER_ADDRESS")]
     Entry(String),
     /// A stand-in can't listen.
     #[error("cannot listen on {address}: {source}")]
     Listen { address: SocketAddr, source: std::io::Error },
+    /// An instance's answer is not what this command knows.
+    #[error("the answer is not understood: {0}; is the instance of the same version?")]
+    Format(#[from] serde_json::Error),
+    /// Something failed in the command itself.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// An experiment failed.
+    #[error(transparent)]
+    Lab(#[from] LabError),
+}
+
+impl CommandError {
+    /// Returns the exit code that tells programs what happened.
+    pub(crate) fn exit(&self) -> Exit {
+        match self {
+            CommandError::Configuration { .. }
+            | CommandError::Drain(_)
+            | CommandError::MissingInstance
+            | CommandError::Instance(_)
+            | CommandError::Name { .. }
+            | CommandError::Entry(_)
+            | CommandError::File { .. } => Exit::WrongUsage,
+            CommandError::Unreachable(_) => Exit::Unreachable,
+            CommandError::Unsure { .. } => Exit::Unsure,
+            CommandError::MissingToken(_) => Exit::Denied,
+            CommandError::Refused { status, .. } => exit_of_status(*status),
+            CommandError::Manifest(_)
+            | CommandError::Listen { .. }
+            | CommandError::Format(_)
+            | CommandError::Io(_) => Exit::Failed,
+            CommandError::Lab(error) => exit_of_lab(error),
+        }
+    }
+}
+
+fn exit_of_lab(error: &LabError) -> Exit {
+    match error {
+        LabError::File { .. }
+        | LabError::Experiment { .. }
+        | LabError::Configuration { .. }
+        | LabError::Unknown { .. } => Exit::WrongUsage,
+        _ => Exit::Failed,
+    }
+}
+
+fn exit_of_status(status: u16) -> Exit {
+    match status {
+        401 | 403 => Exit::Denied,
+        400 | 404 | 413 | 422 => Exit::WrongUsage,
+        409 => Exit::Conflict,
+        503 => Exit::Unreachable,
+        504 => Exit::Unsure,
+        _ => Exit::Failed,
+    }
+}
+
+/// Returns what to do next after a refusal.
+fn advice(status: u16) -> &'static str {
+    match status {
+        401 | 403 => "; set RUNPIN_READ_TOKEN and RUNPIN_CHANGE_TOKEN to the instances' tokens",
+        409 => "; nothing was changed: look at `runpin config diff` and apply to the newer version",
+        503 => "; nothing was changed: try again, or another instance",
+        504 => "; the change may have been accepted: see `runpin status` before trying again",
+        _ => "",
+    }
+}
+
+fn list(tried: &[(SocketAddr, String)]) -> String {
+    let each = tried.iter().map(|(instance, cause)| format!("{instance} ({cause})"));
+    each.collect::<Vec<_>>().join(", ")
 }
--- /dev/null
+++ b/crates/runpin/tests/common/mod.rs
@@ -0,0 +1,219 @@
+//! A small deployment and the real `runpin` to operate it.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use configuration::{MANIFEST_KEY, Manifest};
+use lab::{BackendOptions, BackendStandIn, PlatformStandIn, RunRecord};
+use platform::{Expected, InstanceEntry, InstanceState, ObjectStore};
+use runpind::connection::dialer::TcpDialer;
+use runpind::process::clock::BootClock;
+use runpind::settings::{RawSettings, Settings};
+use runpind::{Daemon, Dependencies};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub(crate) const READ_TOKEN: &str = "read-token-for-tests";
+pub(crate) const CHANGE_TOKEN: &str = "change-token-for-tests";
+const POLL: Duration = Duration::from_millis(10);
+
+/// Two daemons in two availability zones, with a backend server in each.
+pub(crate) struct Deployment {
+    pub(crate) platform: Arc<PlatformStandIn>,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) backends: Vec<BackendStandIn>,
+    directory: tempfile::TempDir,
+}
+
+/// What a command printed and how it ended.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    pub(crate) code: i32,
+    pub(crate) stdout: String,
+    pub(crate) stderr: String,
+}
+
+impl Deployment {
+    /// Starts everything, with version 1 in force.
+    pub(crate) async fn start() -> Self {
+        let deployment = Self::start_without_configuration().await;
+        deployment.accept(&deployment.configuration_text()).await;
+        deployment.wait_for_version(1).await;
+        deployment
+    }
+
+    pub(crate) async fn start_without_configuration() -> Self {
+        let mut backends = Vec::new();
+        for seed in 0..2 {
+            let options = BackendOptions { slots: 4, mean_service_ms: 1.0, seed };
+            let backend = BackendStandIn::start(options, RunRecord::default()).await;
+            backends.push(backend.expect("backend"));
+        }
+        let platform = Arc::new(PlatformStandIn::default());
+        let mut daemons = Vec::new();
+        for (name, zone) in [("one", "n1"), ("two", "s1")] {
+            daemons.push(start_daemon(&platform, name, zone).await);
+        }
+        platform.set_entry_instances(daemons.iter().map(entry_of).collect());
+        let directory = tempfile::tempdir().expect("a directory");
+        Self { platform, daemons, backends, directory }
+    }
+
+    pub(crate) fn configuration_text(&self) -> String {
+        configuration_text(self.backends[0].address, self.backends[1].address)
+    }
+
+    /// Writes a file and returns its path.
+    pub(crate) fn file(&self, name: &str, text: &str) -> String {
+        let path: PathBuf = self.directory.path().join(name);
+        std::fs::write(&path, text).expect("written");
+        path.display().to_string()
+    }
+
+    pub(crate) fn admin_addresses(&self) -> String {
+        let addresses = self.daemons.iter().map(|daemon| daemon.admin_address().to_string());
+        addresses.collect::<Vec<_>>().join(",")
+    }
+
+    /// Runs `runpin` with the deployment's instances and tokens in its environment.
+    pub(crate) async fn runpin(&self, arguments: &[&str]) -> Ended {
+        let environment = [
+            ("RUNPIN_INSTANCE", self.admin_addresses()),
+            ("RUNPIN_READ_TOKEN", READ_TOKEN.to_owned()),
+            ("RUNPIN_CHANGE_TOKEN", CHANGE_TOKEN.to_owned()),
+            ("USER", "operator".to_owned()),
+        ];
+        runpin(arguments, &environment).await
+    }
+
+    pub(crate) async fn accept(&self, text: &str) {
+        let manifest = Manifest {
+            number: 1,
+            write_id: "test".into(),
+            author: "test".into(),
+            text: text.into(),
+            ..Manifest::default()
+        };
+        let value = manifest.to_json().expect("manifest").into();
+        self.platform.put(MANIFEST_KEY, value, Expected::Absent).await.expect("accepted");
+    }
+
+    /// Waits until each daemon has the version in force and knows both instances.
+    pub(crate) async fn wait_for_version(&self, number: u64) {
+        let is_ready = |daemon: &Daemon| {
+            let process = daemon.process();
+            let members = process.members.load_full();
+            process.version.load().as_ref().is_some_and(|version| version.number >= number)
+                && members.is_some_and(|members| members.members.len() == 2)
+        };
+        while !self.daemons.iter().all(is_ready) {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Returns the number of the version in the platform; 0 when there is none.
+    pub(crate) async fn accepted_number(&self) -> u64 {
+        let object = self.platform.get(MANIFEST_KEY).await.expect("the platform answers");
+        object.map_or(0, |object| Manifest::from_json(&object.value).expect("manifest").number)
+    }
+}
+
+/// Runs `runpin` with nothing but `environment`.
+pub(crate) async fn runpin(arguments: &[&str], environment: &[(&str, String)]) -> Ended {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_runpin"));
+    command.args(arguments).env_clear();
+    command.envs(environment.iter().map(|(name, value)| (*name, value)));
+    let output = tokio::task::spawn_blocking(move || command.output());
+    let output = output.await.expect("joined").expect("runpin starts");
+    Ended {
+        code: output.status.code().expect("not killed"),
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
+
+async fn start_daemon(platform: &Arc<PlatformStandIn>, name: &str, zone: &str) -> Daemon {
+    let any = || Some("127.0.0.1:0".to_owned());
+    let raw = RawSettings {
+        name: Some(name.to_owned()),
+        availability_zone: Some(zone.to_owned()),
+        caller_address: any(),
+        peer_address: any(),
+        admin_address: any(),
+        platform_address: any(),
+        peer_keys: Some("0123456789abcdef".to_owned()),
+        read_token: Some(READ_TOKEN.to_owned()),
+        change_token: Some(CHANGE_TOKEN.to_owned()),
+        ..RawSettings::default()
+    };
+    let dependencies = Dependencies {
+        store: platform.clone(),
+        directory: platform.clone(),
+        dialer: Arc::new(TcpDialer),
+        clock: Arc::new(BootClock),
+    };
+    let settings = Settings::try_from(raw).expect("settings");
+    Daemon::start(settings, dependencies).await.expect("daemon")
+}
+
+fn entry_of(daemon: &Daemon) -> InstanceEntry {
+    let settings = &daemon.process().settings;
+    InstanceEntry {
+        name: settings.name.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        caller_address: settings.caller_address,
+        peer_address: settings.peer_address,
+        state: InstanceState::Live,
+    }
+}
+
+fn configuration_text(first: SocketAddr, second: SocketAddr) -> String {
+    format!(
+        r#"[deployment]
+name = "small"
+lookup_ttl_ms = 1000
+lookup_instances = 2
+idempotency_key_ttl_ms = 60000
+
+[[region]]
+name = "north"
+availability_zones = ["n1"]
+
+[[region]]
+name = "south"
+availability_zones = ["s1"]
+
+[delays]
+same_region_ms = 1.0
+between_regions_ms = 30.0
+client_ms = 2.0
+
+[[service]]
+name = "files"
+path_prefix = "/files"
+slots_per_server = 4
+target_utilization = 1.0
+
+[[service.route]]
+method = "GET"
+path_prefix = "/files"
+class = "read"
+
+[[service.site]]
+availability_zone = "n1"
+backend_servers = ["{first}"]
+
+[[service.site]]
+availability_zone = "s1"
+backend_servers = ["{second}"]
+
+[link_defaults]
+cap_requests_per_s = 1000
+floor_percent = 40.0
+instance_slots = 4
+shift_percent_per_s = 100.0
+"#
+    )
+}
--- a/crates/runpind/src/process/acceptance.rs
+++ b/crates/runpind/src/process/acceptance.rs
@@ -3,8 +3,8 @@
 use super::history::{self, Evidence};
 use crate::version::Version;
 use configuration::{
-    BlockChunk, ChunkReference, ConfigurationError, MANIFEST_KEY, Manifest, ManifestError,
-    chunk_blocks,
+    BlockChunk, ChunkReference, Configuration, ConfigurationError, Drain, DrainError, MANIFEST_KEY,
+    Manifest, ManifestError, chunk_blocks, remove_drain,
 };
 use platform::{Expected, ObjectStore, StoreError, WriteOutcome, write_settled};
 use std::collections::HashMap;
@@ -13,17 +13,33 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 
-/// What an operator wants to be in force.
+/// What an operator wants to change.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// The configuration text; drains stay as they are.
+    Text {
+        /// The text.
+        text: Arc<str>,
+        /// Client blocks, lines of `BLOCK ZONE`, in place of those in force; `None` keeps these.
+        blocks: Option<Arc<str>>,
+    },
+    /// One thing more takes no new work; all else stays as it is.
+    Drain(Drain),
+    /// One thing takes work again; all else stays as it is.
+    Undrain(Drain),
+}
+
+/// A change that an operator wants to be in force.
 #[derive(Clone, Debug)]
 pub struct Proposal {
-    /// The configuration text.
-    pub text: Arc<str>,
-    /// Client blocks, lines of `BLOCK ZONE`, in place of those in force; `None` keeps these.
-    pub blocks: Option<Arc<str>>,
+    /// The change.
+    pub change: Change,
     /// Who proposes it.
     pub author: Arc<str>,
     /// Number of the version that it replaces; 0 for the first one, `None` for whichever it is.
     pub expected_number: Option<u64>,
+    /// Whether to check the proposal only, and accept nothing.
+    pub dry_run: bool,
 }
 
 /// A version as operators tell it from others.
@@ -60,6 +76,12 @@
     /// The check of the configuration was ended by the daemon's stop.
     #[error("the configuration was not checked: the instance is stopping")]
     Interrupted,
+    /// The thing can't be drained or undrained.
+    #[error(transparent)]
+    Drain(#[from] DrainError),
+    /// There is no configuration to change.
+    #[error("no configuration was accepted yet")]
+    NoConfiguration,
     /// The platform failed.
     #[error(transparent)]
     Store(#[from] StoreError),
@@ -80,7 +102,8 @@
     }
 }
 
-/// Makes the proposal the next version and returns it as accepted.
+/// Makes the proposal the next version and returns it as accepted; the version in force where a
+/// drain is there already, and in a dry run what the next version would be.
 ///
 /// `in_force` is what this instance has, if any: its chunks need not be read again, and the next
 /// number is above its number even where the platform has lost versions.
@@ -94,19 +117,28 @@
     let stored = object.as_ref().map(|object| Manifest::from_json(&object.value)).transpose()?;
     let own = in_force.map(|version| &*version.manifest);
     let base = stored.iter().chain(own).max_by_key(|manifest| manifest.number);
-    let next = next_manifest(&proposal, base);
-    let expected = proposal.expected_number.unwrap_or(next.number - 1);
-    if expected != next.number - 1 {
-        return Err(conflict(expected, &next, base));
+    let number = base.map_or(0, |base| base.number);
+    let expected = proposal.expected_number.unwrap_or(number);
+    if expected != number {
+        return Err(conflict(expected, &proposal.author, base));
+    }
+    let next = next_manifest(&proposal, base)?;
+    if let (Change::Drain(_), Some(stored)) = (&proposal.change, &stored)
+        && (stored.number, &stored.drains) == (number, &next.drains)
+    {
+        return Ok(stored.clone());
     }
     let known = known_chunks(in_force);
-    let chunks = match &proposal.blocks {
-        Some(blocks) => chunk_blocks(blocks),
-        None => read_chunks(store, &next.chunks, &known).await?,
+    let chunks = match &proposal.change {
+        Change::Text { blocks: Some(blocks), .. } => chunk_blocks(blocks),
+        _ => read_chunks(store, &next.chunks, &known).await?,
     };
     let mut next = Manifest { chunks: references(&chunks), ..next };
     next.retired = base.map(|base| history::retire(base, &next)).unwrap_or_default();
     check(&next, &chunks).await?;
+    if proposal.dry_run {
+        return Ok(next);
+    }
     let unused = history::unused_after(store, &next).await?;
     let named =
         |chunk: &BlockChunk| base.is_some_and(|base| base.chunks.contains(&chunk.reference));
@@ -134,15 +166,45 @@
     Ok(())
 }
 
-fn next_manifest(proposal: &Proposal, base: Option<&Manifest>) -> Manifest {
-    Manifest {
+/// Returns the manifest that the proposal would become, with the chunks of the one before.
+fn next_manifest(
+    proposal: &Proposal,
+    base: Option<&Manifest>,
+) -> Result<Manifest, AcceptanceError> {
+    let (text, drains) = change(&proposal.change, base)?;
+    Ok(Manifest {
         number: base.map_or(0, |base| base.number) + 1,
         write_id: format!("{:032x}", rand::random::<u128>()).into(),
         author: proposal.author.clone(),
         applied_at_s: seconds_since_1970(),
-        text: proposal.text.clone(),
+        text,
         chunks: base.map(|base| base.chunks.clone()).unwrap_or_default(),
         retired: Vec::new(),
+        drains,
+    })
+}
+
+/// Makes the change to the text and the drains in force.
+fn change(
+    change: &Change,
+    base: Option<&Manifest>,
+) -> Result<(Arc<str>, Vec<Drain>), AcceptanceError> {
+    match (change, base) {
+        (Change::Text { text, .. }, base) => {
+            let configuration: Configuration = text.parse()?;
+            let drains = base.map(|base| base.drains.clone()).unwrap_or_default();
+            configuration.check_drains(&drains)?;
+            Ok((text.clone(), drains))
+        }
+        (Change::Drain(drain), Some(base)) => {
+            let configuration: Configuration = base.text.parse()?;
+            let drains = configuration.add_drain(&base.drains, drain.clone())?;
+            Ok((base.text.clone(), drains))
+        }
+        (Change::Undrain(drain), Some(base)) => {
+            Ok((base.text.clone(), remove_drain(&base.drains, drain)?))
+        }
+        (Change::Drain(_) | Change::Undrain(_), None) => Err(AcceptanceError::NoConfiguration),
     }
 }
 
@@ -167,14 +229,14 @@
     }
     let winner = store.get(MANIFEST_KEY).await?;
     let winner = winner.map(|object| Manifest::from_json(&object.value)).transpose()?;
-    Err(conflict(expected, next, winner.as_ref()))
+    Err(conflict(expected, &next.author, winner.as_ref()))
 }
 
-fn conflict(expected: u64, next: &Manifest, current: Option<&Manifest>) -> AcceptanceError {
+fn conflict(expected: u64, author: &Arc<str>, current: Option<&Manifest>) -> AcceptanceError {
     let none = VersionLabel { number: 0, author: "nobody".into() };
     AcceptanceError::Conflict {
         expected,
-        proposed: VersionLabel { number: expected + 1, author: next.author.clone() },
+        proposed: VersionLabel { number: expected + 1, author: author.clone() },
         current: current.map_or(none, VersionLabel::from),
     }
 }
--- /dev/null
+++ b/crates/runpind/src/request/admin/access.rs
@@ -0,0 +1,20 @@
+//! Tokens of the address for operators.
+
+use super::error::AdminError;
+use crate::settings::Secret;
+use http::Request;
+use http::header::AUTHORIZATION;
+use subtle::ConstantTimeEq;
+
+/// Checks that a request carries the token, in time that doesn't depend on where they differ.
+pub(super) fn check<B>(request: &Request<B>, token: &Secret) -> Result<(), AdminError> {
+    let given = request
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
+        .ok_or(AdminError::MissingToken)?;
+    match given.ct_eq(token.expose()).into() {
+        true => Ok(()),
+        false => Err(AdminError::WrongToken),
+    }
+}
--- /dev/null
+++ b/crates/runpind/src/request/admin/changes.rs
@@ -0,0 +1,67 @@
+//! Changes that operators make: the configuration text and drains.
+
+use super::error::AdminError;
+use super::query::Query;
+use super::respond::json;
+use super::{CONFIGURATION_PATH, DRAINS_PREFIX, access};
+use crate::process::Process;
+use crate::process::acceptance::{Change, Proposal, propose};
+use crate::request::body::Body;
+use configuration::Drain;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// Largest configuration text, in bytes.
+const MAX_CONFIGURATION_BYTES: usize = 900_000;
+
+/// Author of a change whose request names none.
+const UNKNOWN_AUTHOR: &str = "unknown";
+
+/// Answer to a change.
+#[derive(Debug, Serialize)]
+pub(super) struct Accepted {
+    /// Number of the version that the change made, or in a dry run would make.
+    number: u64,
+    /// Whether nothing was accepted, only checked.
+    dry_run: bool,
+}
+
+/// Makes a change, once the request's token was checked.
+pub(super) async fn answer(
+    process: &Process,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, AdminError> {
+    access::check(&request, &process.settings.change_token)?;
+    let query = Query::of(&request);
+    let author: Arc<str> = query.get("author").unwrap_or(UNKNOWN_AUTHOR).into();
+    let expected_number = query.number("expect_version")?;
+    let dry_run = query.flag("dry_run")?;
+    let change = change_of(request).await?;
+    let proposal = Proposal { change, author, expected_number, dry_run };
+    let in_force = process.version.load_full();
+    let accepted = propose(&*process.store, in_force.as_deref(), proposal).await?;
+    json(StatusCode::OK, &Accepted { number: accepted.number, dry_run })
+}
+
+async fn change_of(request: Request<Incoming>) -> Result<Change, AdminError> {
+    let path = request.uri().path().to_owned();
+    let drain = path.strip_prefix(DRAINS_PREFIX).and_then(|thing| thing.split_once('/'));
+    match (request.method().clone(), drain) {
+        (Method::PUT, None) if path == CONFIGURATION_PATH => {
+            Ok(Change::Text { text: text_of(request).await?, blocks: None })
+        }
+        (Method::PUT, Some((kind, name))) => Ok(Change::Drain(Drain::parse(kind, name)?)),
+        (Method::DELETE, Some((kind, name))) => Ok(Change::Undrain(Drain::parse(kind, name)?)),
+        _ => Err(AdminError::NoPage(path)),
+    }
+}
+
+async fn text_of(request: Request<Incoming>) -> Result<Arc<str>, AdminError> {
+    let body = Limited::new(request.into_body(), MAX_CONFIGURATION_BYTES).collect().await;
+    let body = body.map_err(|_| AdminError::TooLarge(MAX_CONFIGURATION_BYTES))?;
+    let text = String::from_utf8(body.to_bytes().into()).map_err(|_| AdminError::NotText)?;
+    Ok(text.into())
+}
--- /dev/null
+++ b/crates/runpind/src/request/admin/mod.rs
@@ -0,0 +1,69 @@
+//! The address for operators: health, readiness, metrics and the admin API.
+//!
+//! | call | token | answer |
+//! |---|---|---|
+//! | `GET /healthz`, `/readyz`, `/metrics` | none | text |
+//! | `GET /v1/status` | read | [`status::Status`] |
+//! | `GET /v1/lookup?service=S&caller=IP` | read | what a look-up of this caller answers |
+//! | `GET /v1/configuration` | read | the manifest in force |
+//! | `PUT /v1/configuration`, body = text | change | [`changes::Accepted`] |
+//! | `PUT /v1/drains/KIND/NAME` | change | [`changes::Accepted`] |
+//! | `DELETE /v1/drains/KIND/NAME` | change | [`changes::Accepted`] |
+//!
+//! Every change takes `expect_version=N`, `dry_run=true` and `author=NAME`.  A refusal is a
+//! [`error::Refusal`] with the status of its [`error::AdminError`].
+
+mod access;
+mod changes;
+mod error;
+mod health;
+mod query;
+mod respond;
+mod status;
+
+use super::body::Body;
+use super::lookup;
+use crate::process::Process;
+use error::AdminError;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use query::Query;
+use respond::json;
+use std::sync::Arc;
+
+const STATUS_PATH: &str = "/v1/status";
+const LOOKUP_PATH: &str = "/v1/lookup";
+const CONFIGURATION_PATH: &str = "/v1/configuration";
+const DRAINS_PREFIX: &str = "/v1/drains/";
+
+/// Answers a request of an operator or a monitoring system.
+pub(super) async fn answer(process: Arc<Process>, request: Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/healthz") => health::alive(),
+        (&Method::GET, "/readyz") => health::ready(&process),
+        (&Method::GET, "/metrics") => health::metrics(&process),
+        (&Method::GET, _) => read(&process, &request),
+        _ => changes::answer(&process, request).await,
+    }
+    .unwrap_or_else(|error| error.response())
+}
+
+/// Answers a request that reads, once its token was checked.
+fn read<B>(process: &Arc<Process>, request: &Request<B>) -> Result<Response<Body>, AdminError> {
+    access::check(request, &process.settings.read_token)?;
+    let query = Query::of(request);
+    match request.uri().path() {
+        STATUS_PATH => json(StatusCode::OK, &status::of(process)),
+        LOOKUP_PATH => {
+            let service = query.required("service")?;
+            let caller = query.address("caller")?;
+            let caller = caller.unwrap_or(process.settings.caller_address.ip());
+            json(StatusCode::OK, &lookup::answer_for(process, caller, service)?)
+        }
+        CONFIGURATION_PATH => match &*process.version.load() {
+            Some(version) => json(StatusCode::OK, &*version.manifest),
+            None => Err(AdminError::NoConfiguration),
+        },
+        path => Err(AdminError::NoPage(path.to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/runpind/src/request/admin/respond.rs
@@ -0,0 +1,25 @@
+//! Answers on the address for operators.
+
+use super::error::AdminError;
+use crate::request::body::{self, Body};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use serde::Serialize;
+
+/// Makes an answer in JSON.
+pub(super) fn json<T: Serialize>(
+    status: StatusCode,
+    value: &T,
+) -> Result<Response<Body>, AdminError> {
+    let mut response = Response::new(body::full(serde_json::to_vec(value)?));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(response)
+}
+
+/// Makes an answer in plain text.
+pub(super) fn text(status: StatusCode, text: &'static str) -> Response<Body> {
+    let mut response = Response::new(body::full(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/runpind/src/request/admin/status.rs
@@ -0,0 +1,192 @@
+//! What one instance knows of itself and of the deployment.
+
+use crate::process::Process;
+use crate::version::Version;
+use configuration::Drain;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Everything that `runpin status` shows of one instance.
+#[derive(Debug, Serialize)]
+pub(super) struct Status {
+    instance: InstanceStatus,
+    configuration: Option<ConfigurationStatus>,
+    entry_instances: Vec<MemberStatus>,
+    drains: Vec<DrainStatus>,
+    sites: Vec<SiteStatus>,
+}
+
+/// The instance that answers.
+#[derive(Debug, Serialize)]
+struct InstanceStatus {
+    name: Arc<str>,
+    availability_zone: Arc<str>,
+    incarnation: String,
+    state: InstanceState,
+    caller_address: SocketAddr,
+    requests_in_flight: usize,
+    software_version: &'static str,
+}
+
+/// Whether callers may be sent to an instance, and why not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum InstanceState {
+    /// They may.
+    Ready,
+    /// A planned stop began.
+    Stopping,
+    /// An operator drained it or its availability zone.
+    Drained,
+    /// It knows no configuration.
+    NoConfiguration,
+    /// The configuration does not have its availability zone.
+    UnknownAvailabilityZone,
+}
+
+/// The version in force at the instance.
+#[derive(Debug, Serialize)]
+struct ConfigurationStatus {
+    name: Arc<str>,
+    number: u64,
+    author: Arc<str>,
+    applied_at_s: u64,
+}
+
+/// An entry instance, as the one that answers sees it.
+#[derive(Debug, Serialize)]
+struct MemberStatus {
+    name: Arc<str>,
+    availability_zone: Arc<str>,
+    caller_address: SocketAddr,
+    usable: bool,
+    drained: bool,
+}
+
+/// A drain and this instance's requests that still run there.
+#[derive(Debug, Serialize)]
+struct DrainStatus {
+    #[serde(flatten)]
+    drain: Drain,
+    /// Absent where the drain is of another entry instance, whose requests are not known here.
+    requests_in_flight: Option<usize>,
+}
+
+/// A site, and this instance's requests there.
+#[derive(Debug, Serialize)]
+struct SiteStatus {
+    service: Arc<str>,
+    availability_zone: Arc<str>,
+    backend_servers: usize,
+    capacity_slots: u32,
+    requests_in_flight: usize,
+}
+
+/// Collects the status of this instance.
+pub(super) fn of(process: &Process) -> Status {
+    let version = process.version.load_full();
+    let version = version.as_deref();
+    Status {
+        instance: InstanceStatus {
+            name: process.settings.name.clone(),
+            availability_zone: process.settings.availability_zone.clone(),
+            incarnation: process.incarnation.to_string(),
+            state: state_of(process),
+            caller_address: process.settings.caller_address,
+            requests_in_flight: process.in_flight(),
+            software_version: env!("CARGO_PKG_VERSION"),
+        },
+        configuration: version.map(|version| ConfigurationStatus {
+            name: version.configuration.name.clone(),
+            number: version.number,
+            author: version.manifest.author.clone(),
+            applied_at_s: version.manifest.applied_at_s,
+        }),
+        entry_instances: entry_instances(process, version),
+        drains: version.map(|version| drains(process, version)).unwrap_or_default(),
+        sites: version.map(|version| sites(process, version)).unwrap_or_default(),
+    }
+}
+
+/// Returns whether callers may be sent to this instance.
+pub(super) fn state_of(process: &Process) -> InstanceState {
+    if process.is_draining() {
+        return InstanceState::Stopping;
+    }
+    let Some(version) = process.version.load_full() else { return InstanceState::NoConfiguration };
+    let drained = &version.configuration.drained;
+    match version.own_zone {
+        None => InstanceState::UnknownAvailabilityZone,
+        zone if drained.has_instance(&process.settings.name, zone) => InstanceState::Drained,
+        Some(_) => InstanceState::Ready,
+    }
+}
+
+fn entry_instances(process: &Process, version: Option<&Version>) -> Vec<MemberStatus> {
+    let members = process.members.load_full();
+    members
+        .iter()
+        .flat_map(|members| &members.members)
+        .map(|member| MemberStatus {
+            name: member.name.clone(),
+            availability_zone: member.availability_zone.clone(),
+            caller_address: member.caller_address,
+            usable: member.usable,
+            drained: version.is_some_and(|version| {
+                let zone = version.configuration.zone(&member.availability_zone);
+                version.configuration.drained.has_instance(&member.name, zone)
+            }),
+        })
+        .collect()
+}
+
+fn drains(process: &Process, version: &Version) -> Vec<DrainStatus> {
+    version
+        .manifest
+        .drains
+        .iter()
+        .map(|drain| DrainStatus {
+            drain: drain.clone(),
+            requests_in_flight: in_flight_of(process, version, drain),
+        })
+        .collect()
+}
+
+/// Returns this instance's requests at what a drain names; `None` where they are not known here.
+fn in_flight_of(process: &Process, version: &Version, drain: &Drain) -> Option<usize> {
+    match drain {
+        Drain::Instance(name) if *name == process.settings.name => Some(process.in_flight()),
+        Drain::Instance(_) => None,
+        Drain::BackendServer(address) => Some(in_flight(process, [*address])),
+        Drain::AvailabilityZone(name) => {
+            let drained = &version.configuration.drained;
+            Some(in_flight(process, drained.backend_servers_in(version.configuration.zone(name)?)))
+        }
+    }
+}
+
+fn sites(process: &Process, version: &Version) -> Vec<SiteStatus> {
+    let configuration = &version.configuration;
+    let zones = &configuration.availability_zones;
+    configuration
+        .services
+        .iter()
+        .flat_map(|service| service.sites.iter().map(move |site| (service, site)))
+        .map(|(service, site)| SiteStatus {
+            service: service.name.clone(),
+            availability_zone: zones[site.availability_zone.get()].name.clone(),
+            backend_servers: site.backend_servers.len(),
+            capacity_slots: site.capacity_slots,
+            requests_in_flight: in_flight(
+                process,
+                site.backend_servers.iter().map(|server| server.address),
+            ),
+        })
+        .collect()
+}
+
+fn in_flight(process: &Process, addresses: impl IntoIterator<Item = SocketAddr>) -> usize {
+    let servers = process.servers.lock();
+    addresses.into_iter().map(|address| servers.in_flight(address) as usize).sum()
+}
--- a/crates/runpind/src/request/lookup.rs
+++ b/crates/runpind/src/request/lookup.rs
@@ -15,9 +15,9 @@
 
 /// Answer to a look-up.
 #[derive(Debug, Serialize)]
-struct LookupAnswer<'a> {
-    service: &'a str,
-    availability_zone: &'a str,
+pub(super) struct LookupAnswer {
+    service: Arc<str>,
+    availability_zone: Arc<str>,
     instances: Vec<InstanceAnswer>,
     ttl_ms: u64,
     idempotency_key_prefix: String,
@@ -47,19 +47,34 @@
     peer: SocketAddr,
     request: &Request<B>,
 ) -> Result<Response<Body>, Problem> {
-    let version = process.version.load_full().ok_or(Problem::NoConfiguration)?;
     let wanted = service_parameter(request.uri().query())?;
+    let caller = caller_address(process, peer, request.headers())?;
+    let answer = answer_for(process, caller, wanted)?;
+    let text = serde_json::to_vec(&answer).map_err(|_| Problem::NoConfiguration)?;
+    let mut response = Response::new(body::full(text));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    Ok(response)
+}
+
+/// Returns what a caller at an address is told for a service.
+pub(super) fn answer_for(
+    process: &Process,
+    caller: IpAddr,
+    wanted: &str,
+) -> Result<LookupAnswer, Problem> {
+    let version = process.version.load_full().ok_or(Problem::NoConfiguration)?;
     let configuration = &version.configuration;
     let service =
         configuration.service(wanted).ok_or_else(|| Problem::UnknownService(wanted.to_owned()))?;
-    let caller = caller_address(process, peer, request.headers())?;
     let near = version.zone_of_caller(caller).ok_or(Problem::NoConfiguration)?;
     let mut hasher = DefaultHasher::new();
     caller.hash(&mut hasher);
     let choices = choose(configuration, &candidates(process, &version), near, hasher.finish());
-    let answer = LookupAnswer {
-        service: &configuration.services[service.get()].name,
-        availability_zone: &configuration.availability_zones[near.get()].name,
+    Ok(LookupAnswer {
+        service: configuration.services[service.get()].name.clone(),
+        availability_zone: configuration.availability_zones[near.get()].name.clone(),
         instances: choices
             .iter()
             .map(|choice| InstanceAnswer { address: choice.address, weight: choice.weight })
@@ -67,13 +82,7 @@
         ttl_ms: configuration.lookup.ttl_ms,
         idempotency_key_prefix: process.ledger.prefix(process.incarnation),
         configuration_version: version.number,
-    };
-    let text = serde_json::to_vec(&answer).map_err(|_| Problem::NoConfiguration)?;
-    let mut response = Response::new(body::full(text));
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    Ok(response)
+    })
 }
 
 fn service_parameter(query: Option<&str>) -> Result<&str, Problem> {
@@ -109,6 +118,8 @@
         .filter(|member| !(process.is_draining() && member.name == process.settings.name))
         .filter_map(|member| {
             let zone = version.configuration.zone(&member.availability_zone)?;
+            let drained = version.configuration.drained.has_instance(&member.name, Some(zone));
+            (!drained).then_some(())?;
             Some(Candidate { address: member.caller_address, zone })
         })
         .collect()
--- a/crates/runpind/tests/acceptance.rs
+++ b/crates/runpind/tests/acceptance.rs
@@ -10,7 +10,7 @@
 use faults::FaultyStore;
 use lab::PlatformStandIn;
 use platform::{Expected, Object, ObjectStore, StoreError, Version, WatchBatch};
-use runpind::process::acceptance::{AcceptanceError, Proposal, VersionLabel, propose};
+use runpind::process::acceptance::{AcceptanceError, Change, Proposal, VersionLabel, propose};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -46,11 +46,13 @@
 "#;
 
 fn proposal(author: &str, expected_number: Option<u64>) -> Proposal {
-    Proposal { text: TEXT.into(), blocks: None, author: author.into(), expected_number }
+    let change = Change::Text { text: TEXT.into(), blocks: None };
+    Proposal { change, author: author.into(), expected_number, dry_run: false }
 }
 
 fn proposal_of_blocks(blocks: &str) -> Proposal {
-    Proposal { blocks: Some(blocks.into()), ..proposal("carla", None) }
+    let change = Change::Text { text: TEXT.into(), blocks: Some(blocks.into()) };
+    Proposal { change, ..proposal("carla", None) }
 }
 
 async fn current(platform: &PlatformStandIn) -> Option<Manifest> {
@@ -334,7 +336,9 @@
     propose(&platform, None, proposal_of_blocks("10.0.0.0/24 n2")).await.expect("accepted");
     let text = TEXT.replace(r#""n1", "n2""#, r#""n1""#).into();
 
-    let error = propose(&platform, None, Proposal { text, ..proposal("anna", None) }).await;
+    let change = Change::Text { text, blocks: None };
+
+    let error = propose(&platform, None, Proposal { change, ..proposal("anna", None) }).await;
 
     assert!(matches!(error, Err(AcceptanceError::Manifest(_))));
     assert_eq!(current(&platform).await.expect("current").number, 1);
--- a/crates/runpind/tests/common/mod.rs
+++ b/crates/runpind/tests/common/mod.rs
@@ -97,6 +97,7 @@
         text: text.into(),
         chunks: Vec::new(),
         retired: Vec::new(),
+        drains: Vec::new(),
     };
     let value = manifest.to_json().expect("manifest").into();
     platform.put(MANIFEST_KEY, value, Expected::Absent).await.expect("accepted");
--- a/crates/runpind/tests/fleet/mod.rs
+++ b/crates/runpind/tests/fleet/mod.rs
@@ -132,7 +132,7 @@
             applied_at_s: 0,
             text: configuration_text(server.address).into(),
             chunks: Vec::new(),
-            retired: Vec::new(),
+            ..Manifest::default()
         };
         let value = manifest.to_json().expect("manifest").into();
         platform.put(MANIFEST_KEY, value, Expected::Absent).await.expect("accepted");
