Carry requests between instances over authenticated connections

Cause: daemons could not reach each other; the client refused every call. Change: a capnp schema for all messages with committed generated code, a decoder with limits, capnp-rpc on a thread of its own, a handshake by HMAC over both nonces, identities and the direction, two keys at once, limits on sizes, connections and calls, and counters of each refusal. The daemon listens on its address for peers. A description of an instance gets a generation, so that incarnations of one name have an order, and digests can carry suspicions. Conclusion: calls between daemons work; nothing uses them yet but the request for a manifest.

--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -114,7 +114,7 @@
                     name: name.clone(),
                     availability_zone: zone.clone(),
                     caller_address: daemon.caller_address(),
-                    peer_address: daemon.caller_address(),
+                    peer_address: daemon.peer_address(),
                     state: InstanceState::Live,
                 });
                 self.daemons.push((zone.clone(), daemon));
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -3,7 +3,7 @@
 use thiserror::Error;
 
 /// Why a call to another instance failed.
-#[derive(Clone, Copy, Debug, Error, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Error, Eq, Hash, PartialEq)]
 pub enum PeerError {
     /// No connection could be made; the request was not sent.
     #[error("the instance can't be reached")]
@@ -24,3 +24,17 @@
     #[error("the reply does not fit the request")]
     UnexpectedReply,
 }
+
+impl PeerError {
+    /// Returns the error's name as a label of metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            PeerError::Unreachable => "unreachable",
+            PeerError::Timeout => "timeout",
+            PeerError::Broken => "broken",
+            PeerError::Unauthenticated => "unauthenticated",
+            PeerError::TooLarge => "too_large",
+            PeerError::UnexpectedReply => "unexpected_reply",
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,19 +1,39 @@
 //! Messages between instances, and the border across which they are sent.
 //!
 //! A [`PeerClient`] sends a [`Request`] to another instance, where a [`PeerService`] answers it.
-//! [`LocalPeers`] joins both within one process, for tests.
+//! [`transport()`] carries requests over authenticated connections, [`LocalPeers`] joins both
+//! within one process, for tests.
 
+pub mod codec;
 mod error;
 mod local;
 pub mod message;
+pub mod transport;
+
+#[rustfmt::skip]
+#[path = "generated/peer_capnp.rs"]
+#[allow(
+    missing_docs,
+    unreachable_pub,
+    rust_2018_idioms,
+    clippy::all,
+    clippy::unimplemented,
+    clippy::unwrap_used,
+    clippy::wildcard_imports,
+    reason = "generated from schema/peer.capnp"
+)]
+mod peer_capnp;
 
 pub use error::PeerError;
 pub use local::LocalPeers;
-pub use message::{Reply, Request, Sender};
+pub use message::{Reply, Request, RequestKind, Sender};
+pub use transport::{Transport, TransportClient, TransportSettings, transport};
 
 use async_trait::async_trait;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Sends requests to other instances.
 #[async_trait]
@@ -29,6 +49,18 @@
     async fn answer(&self, from: Sender, request: Request) -> Reply;
 }
 
+/// A stream of bytes both ways.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin + 'static {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin + 'static> Stream for T {}
+
+/// Makes connections to other instances.
+#[async_trait]
+pub trait Connect: Send + Sync + 'static {
+    /// Connects to `to`.
+    async fn connect(&self, to: &PeerEndpoint) -> io::Result<Box<dyn Stream>>;
+}
+
 /// Where another instance is.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct PeerEndpoint {
--- a/crates/peer/src/message/digest.rs
+++ b/crates/peer/src/message/digest.rs
@@ -10,6 +10,19 @@
     pub instances: Vec<InstanceDigest>,
     /// Number of the configuration version that the sender has in force; 0 for none.
     pub configuration_number: u64,
+    /// Instances that someone could not reach and nobody has heard from since.
+    pub suspicions: Vec<Suspicion>,
+}
+
+/// An instance that could not be reached; a later description of its own refutes it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Suspicion {
+    /// Name that the platform gave it.
+    pub name: Arc<str>,
+    /// Generation of the last description that was known.
+    pub generation: u64,
+    /// Sequence of the last description that was known.
+    pub sequence: u64,
 }
 
 /// An instance as it described itself.
@@ -21,7 +34,9 @@
     pub availability_zone: Arc<str>,
     /// Its incarnation.
     pub incarnation: u64,
-    /// Number of the description, growing within an incarnation.
+    /// Order among the incarnations of one name: later ones have higher generations.
+    pub generation: u64,
+    /// Number of the description, growing within a generation.
     pub sequence: u64,
     /// Time since it described itself so, in milliseconds, as far as the sender knows.
     pub age_ms: u64,
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -9,7 +9,7 @@
 mod hand_over;
 
 pub use configuration::{ChunkRequest, ManifestRequest, Part};
-pub use digest::{Digest, InstanceDigest, InstanceStatus, ServerFigure, SiteFigure};
+pub use digest::{Digest, InstanceDigest, InstanceStatus, ServerFigure, SiteFigure, Suspicion};
 pub use grant::{
     GrantReply, GrantRequest, LinkAmount, PromiseReply, PromiseRequest, ReleaseRequest, SiteAmount,
 };
@@ -47,6 +47,55 @@
     HandOver(HandOverRequest),
 }
 
+/// Names of the requests, as labels of metrics.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum RequestKind {
+    /// [`Request::Digest`].
+    Digest,
+    /// [`Request::Manifest`].
+    Manifest,
+    /// [`Request::Chunk`].
+    Chunk,
+    /// [`Request::Grant`].
+    Grant,
+    /// [`Request::Release`].
+    Release,
+    /// [`Request::Promise`].
+    Promise,
+    /// [`Request::HandOver`].
+    HandOver,
+}
+
+impl RequestKind {
+    /// Returns the name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RequestKind::Digest => "digest",
+            RequestKind::Manifest => "manifest",
+            RequestKind::Chunk => "chunk",
+            RequestKind::Grant => "grant",
+            RequestKind::Release => "release",
+            RequestKind::Promise => "promise",
+            RequestKind::HandOver => "hand_over",
+        }
+    }
+}
+
+impl Request {
+    /// Returns what kind of request this is.
+    pub fn kind(&self) -> RequestKind {
+        match self {
+            Request::Digest(_) => RequestKind::Digest,
+            Request::Manifest(_) => RequestKind::Manifest,
+            Request::Chunk(_) => RequestKind::Chunk,
+            Request::Grant(_) => RequestKind::Grant,
+            Request::Release(_) => RequestKind::Release,
+            Request::Promise(_) => RequestKind::Promise,
+            Request::HandOver(_) => RequestKind::HandOver,
+        }
+    }
+}
+
 /// The reply to a request of the same name.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
@@ -67,3 +116,19 @@
     /// The request is not one that this instance can handle now.
     Refused,
 }
+
+impl Reply {
+    /// Tells whether a request of `kind` can have this reply.
+    pub fn fits(&self, kind: RequestKind) -> bool {
+        match self {
+            Reply::Digest(_) => kind == RequestKind::Digest,
+            Reply::Manifest(_) => kind == RequestKind::Manifest,
+            Reply::Chunk(_) => kind == RequestKind::Chunk,
+            Reply::Grant(_) => kind == RequestKind::Grant,
+            Reply::Released => kind == RequestKind::Release,
+            Reply::Promise(_) => kind == RequestKind::Promise,
+            Reply::HandOver(_) => kind == RequestKind::HandOver,
+            Reply::Refused => true,
+        }
+    }
+}
--- a/crates/runpind/src/error.rs
+++ b/crates/runpind/src/error.rs
@@ -26,6 +26,9 @@
     /// A metric is defined twice or badly.
     #[error("cannot register a metric: {0}")]
     Metrics(#[from] prometheus::Error),
+    /// The keys shared with other instances can't be used.
+    #[error("cannot use the peer keys: {0}")]
+    PeerKeys(#[from] peer::transport::KeysError),
     /// The runtime can't be started.
     #[error("cannot start the runtime: {0}")]
     Runtime(#[from] io::Error),
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -3,7 +3,8 @@
 use super::clock::{BootClock, Clock};
 use super::configuration::{self, ConfigurationActor};
 use super::metrics::Metrics;
-use super::peers::Unconnected;
+use super::peer_metrics::PeerMetrics;
+use super::peers::{self, Answerer};
 use super::{Process, membership};
 use crate::connection::dialer::{Dialer, TcpDialer};
 use crate::connection::listener::{self, Listener};
@@ -11,6 +12,7 @@
 use crate::request;
 use crate::settings::Settings;
 use kameo::actor::Spawn;
+use peer::Transport;
 use platform::{HttpPlatform, InstanceDirectory, ObjectStore};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,6 +50,7 @@
     process: Arc<Process>,
     callers: Listener,
     admin: Listener,
+    transport: Transport,
     background: JoinSet<()>,
 }
 
@@ -59,15 +62,23 @@
     ) -> Result<Self, DaemonError> {
         let callers = listener::bind("callers", &mut settings.caller_address).await?;
         let admin = listener::bind("operators", &mut settings.admin_address).await?;
+        let peers = listener::bind("peers", &mut settings.peer_address).await?;
+        let incarnation = Incarnation(rand::random());
+        let metrics = Metrics::new()?;
+        let peer_metrics = PeerMetrics::new(metrics.registry())?;
+        let (client, starter) =
+            peers::transport(&settings, incarnation, dependencies.dialer.clone(), peer_metrics)?;
         let process = Arc::new(Process::new(
             settings,
-            Incarnation(rand::random()),
+            incarnation,
             dependencies.clock,
             dependencies.dialer,
             dependencies.store.clone(),
-            Arc::new(Unconnected),
-            Metrics::new()?,
+            Arc::new(client),
+            metrics,
         ));
+        let transport =
+            starter.start(peers.into_std()?, Arc::new(Answerer::new(process.clone())))?;
         let mut background = JoinSet::new();
         let store = dependencies.store;
         let actor =
@@ -81,7 +92,7 @@
             process.incarnation,
             process.settings.caller_address
         );
-        Ok(Self { process, callers, admin, background })
+        Ok(Self { process, callers, admin, transport, background })
     }
 
     /// Returns the address for callers.
@@ -89,6 +100,11 @@
         self.process.settings.caller_address
     }
 
+    /// Returns the address for peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.process.settings.peer_address
+    }
+
     /// Returns the address for operators.
     pub fn admin_address(&self) -> SocketAddr {
         self.process.settings.admin_address
@@ -114,6 +130,7 @@
         }
         self.admin.close();
         self.background.shutdown().await;
+        drop(self.transport);
         log::info!("planned stop complete");
     }
 
@@ -123,5 +140,6 @@
         self.process.ledger.abort();
         self.admin.abort();
         self.background.abort_all();
+        drop(self.transport);
     }
 }
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod peer_metrics;
 pub mod peers;
 pub mod signal;
 
--- a/crates/runpind/src/process/peers.rs
+++ b/crates/runpind/src/process/peers.rs
@@ -1,19 +1,54 @@
 //! Calls to and from other instances.
 
 use super::Process;
+use super::peer_metrics::PeerMetrics;
+use crate::connection::dialer::{Dialer, Endpoint};
+use crate::error::DaemonError;
+use crate::settings::{Secret, Settings};
 use async_trait::async_trait;
 use peer::message::Part;
-use peer::{PeerClient, PeerEndpoint, PeerError, PeerService, Reply, Request, Sender};
+use peer::transport::{Keys, Starter};
+use peer::{
+    Connect, PeerEndpoint, PeerService, Reply, Request, Sender, TransportClient, TransportSettings,
+};
+use std::io;
 use std::sync::Arc;
+use steering::Incarnation;
 
-/// Reaches nobody: the client of a daemon without a transport between instances.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Unconnected;
+/// Most connections of other instances at once.
+const MAX_CONNECTIONS: usize = 512;
+
+/// Makes the transport of a daemon.
+pub fn transport(
+    settings: &Settings,
+    incarnation: Incarnation,
+    dialer: Arc<dyn Dialer>,
+    metrics: PeerMetrics,
+) -> Result<(TransportClient, Starter), DaemonError> {
+    let keys = Keys::new(settings.peer_keys.iter().map(Secret::expose))?;
+    let sender = Sender {
+        name: settings.name.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        incarnation: incarnation.0,
+    };
+    Ok(peer::transport(TransportSettings {
+        sender,
+        keys,
+        connect: Arc::new(DialedConnect(dialer)),
+        observer: Arc::new(metrics),
+        max_connections: MAX_CONNECTIONS,
+    }))
+}
+
+/// Makes connections to peers with the daemon's dialer.
+struct DialedConnect(Arc<dyn Dialer>);
 
 #[async_trait]
-impl PeerClient for Unconnected {
-    async fn call(&self, _to: &PeerEndpoint, _request: Request) -> Result<Reply, PeerError> {
-        Err(PeerError::Unreachable)
+impl Connect for DialedConnect {
+    async fn connect(&self, to: &PeerEndpoint) -> io::Result<Box<dyn peer::Stream>> {
+        let endpoint =
+            Endpoint { address: to.address, availability_zone: to.availability_zone.clone() };
+        Ok(Box::new(self.0.dial(&endpoint).await?))
     }
 }
 
