Pass versions on between instances; only two per zone watch the platform

Cause: every instance watched the platform, which counts a waiting watch, and an instance without the platform had no configuration at all.

Change: two watchers per availability zone by rendezvous hashing; whoever puts a version in force tells a few others, who fetch the manifest and missing chunks in parts. A new instance takes the highest of platform and peers, and /readyz says why one does not serve. A version that does not load leaves the last good one in force, with its failure typed and counted. A request for the manifest gets an offset, so that a manifest above the message limit passes.

Conclusion: a change costs the platform what its watchers cost, not what the number of instances does.

--- a/crates/configuration/src/manifest.rs
+++ b/crates/configuration/src/manifest.rs
@@ -162,7 +162,8 @@
         Self { reference, text: text.into() }
     }
 
-    fn verify(&self) -> Result<(), ManifestError> {
+    /// Checks that the text has the digest that names it.
+    pub fn verify(&self) -> Result<(), ManifestError> {
         let actual = digest_of(&self.text);
         let expected = self.reference.digest.clone();
         if actual == expected { Ok(()) } else { Err(ManifestError::Digest { expected, actual }) }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -111,6 +111,8 @@
 
 struct ManifestRequest {
   knownNumber @0 :UInt64;
+  number @1 :UInt64;
+  offset @2 :UInt64;
 }
 
 struct ChunkRequest {
--- a/crates/peer/src/codec/configuration.rs
+++ b/crates/peer/src/codec/configuration.rs
@@ -6,7 +6,20 @@
 use bytes::Bytes;
 
 pub(super) fn read_manifest(reader: manifest_request::Reader<'_>) -> ManifestRequest {
-    ManifestRequest { known_number: reader.get_known_number() }
+    ManifestRequest {
+        known_number: reader.get_known_number(),
+        number: reader.get_number(),
+        offset: reader.get_offset(),
+    }
+}
+
+pub(super) fn write_manifest(
+    mut builder: manifest_request::Builder<'_>,
+    request: &ManifestRequest,
+) {
+    builder.set_known_number(request.known_number);
+    builder.set_number(request.number);
+    builder.set_offset(request.offset);
 }
 
 pub(super) fn write_chunk(mut builder: chunk_request::Builder<'_>, request: &ChunkRequest) {
--- a/crates/peer/src/codec/mod.rs
+++ b/crates/peer/src/codec/mod.rs
@@ -67,9 +67,7 @@
     let root = message.init_root::<peer_capnp::request::Builder<'_>>();
     match request {
         Request::Digest(digest) => digest::write(root.init_digest(), digest),
-        Request::Manifest(request) => {
-            root.init_manifest().set_known_number(request.known_number);
-        }
+        Request::Manifest(request) => configuration::write_manifest(root.init_manifest(), request),
         Request::Chunk(request) => configuration::write_chunk(root.init_chunk(), request),
         Request::Grant(request) => grant::write_request(root.init_grant(), request),
         Request::Release(request) => root.init_release().set_epoch(request.epoch),
--- a/crates/peer/src/message/configuration.rs
+++ b/crates/peer/src/message/configuration.rs
@@ -3,11 +3,15 @@
 use bytes::Bytes;
 use std::sync::Arc;
 
-/// Asks for the manifest in force.
+/// Asks for a part of the manifest in force, and tells which version the asker has.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ManifestRequest {
     /// Number that the asker has; only a higher one is of use.
     pub known_number: u64,
+    /// Number of the version whose first part the asker has; not used with offset 0.
+    pub number: u64,
+    /// First byte wanted.
+    pub offset: u64,
 }
 
 /// Asks for a part of a chunk of client blocks.
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -58,7 +58,7 @@
 impl PeerService for Echo {
     async fn answer(&self, from: Sender, request: Request) -> Reply {
         match request {
-            Request::Manifest(ManifestRequest { known_number }) => Reply::Manifest(Part {
+            Request::Manifest(ManifestRequest { known_number, .. }) => Reply::Manifest(Part {
                 total_bytes: known_number,
                 offset: 0,
                 bytes: from.name.as_bytes().to_vec().into(),
@@ -111,7 +111,9 @@
 
 /// Asks a node for its manifest.
 pub(crate) async fn ask(from: &Node, to: &PeerEndpoint) -> Result<Reply, PeerError> {
-    from.client.call(to, Request::Manifest(ManifestRequest { known_number: 3 })).await
+    from.client
+        .call(to, Request::Manifest(ManifestRequest { known_number: 3, number: 0, offset: 0 }))
+        .await
 }
 
 /// The reply that [`ask`] gets.
--- /dev/null
+++ b/crates/runpind/src/process/configuration/answer.rs
@@ -0,0 +1,44 @@
+//! What other instances are told of the configuration in force.
+
+use crate::process::Process;
+use bytes::Bytes;
+use peer::Sender;
+use peer::message::{ChunkRequest, ManifestRequest, Part};
+
+/// Bytes of a text in one message.
+const PART_BYTES: usize = 128 << 10;
+
+/// Answers with the manifest in force if the asker's is older.
+///
+/// The number asked with also says what the asker has, which may be newer than ours.
+pub fn answer_manifest(process: &Process, from: &Sender, request: ManifestRequest) -> Part {
+    let version = process.version.load();
+    let own_number = version.as_ref().map_or(0, |version| version.number);
+    if request.known_number > own_number {
+        process.configuration.heard(&from.name, request.known_number);
+    }
+    let newer = version.as_ref().filter(|version| {
+        version.number > request.known_number
+            && (request.offset == 0 || version.number == request.number)
+    });
+    match newer.map(|version| version.manifest.to_json()) {
+        Some(Ok(json)) => part(&json.into(), request.offset),
+        Some(Err(_)) | None => Part::default(),
+    }
+}
+
+/// Answers with a part of a chunk of the version in force.
+pub fn answer_chunk(process: &Process, request: &ChunkRequest) -> Part {
+    let version = process.version.load();
+    let chunks = version.iter().flat_map(|version| &version.chunks);
+    let found = chunks.into_iter().find(|chunk| chunk.reference.digest == request.digest);
+    found.map_or_else(Part::default, |chunk| {
+        part(&Bytes::copy_from_slice(chunk.text.as_bytes()), request.offset)
+    })
+}
+
+fn part(whole: &Bytes, offset: u64) -> Part {
+    let start = usize::try_from(offset).unwrap_or(usize::MAX).min(whole.len());
+    let end = whole.len().min(start + PART_BYTES);
+    Part { total_bytes: whole.len() as u64, offset, bytes: whole.slice(start..end) }
+}
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -1,7 +1,7 @@
 //! Starting and stopping a daemon.
 
 use super::clock::{BootClock, Clock};
-use super::configuration::{self, ConfigurationActor};
+use super::configuration::{self, metrics::ConfigurationMetrics};
 use super::metrics::Metrics;
 use super::peer_metrics::PeerMetrics;
 use super::peers::{self, Answerer};
@@ -11,7 +11,6 @@
 use crate::error::DaemonError;
 use crate::request;
 use crate::settings::Settings;
-use kameo::actor::Spawn;
 use peer::Transport;
 use platform::{HttpPlatform, InstanceDirectory, ObjectStore};
 use std::net::SocketAddr;
@@ -65,6 +64,7 @@
         let peers = listener::bind("peers", &mut settings.peer_address).await?;
         let incarnation = Incarnation(rand::random());
         let metrics = Metrics::new()?;
+        let configuration_metrics = ConfigurationMetrics::new(metrics.registry())?;
         let peer_metrics = PeerMetrics::new(metrics.registry())?;
         let (client, starter) =
             peers::transport(&settings, incarnation, dependencies.dialer.clone(), peer_metrics)?;
@@ -73,17 +73,14 @@
             incarnation,
             dependencies.clock,
             dependencies.dialer,
-            dependencies.store.clone(),
+            dependencies.store,
             Arc::new(client),
             metrics,
         ));
         let transport =
             starter.start(peers.into_std()?, Arc::new(Answerer::new(process.clone())))?;
         let mut background = JoinSet::new();
-        let store = dependencies.store;
-        let actor =
-            ConfigurationActor::spawn(ConfigurationActor::new(process.clone(), store.clone()));
-        background.spawn(configuration::watch(store, actor));
+        background.spawn(configuration::watch::run(process.clone(), configuration_metrics));
         background.spawn(membership::refresh(process.clone(), dependencies.directory));
         let callers = Listener::start(callers, process.clone(), request::serve_caller);
         let admin = Listener::start(admin, process.clone(), request::serve_admin);
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -47,6 +47,8 @@
     pub peers: Arc<dyn PeerClient>,
     /// The version in force; `None` until the first one is known.
     pub version: ArcSwapOption<Version>,
+    /// How the configuration is kept up to date.
+    pub configuration: configuration::status::Distribution,
     /// The entry instances that look-ups may name.
     pub members: ArcSwapOption<Members>,
     /// Our work on each backend server.
@@ -88,6 +90,7 @@
             store,
             peers,
             version: ArcSwapOption::empty(),
+            configuration: configuration::status::Distribution::default(),
             members: ArcSwapOption::empty(),
             servers: Mutex::default(),
             pools: Pools::default(),
--- a/crates/runpind/src/process/peers.rs
+++ b/crates/runpind/src/process/peers.rs
@@ -1,12 +1,12 @@
 //! Calls to and from other instances.
 
 use super::Process;
+use super::configuration::answer::{answer_chunk, answer_manifest};
 use super::peer_metrics::PeerMetrics;
 use crate::connection::dialer::{Dialer, Endpoint};
 use crate::error::DaemonError;
 use crate::settings::{Secret, Settings};
 use async_trait::async_trait;
-use peer::message::Part;
 use peer::transport::{Keys, Starter};
 use peer::{
     Connect, PeerEndpoint, PeerService, Reply, Request, Sender, TransportClient, TransportSettings,
@@ -66,21 +66,13 @@
 
 #[async_trait]
 impl PeerService for Answerer {
-    async fn answer(&self, _from: Sender, request: Request) -> Reply {
+    async fn answer(&self, from: Sender, request: Request) -> Reply {
         match request {
             Request::Manifest(request) => {
-                Reply::Manifest(manifest_part(&self.process, request.known_number))
+                Reply::Manifest(answer_manifest(&self.process, &from, request))
             }
+            Request::Chunk(request) => Reply::Chunk(answer_chunk(&self.process, &request)),
             _ => Reply::Refused,
         }
     }
 }
-
-fn manifest_part(process: &Process, known_number: u64) -> Part {
-    let version = process.version.load();
-    let newer = version.as_ref().filter(|version| version.number > known_number);
-    let Some(Ok(json)) = newer.map(|version| version.manifest.to_json()) else {
-        return Part::default();
-    };
-    Part { total_bytes: json.len() as u64, offset: 0, bytes: json.into() }
-}
--- a/crates/runpind/src/request/admin/health.rs
+++ b/crates/runpind/src/request/admin/health.rs
@@ -14,19 +14,18 @@
 
 /// Tells whether callers may be sent to this instance.
 pub(super) fn ready(process: &Process) -> Result<Response<Body>, AdminError> {
-    let (status, line) = match state_of(process) {
-        InstanceState::Ready => (StatusCode::OK, "ready\n"),
-        InstanceState::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
-        InstanceState::Drained => (StatusCode::SERVICE_UNAVAILABLE, "drained by an operator\n"),
+    let refusal = match state_of(process) {
+        InstanceState::Ready => return Ok(text(StatusCode::OK, "ready\n")),
+        InstanceState::Stopping => "draining\n".to_owned(),
+        InstanceState::Drained => "drained by an operator\n".to_owned(),
         InstanceState::NoConfiguration => {
-            (StatusCode::SERVICE_UNAVAILABLE, "no configuration known yet\n")
+            format!("{}\n", process.configuration.status().explain())
+        }
+        InstanceState::UnknownAvailabilityZone => {
+            "the configuration does not have this instance's availability zone\n".to_owned()
         }
-        InstanceState::UnknownAvailabilityZone => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the configuration does not have this instance's availability zone\n",
-        ),
     };
-    Ok(text(status, line))
+    Ok(text(StatusCode::SERVICE_UNAVAILABLE, refusal))
 }
 
 /// Returns all metrics in the form of Prometheus.
--- a/crates/runpind/src/request/admin/respond.rs
+++ b/crates/runpind/src/request/admin/respond.rs
@@ -2,6 +2,7 @@
 
 use super::error::AdminError;
 use crate::request::body::{self, Body};
+use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use serde::Serialize;
@@ -18,7 +19,7 @@
 }
 
 /// Makes an answer in plain text.
-pub(super) fn text(status: StatusCode, text: &'static str) -> Response<Body> {
+pub(super) fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(body::full(text));
     *response.status_mut() = status;
     response
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -4,12 +4,15 @@
 //! passed in as a [`Time`], chance as a seeded generator, so that the same code runs inside the
 //! daemon and against a naive version in tests.
 
+pub mod adoption;
 pub mod blocks;
+pub mod call_budget;
 pub mod key;
 pub mod ledger;
 pub mod lookup;
 pub mod servers;
 pub mod time;
+pub mod watchers;
 
 pub use blocks::BlockTable;
 pub use key::{IdempotencyKey, Incarnation, KeyError};
--- /dev/null
+++ b/crates/steering/tests/watchers.rs
@@ -0,0 +1,76 @@
+//! Who watches the platform, and who is told of a version.
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::collections::HashSet;
+use steering::watchers::{
+    Neighbor, OTHER_ZONES_FAN_OUT, OWN_ZONE_FAN_OUT, WATCHERS_PER_ZONE, is_watcher, whom_to_tell,
+};
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("i-{number:04x}")).collect()
+}
+
+fn watchers(names: &[String]) -> HashSet<&str> {
+    let is = |own: &&String| is_watcher(own, names.iter().map(String::as_str));
+    names.iter().filter(is).map(String::as_str).collect()
+}
+
+fn neighbors(zones: usize, per_zone: usize) -> Vec<Neighbor> {
+    let neighbor = |zone: usize, number: usize| Neighbor {
+        name: format!("z{zone}-{number}").into(),
+        availability_zone: format!("z{zone}").into(),
+    };
+    (0..zones).flat_map(|zone| (0..per_zone).map(move |number| neighbor(zone, number))).collect()
+}
+
+#[test]
+fn a_zone_has_so_many_watchers_whatever_its_size() {
+    for size in 0..=130 {
+        let names = names(size);
+
+        assert_eq!(watchers(&names).len(), size.min(WATCHERS_PER_ZONE), "{size} instances");
+    }
+}
+
+#[test]
+fn a_loss_changes_only_the_lost_ones_place() {
+    let names = names(130);
+    let before = watchers(&names);
+
+    for lost in &names {
+        let rest: Vec<String> = names.iter().filter(|name| *name != lost).cloned().collect();
+        let after = watchers(&rest);
+
+        let stayed = before.iter().filter(|name| *name != lost);
+        assert!(stayed.clone().all(|name| after.contains(name)), "without {lost}");
+    }
+}
+
+#[test]
+fn an_instance_that_the_list_does_not_have_counts_itself() {
+    let names = names(3);
+
+    assert!(is_watcher("alone", std::iter::empty()));
+    assert_eq!(
+        names.iter().filter(|own| is_watcher(own, names.iter().map(String::as_str))).count(),
+        WATCHERS_PER_ZONE
+    );
+}
+
+#[test]
+fn telling_is_bounded_and_reaches_nearly_all_of_a_large_zone() {
+    let all = neighbors(3, 130);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut told = vec![all[0].clone()];
+    let mut reached: HashSet<Neighbor> = told.iter().cloned().collect();
+
+    while let Some(own) = told.pop() {
+        let chosen = whom_to_tell(&own, &all, &mut random);
+        assert!(chosen.len() <= OWN_ZONE_FAN_OUT + OTHER_ZONES_FAN_OUT);
+        assert!(!chosen.contains(&own));
+        told.extend(chosen.into_iter().filter(|other| reached.insert(other.clone())));
+    }
+
+    assert!(reached.len() * 100 >= all.len() * 95, "{} of {}", reached.len(), all.len());
+}
