Choose backend servers by own observation, and stop work to leaving ones at the first sign

Cause: the thin version knew only the list of leaving backend servers and our requests in flight; failures, refused connections and closing answers taught it nothing, a returning backend server got full work at once, and idle connections were never closed.

Change: each backend server has a phase (live, warming, ejected, leaving), fed by how every exchange ended. Slots of abandoned exchanges are held until the cancellation has travelled. Connections are given up after 500 ms, idle ones close after 15 s.

--- a/crates/runpind/src/connection/pool.rs
+++ b/crates/runpind/src/connection/pool.rs
@@ -5,10 +5,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
+use tokio::time::Instant;
 
 /// Connections to all backend servers.
 #[derive(Default)]
@@ -16,13 +18,36 @@
     pools: Mutex<HashMap<SocketAddr, Arc<Mutex<Pool>>>>,
 }
 
+/// Longest time that a connection stays open without use.
+///
+/// Shorter than the usual timeout of backend servers, so that they seldom close first.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Most connections to one backend server that stay open without use.
+const MAX_IDLE: usize = 32;
+
+/// Longest wait for a connection: several round trips between the farthest regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Connections to one backend server.
 #[derive(Default)]
 struct Pool {
-    idle: Vec<SendRequest<Body>>,
+    /// In the order in which they became idle.
+    idle: VecDeque<IdleConnection>,
     open: u32,
 }
 
+struct IdleConnection {
+    sender: SendRequest<Body>,
+    since: Instant,
+}
+
+impl IdleConnection {
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.since.elapsed() < IDLE_TIMEOUT
+    }
+}
+
 /// A connection taken out of its pool for one exchange.
 ///
 /// Dropping it closes the connection; only [`PooledConnection::reuse`] puts it back.
@@ -49,6 +74,9 @@
     /// The backend server did not accept.
     #[error("no connection: {0}")]
     Dial(#[from] std::io::Error),
+    /// The backend server neither accepted nor refused in time.
+    #[error("no connection within {} ms", CONNECT_TIMEOUT.as_millis())]
+    Timeout,
     /// The connection broke before it could be used.
     #[error("the connection failed: {0}")]
     Handshake(#[from] hyper::Error),
@@ -67,7 +95,8 @@
             return Ok(connection);
         }
         let count = open_one(&pool, limit)?;
-        let stream = dialer.dial(endpoint).await?;
+        let dialing = tokio::time::timeout(CONNECT_TIMEOUT, dialer.dial(endpoint));
+        let stream = dialing.await.map_err(|_| ConnectError::Timeout)??;
         let (sender, connection) =
             http1::Builder::new().handshake::<_, Body>(TokioIo::new(stream)).await?;
         // A connection error also reaches whoever waits for the answer.
@@ -86,20 +115,34 @@
     pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
         for (address, pool) in self.pools.lock().iter() {
             if !keep(*address) {
-                let mut pool = pool.lock();
-                pool.open -= pool.idle.len() as u32;
-                pool.idle.clear();
+                pool.lock().close_idle(|_| false);
             }
         }
     }
+
+    /// Closes the connections that were idle for long or that the backend server closed.
+    pub fn expire(&self) {
+        for pool in self.pools.lock().values() {
+            pool.lock().close_idle(IdleConnection::is_usable);
+        }
+    }
 }
 
+impl Pool {
+    fn close_idle(&mut self, keep: impl Fn(&IdleConnection) -> bool) {
+        let before = self.idle.len();
+        self.idle.retain(keep);
+        self.open -= (before - self.idle.len()) as u32;
+    }
+}
+
+/// Takes the connection that was used last, so that those not needed expire.
 fn take_idle(pool: &Arc<Mutex<Pool>>) -> Option<PooledConnection> {
     let mut locked = pool.lock();
-    while let Some(sender) = locked.idle.pop() {
-        if sender.is_ready() {
+    while let Some(idle) = locked.idle.pop_back() {
+        if idle.is_usable() {
             let count = ConnectionCount { pool: pool.clone() };
-            return Some(PooledConnection { sender: Some(sender), count });
+            return Some(PooledConnection { sender: Some(idle.sender), count });
         }
         locked.open -= 1;
     }
@@ -120,10 +163,13 @@
     pub fn reuse(mut self) {
         let Some(mut sender) = self.sender.take() else { return };
         tokio::spawn(async move {
-            if sender.ready().await.is_ok() {
-                let pool = self.count.pool.clone();
-                let mut locked = pool.lock();
-                locked.idle.push(sender);
+            if sender.ready().await.is_err() {
+                return;
+            }
+            let pool = self.count.pool.clone();
+            let mut locked = pool.lock();
+            if locked.idle.len() < MAX_IDLE {
+                locked.idle.push_back(IdleConnection { sender, since: Instant::now() });
                 // It stays open: counterbalances the drop of `self.count`.
                 locked.open += 1;
             }
--- a/crates/runpind/src/process/membership.rs
+++ b/crates/runpind/src/process/membership.rs
@@ -89,7 +89,7 @@
             process.members.store(Some(Arc::new(Members { members })));
         }
         if let Ok(leaving) = directory.leaving_backend_servers().await {
-            process.servers.lock().set_leaving(&leaving);
+            process.set_leaving_servers(&leaving);
         }
         tokio::time::sleep(REFRESH_PERIOD).await;
     }
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the daemon.
 
 pub mod acceptance;
+pub mod backend_servers;
 pub mod clock;
 pub mod configuration;
 pub mod daemon;
@@ -18,17 +19,16 @@
 use crate::settings::Settings;
 use crate::version::Version;
 use arc_swap::ArcSwapOption;
+use backend_servers::BackendServers;
 use clock::Clock;
 use ledger::LedgerState;
 use membership::Members;
 use metrics::Metrics;
-use parking_lot::Mutex;
 use peer::PeerClient;
 use platform::ObjectStore;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use steering::Incarnation;
-use steering::servers::Servers;
 use tokio::sync::Notify;
 
 /// State shared by all requests and actors of one daemon.
@@ -51,8 +51,8 @@
     pub configuration: configuration::status::Distribution,
     /// The entry instances that look-ups may name.
     pub members: ArcSwapOption<Members>,
-    /// Our work on each backend server.
-    pub servers: Mutex<Servers>,
+    /// What this instance knows of backend servers.
+    pub backend_servers: BackendServers,
     /// Connections to backend servers.
     pub pools: Pools,
     /// The ledger of idempotency keys.
@@ -92,7 +92,7 @@
             version: ArcSwapOption::empty(),
             configuration: configuration::status::Distribution::default(),
             members: ArcSwapOption::empty(),
-            servers: Mutex::default(),
+            backend_servers: BackendServers::new(incarnation),
             pools: Pools::default(),
             ledger: Arc::new(ledger),
             metrics,
--- a/crates/runpind/src/request/admin/status.rs
+++ b/crates/runpind/src/request/admin/status.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use steering::servers::ServerStatus;
 
 /// Everything that `runpin status` shows of one instance.
 #[derive(Debug, Serialize)]
@@ -15,6 +16,7 @@
     entry_instances: Vec<MemberStatus>,
     drains: Vec<DrainStatus>,
     sites: Vec<SiteStatus>,
+    backend_servers: Vec<ServerStatus>,
 }
 
 /// The instance that answers.
@@ -106,6 +108,7 @@
         entry_instances: entry_instances(process, version),
         drains: version.map(|version| drains(process, version)).unwrap_or_default(),
         sites: version.map(|version| sites(process, version)).unwrap_or_default(),
+        backend_servers: process.server_status(),
     }
 }
 
@@ -187,6 +190,5 @@
 }
 
 fn in_flight(process: &Process, addresses: impl IntoIterator<Item = SocketAddr>) -> usize {
-    let servers = process.servers.lock();
-    addresses.into_iter().map(|address| servers.in_flight(address) as usize).sum()
+    addresses.into_iter().map(|address| process.in_flight_at(address) as usize).sum()
 }
--- a/crates/runpind/src/request/attempt.rs
+++ b/crates/runpind/src/request/attempt.rs
@@ -6,10 +6,16 @@
 use super::problem::Problem;
 use super::reserve::Reservation;
 use crate::connection::dialer::Endpoint;
-use crate::connection::pool::PooledConnection;
+use crate::connection::pool::{ConnectError, PooledConnection};
 use configuration::SiteIndex;
 use http::{Request, Response};
 use hyper::body::Incoming;
+use std::io::ErrorKind;
+use std::time::Duration;
+use steering::servers::Ending;
+
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
 
 /// How an attempt to send the request ended.
 pub(super) enum Attempt {
@@ -28,27 +34,33 @@
     reservation: Reservation,
 ) -> Option<(Slot, Endpoint)> {
     let process = &exchange.process;
-    let site = &exchange.service().sites[site.get()];
-    let slots = exchange.service().slots_per_server;
-    let address = process.servers.lock().take(&site.backend_servers, slots)?;
+    let repeatable = exchange.class.is_repeatable();
+    let chosen = process.take_server(&exchange.version, exchange.service, site, repeatable)?;
     let zones = &exchange.version.configuration.availability_zones;
-    let availability_zone = zones[site.availability_zone.get()].name.clone();
-    let endpoint = Endpoint { address, availability_zone };
-    Some((Slot::taken(process.clone(), address, reservation), endpoint))
+    let zone = exchange.service().sites[site.get()].availability_zone;
+    let availability_zone = zones[zone.get()].name.clone();
+    let own = exchange.version.own_zone.unwrap_or(zone);
+    let delay_ms = exchange.version.configuration.delay_ms(own, zone);
+    let cancellation_delay = Duration::from_secs_f64(delay_ms / MS_PER_S);
+    let endpoint = Endpoint { address: chosen.address, availability_zone };
+    Some((Slot::taken(process.clone(), chosen, cancellation_delay, reservation), endpoint))
 }
 
 /// Sends the request over a connection of the backend server's pool.
 pub(super) async fn send(
     exchange: &Exchange,
+    slot: &mut Slot,
     endpoint: &Endpoint,
     request: Request<Body>,
 ) -> Result<Attempt, Problem> {
     let process = &exchange.process;
-    let limit = exchange.service().connections_per_server;
-    let connecting = process.pools.connect(&*process.dialer, endpoint, limit);
+    let connecting = process.pools.connect(&*process.dialer, endpoint, slot.connections);
     let mut connection = match tokio::time::timeout_at(exchange.deadline, connecting).await {
         Ok(Ok(connection)) => connection,
-        Ok(Err(_)) => return Ok(Attempt::NotSent(request)),
+        Ok(Err(error)) => {
+            slot.ended(ending_of(&error));
+            return Ok(Attempt::NotSent(request));
+        }
         Err(_) => return Err(Problem::TimeoutBeforeSend),
     };
     let Some(sender) = connection.sender.as_mut() else { return Ok(Attempt::NotSent(request)) };
@@ -57,16 +69,40 @@
     }
     let sending = sender.try_send_request(request);
     match tokio::time::timeout_at(exchange.deadline, sending).await {
-        Ok(Ok(response)) => Ok(Attempt::Answered(response, connection)),
+        Ok(Ok(response)) => {
+            slot.answered(&response, exchange.class);
+            Ok(Attempt::Answered(response, connection))
+        }
         Ok(Err(mut error)) => Ok(match error.take_message() {
             Some(request) => {
                 if let Some(key) = &exchange.key {
                     key.returned();
                 }
+                slot.ended(Ending::Unsent);
                 Attempt::NotSent(request)
             }
-            None => Attempt::Broken,
+            None => {
+                // An error of the request's own body is the caller's doing.
+                let by_caller = error.error().is_user();
+                slot.ended(if by_caller { Ending::Abandoned } else { Ending::Failed });
+                Attempt::Broken
+            }
         }),
-        Err(_) => Err(Problem::TimeoutAfterSend),
+        Err(_) => {
+            slot.ended(Ending::TimedOut);
+            Err(Problem::TimeoutAfterSend)
+        }
+    }
+}
+
+fn ending_of(error: &ConnectError) -> Ending {
+    match error {
+        ConnectError::Limit { .. } => Ending::Unsent,
+        ConnectError::Dial(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            Ending::Refused
+        }
+        ConnectError::Dial(_) | ConnectError::Timeout | ConnectError::Handshake(_) => {
+            Ending::Failed
+        }
     }
 }
--- a/crates/runpind/src/request/exchange.rs
+++ b/crates/runpind/src/request/exchange.rs
@@ -1,41 +1,80 @@
 //! One exchange with a backend server: its slot, its connection and the body of its answer.
 
 use super::body::BodyError;
+use super::headers::closes_connection;
 use super::reserve::Reservation;
 use crate::connection::pool::PooledConnection;
+use crate::process::backend_servers::Chosen;
 use crate::process::{InFlight, Process};
 use bytes::Bytes;
 use configuration::Class;
+use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use steering::servers::{Ending, Report};
 use tokio::time::{Instant, Sleep};
 
 /// A slot of a backend server, given back when dropped.
+///
+/// An exchange that nobody said the end of was abandoned: the caller went away, its connection is
+/// closed, and the slot is kept until that has reached the backend server.
 pub(super) struct Slot {
     process: Arc<Process>,
-    /// The backend server.
-    pub(super) address: SocketAddr,
-    _reservation: Reservation,
+    address: SocketAddr,
+    /// Connections that this instance may open to the backend server.
+    pub(super) connections: u32,
+    cancellation_delay: Duration,
+    report: Report,
+    reservation: Option<Reservation>,
 }
 
 impl Slot {
-    /// Stands for a slot that was taken in `process.servers`.
+    /// Stands for a slot that was taken at a backend server.
     pub(super) fn taken(
         process: Arc<Process>,
-        address: SocketAddr,
+        chosen: Chosen,
+        cancellation_delay: Duration,
         reservation: Reservation,
     ) -> Self {
-        Self { process, address, _reservation: reservation }
+        let report = Report::new(process.clock.now(), Ending::Abandoned);
+        let Chosen { address, connections } = chosen;
+        let reservation = Some(reservation);
+        Self { process, address, connections, cancellation_delay, report, reservation }
+    }
+
+    /// Records how the exchange ended.
+    pub(super) fn ended(&mut self, ending: Ending) {
+        self.report.ending = ending;
+    }
+
+    /// Records the head of an answer; the exchange goes on with its body.
+    pub(super) fn answered(&mut self, response: &Response<Incoming>, class: Class) {
+        self.report.closing = closes_connection(response.headers());
+        // The time of an upload is mostly its caller's.
+        if class != Class::Upload {
+            self.report.latency = Some(self.process.clock.now().since(self.report.started));
+        }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.process.servers.lock().finish(self.address);
+        let (process, address, report) = (self.process.clone(), self.address, self.report);
+        if report.ending != Ending::Abandoned || self.cancellation_delay.is_zero() {
+            process.finish_server(address, report);
+            return;
+        }
+        let (delay, reservation) = (self.cancellation_delay, self.reservation.take());
+        tokio::spawn(async move {
+            let _kept_until_the_end = reservation;
+            tokio::time::sleep(delay).await;
+            process.finish_server(address, report);
+        });
     }
 }
 
@@ -72,7 +111,9 @@
     deadline: Pin<Box<Sleep>>,
     connection: Option<ExchangeConnection>,
     measurement: Measurement,
-    _slot: Slot,
+    slot: Slot,
+    /// How the exchange ends if the body comes whole.
+    ending: Ending,
     _in_flight: InFlight,
 }
 
@@ -83,15 +124,18 @@
         connection: ExchangeConnection,
         measurement: Measurement,
         slot: Slot,
+        status: StatusCode,
         in_flight: InFlight,
     ) -> Self {
+        let shed = status == StatusCode::SERVICE_UNAVAILABLE;
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
         let mut body = Self {
             incoming,
             deadline,
             connection: Some(connection),
             measurement,
-            _slot: slot,
+            slot,
+            ending: if shed { Ending::Shed } else { Ending::Whole },
             _in_flight: in_flight,
         };
         if body.incoming.is_end_stream() {
@@ -104,6 +148,7 @@
         if let Some(ExchangeConnection { connection, reusable: true }) = self.connection.take() {
             connection.reuse();
         }
+        self.slot.ended(self.ending);
         self.measurement.record();
     }
 }
@@ -123,7 +168,10 @@
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
         match &frame {
             None => self.complete(),
-            Some(Err(_)) => self.connection = None,
+            Some(Err(_)) => {
+                self.connection = None;
+                self.slot.ended(Ending::Failed);
+            }
             Some(Ok(_)) if self.incoming.is_end_stream() => self.complete(),
             Some(Ok(_)) => {}
         }
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -29,6 +29,10 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// Backend servers that a request is offered to before it is refused; all but the last returned it
+/// unsent.
+const MAX_OFFERS: u32 = 4;
+
 /// What is known of a request once its head was read.
 pub(super) struct Exchange {
     pub(super) process: Arc<Process>,
@@ -110,16 +114,21 @@
         let mut request = prepare(request);
         let _admission = admit::wait(&self).await?;
         let route = route::of_request(&self);
+        let mut offers = 0;
         for site in &route.sites {
-            let Some(reservation) = reserve::take(&self, *site) else { continue };
-            let Some((slot, endpoint)) = attempt::pick(&self, *site, reservation) else { continue };
-            self.set_timeout(&mut request)?;
-            match attempt::send(&self, &endpoint, request).await? {
-                Attempt::Answered(response, connection) => {
-                    return Ok(self.pass_on(response, connection, slot, &route));
+            while offers < MAX_OFFERS {
+                let Some(reservation) = reserve::take(&self, *site) else { break };
+                let picked = attempt::pick(&self, *site, reservation);
+                let Some((mut slot, endpoint)) = picked else { break };
+                offers += 1;
+                self.set_timeout(&mut request)?;
+                match attempt::send(&self, &mut slot, &endpoint, request).await? {
+                    Attempt::Answered(response, connection) => {
+                        return Ok(self.pass_on(response, connection, slot, &route));
+                    }
+                    Attempt::NotSent(returned) => request = returned,
+                    Attempt::Broken => return Err(Problem::Broken),
                 }
-                Attempt::NotSent(returned) => request = returned,
-                Attempt::Broken => return Err(Problem::Broken),
             }
         }
         Err(Problem::NoCapacity)
@@ -162,8 +171,15 @@
             started: self.started,
         };
         let connection = ExchangeConnection { connection, reusable };
-        let body =
-            AnswerBody::new(incoming, self.deadline, connection, measurement, slot, self.in_flight);
+        let body = AnswerBody::new(
+            incoming,
+            self.deadline,
+            connection,
+            measurement,
+            slot,
+            parts.status,
+            self.in_flight,
+        );
         Response::from_parts(parts, BodyExt::boxed(body))
     }
 }
