Change policies in place, bring programs back and show the history

Cause: a policy could only be changed by applying a whole configuration, and an earlier program could not be brought back.

Conclusion: policies go through the one acceptance; no second way to change a version exists.

--- a/crates/runpin/src/command/config/diff.rs
+++ b/crates/runpin/src/command/config/diff.rs
@@ -1,6 +1,6 @@
 //! `runpin config diff`.
 
-use super::{manifest_in_force, read_configuration};
+use super::{manifest, read_configuration};
 use crate::client::Client;
 use crate::error::CommandError;
 use crate::exit::Exit;
@@ -41,7 +41,7 @@
 pub(super) async fn run(options: &ConfigDiff) -> Result<Exit, CommandError> {
     let (text, _) = read_configuration(&options.file)?;
     let client = Client::for_reading(&options.instance)?;
-    let manifest = manifest_in_force(&client).await?;
+    let manifest = manifest(&client, None).await?;
     let in_force = format!("version {}", manifest.number);
     let file = options.file.display().to_string();
     let diff = TextDiff::from_lines(&*manifest.text, text.as_str());
--- a/crates/runpin/src/command/config/get.rs
+++ b/crates/runpin/src/command/config/get.rs
@@ -1,6 +1,6 @@
 //! `runpin config get`.
 
-use super::manifest_in_force;
+use super::manifest;
 use crate::client::Client;
 use crate::error::CommandError;
 use crate::exit::Exit;
@@ -8,22 +8,25 @@
 use argh::FromArgs;
 use std::net::SocketAddr;
 
-/// show the configuration in force
+/// show the configuration in force, or an earlier version
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "get")]
 pub(super) struct ConfigGet {
     /// address for operators of an instance, IP:PORT; may be repeated (RUNPIN_INSTANCE)
     #[argh(option)]
     instance: Vec<SocketAddr>,
+    /// number of an earlier version; default the one in force
+    #[argh(option)]
+    number: Option<u64>,
     /// form of the result, `text` or `json`; default `text`
     #[argh(option, default = "Output::Text")]
     output: Output,
 }
 
-/// Shows the manifest in force.
+/// Shows the manifest.
 pub(super) async fn run(options: &ConfigGet) -> Result<Exit, CommandError> {
     let client = Client::for_reading(&options.instance)?;
-    let manifest = manifest_in_force(&client).await?;
+    let manifest = manifest(&client, options.number).await?;
     let drains = manifest.drains.iter().map(|drain| format!("# drained: {drain}\n"));
     let drains: String = drains.collect();
     let text = format!(
--- a/crates/runpin/src/command/config/mod.rs
+++ b/crates/runpin/src/command/config/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod diff;
 mod get;
+mod history;
 
 use super::read_file;
 use crate::client::Client;
@@ -31,6 +32,7 @@
     Check(check::ConfigCheck),
     Get(get::ConfigGet),
     Diff(diff::ConfigDiff),
+    History(history::ConfigHistory),
     Apply(apply::ConfigApply),
 }
 
@@ -40,6 +42,7 @@
         ConfigCommand::Check(options) => check::run(&options),
         ConfigCommand::Get(options) => get::run(&options).await,
         ConfigCommand::Diff(options) => diff::run(&options).await,
+        ConfigCommand::History(options) => history::run(&options).await,
         ConfigCommand::Apply(options) => apply::run(options).await,
     }
 }
@@ -53,7 +56,14 @@
     Ok((text, configuration))
 }
 
-/// Returns the manifest in force at the first instance that answers.
-pub(super) async fn manifest_in_force(client: &Client) -> Result<Manifest, CommandError> {
-    client.read(CONFIGURATION_PATH).await
+/// Returns the manifest of a version, of the one in force when `number` is absent, from the first
+/// instance that answers.
+pub(super) async fn manifest(
+    client: &Client,
+    number: Option<u64>,
+) -> Result<Manifest, CommandError> {
+    match number {
+        Some(number) => client.read(&format!("{CONFIGURATION_PATH}?number={number}")).await,
+        None => client.read(CONFIGURATION_PATH).await,
+    }
 }
--- a/crates/runpin/src/command/mod.rs
+++ b/crates/runpin/src/command/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod drain;
 pub(crate) mod lab;
 pub(crate) mod lookup;
+pub(crate) mod policy;
 pub(crate) mod status;
 
 mod change;
@@ -23,6 +24,7 @@
             Command::Config(options) => config::run(options).await,
             Command::Drain(options) => drain::run(options).await,
             Command::Undrain(options) => drain::run_undrain(options).await,
+            Command::Policy(options) => policy::run(options).await,
             Command::Lab(options) => lab::run(options).await,
         }
     })
--- a/crates/runpin/src/error.rs
+++ b/crates/runpin/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the command line.
 
+use crate::command::policy::edit::PolicyEditError;
 use crate::exit::Exit;
 use configuration::{ConfigurationError, DrainError, ManifestError};
 use lab::LabError;
@@ -10,6 +11,15 @@
 /// Why a command failed, and what to do next.
 #[derive(Debug, Error)]
 pub(crate) enum CommandError {
+    /// The instance asked has another version in force than the change expects.
+    #[error(
+        "instances have version {current} in force, not version {expected}; nothing was changed: \
+         look at `runpin config diff` and change the newer version"
+    )]
+    Conflict { expected: u64, current: u64 },
+    /// A policy can't be changed as asked.
+    #[error(transparent)]
+    Policy(#[from] PolicyEditError),
     /// A file can't be read or written.
     #[error("{}: {source}", path.display())]
     File { path: PathBuf, source: std::io::Error },
@@ -68,12 +78,14 @@
     pub(crate) fn exit(&self) -> Exit {
         match self {
             CommandError::Configuration { .. }
+            | CommandError::Policy(_)
             | CommandError::Drain(_)
             | CommandError::MissingInstance
             | CommandError::Instance(_)
             | CommandError::Name { .. }
             | CommandError::Entry(_)
             | CommandError::File { .. } => Exit::WrongUsage,
+            CommandError::Conflict { .. } => Exit::Conflict,
             CommandError::Unreachable(_) => Exit::Unreachable,
             CommandError::Unsure { .. } => Exit::Unsure,
             CommandError::MissingToken(_) => Exit::Denied,
--- a/crates/runpin/tests/wrong_input.rs
+++ b/crates/runpin/tests/wrong_input.rs
@@ -36,6 +36,13 @@
             "would have replaced version 7",
         ),
         (&["undrain", "availability-zone", "n1"], 2, "availability-zone n1 is not drained"),
+        (&["policy", "apply"], 2, "name a file"),
+        (&["policy", "apply", "--arm", "a=b"], 2, "`a=b` is not ARM=POLICY:PERCENT"),
+        (&["policy", "apply", "--arm", "a=b:100"], 2, "`b` is not a defined policy"),
+        (&["policy", "apply", "--expect-version", "7", "--arm", "a=b:100"], 3, "not version 7"),
+        (&["policy", "apply", "no-such-file"], 2, "no-such-file"),
+        (&["policy", "rollback", "none"], 2, "version 1 has no policy `none`"),
+        (&["config", "get", "--number", "9"], 2, "version 9 is not kept"),
         (&["lab", "run", "no-such-file"], 2, "no-such-file"),
         (&["lab", "platform", "--listen", "127.0.0.1:0", "--entry", "a"], 2, "--entry: `a`"),
     ];
--- a/crates/runpind/src/request/admin/error.rs
+++ b/crates/runpind/src/request/admin/error.rs
@@ -42,6 +42,9 @@
     /// No configuration is known.
     #[error("this instance knows no configuration yet")]
     NoConfiguration,
+    /// A version is not kept.
+    #[error("version {0} is not kept: see `runpin config history` for those that are")]
+    NoVersion(u64),
     /// A drain is not well formed.
     #[error(transparent)]
     Drain(#[from] DrainError),
@@ -76,7 +79,7 @@
     fn status(&self) -> StatusCode {
         match self {
             AdminError::MissingToken | AdminError::WrongToken => StatusCode::UNAUTHORIZED,
-            AdminError::NoPage(_) => StatusCode::NOT_FOUND,
+            AdminError::NoPage(_) | AdminError::NoVersion(_) => StatusCode::NOT_FOUND,
             AdminError::MissingParameter(_)
             | AdminError::BadParameter { .. }
             | AdminError::NotText
--- /dev/null
+++ b/crates/runpind/src/request/admin/history.rs
@@ -0,0 +1,77 @@
+//! Accepted versions, as the platform keeps them.
+
+use super::error::AdminError;
+use crate::process::Process;
+use crate::process::acceptance::AcceptanceError;
+use crate::process::history::read;
+use configuration::{HISTORY_LENGTH, MANIFEST_KEY, Manifest};
+use serde::Serialize;
+use std::sync::Arc;
+
+/// Number of versions shown where the operator names none.
+const DEFAULT_LIMIT: u64 = 10;
+
+/// The last versions, newest first.
+#[derive(Debug, Serialize)]
+pub(super) struct History {
+    versions: Vec<HistoryEntry>,
+}
+
+/// One accepted version, without its text.
+#[derive(Debug, Serialize)]
+struct HistoryEntry {
+    number: u64,
+    author: Arc<str>,
+    applied_at_s: u64,
+    text_bytes: usize,
+    drains: usize,
+}
+
+impl From<&Manifest> for HistoryEntry {
+    fn from(manifest: &Manifest) -> Self {
+        Self {
+            number: manifest.number,
+            author: manifest.author.clone(),
+            applied_at_s: manifest.applied_at_s,
+            text_bytes: manifest.text.len(),
+            drains: manifest.drains.len(),
+        }
+    }
+}
+
+/// Returns the manifest in force at this instance.
+pub(super) fn in_force(process: &Process) -> Result<Arc<Manifest>, AdminError> {
+    let version = process.version.load_full().ok_or(AdminError::NoConfiguration)?;
+    Ok(version.manifest.clone())
+}
+
+/// Returns the manifest of an accepted version.
+pub(super) async fn manifest(process: &Process, number: u64) -> Result<Manifest, AdminError> {
+    if let Ok(own) = in_force(process)
+        && own.number == number
+    {
+        return Ok(Manifest::clone(&own));
+    }
+    match current(process).await? {
+        Some(current) if current.number == number => Ok(current),
+        _ => read(&*process.store, number).await?.ok_or(AdminError::NoVersion(number)),
+    }
+}
+
+/// Lists up to `limit` of the last accepted versions.
+pub(super) async fn list(process: &Process, limit: Option<u64>) -> Result<History, AdminError> {
+    let limit = limit.unwrap_or(DEFAULT_LIMIT).min(HISTORY_LENGTH);
+    let Some(current) = current(process).await? else { return Err(AdminError::NoConfiguration) };
+    let mut versions = vec![HistoryEntry::from(&current)];
+    let earlier = (1..current.number).rev();
+    for number in earlier.take(limit.saturating_sub(1) as usize) {
+        let Some(manifest) = read(&*process.store, number).await? else { break };
+        versions.push(HistoryEntry::from(&manifest));
+    }
+    Ok(History { versions })
+}
+
+async fn current(process: &Process) -> Result<Option<Manifest>, AcceptanceError> {
+    let object = process.store.get(MANIFEST_KEY).await?;
+    Ok(object.map(|object| Manifest::from_json(&object.value)).transpose()?)
+}
--- a/crates/runpind/src/request/admin/mod.rs
+++ b/crates/runpind/src/request/admin/mod.rs
@@ -5,7 +5,9 @@
 //! | `GET /healthz`, `/readyz`, `/metrics` | none | text |
 //! | `GET /v1/status` | read | [`status::Status`] |
 //! | `GET /v1/lookup?service=S&caller=IP` | read | what a look-up of this caller answers |
-//! | `GET /v1/configuration` | read | the manifest in force |
+//! | `GET /v1/configuration` | read | the manifest in force here |
+//! | `GET /v1/configuration?number=N` | read | the manifest of an accepted version |
+//! | `GET /v1/configuration/history?limit=N` | read | [`history::History`] |
 //! | `PUT /v1/configuration`, body = text | change | [`changes::Accepted`] |
 //! | `PUT /v1/drains/KIND/NAME` | change | [`changes::Accepted`] |
 //! | `DELETE /v1/drains/KIND/NAME` | change | [`changes::Accepted`] |
@@ -17,6 +19,7 @@
 mod changes;
 mod error;
 mod health;
+mod history;
 mod query;
 mod respond;
 mod status;
@@ -34,6 +37,7 @@
 const STATUS_PATH: &str = "/v1/status";
 const LOOKUP_PATH: &str = "/v1/lookup";
 const CONFIGURATION_PATH: &str = "/v1/configuration";
+const HISTORY_PATH: &str = "/v1/configuration/history";
 const DRAINS_PREFIX: &str = "/v1/drains/";
 
 /// Answers a request of an operator or a monitoring system.
@@ -42,17 +46,23 @@
         (&Method::GET, "/healthz") => health::alive(),
         (&Method::GET, "/readyz") => health::ready(&process),
         (&Method::GET, "/metrics") => health::metrics(&process),
-        (&Method::GET, _) => read(&process, &request),
+        (&Method::GET, _) => read(&process, &request).await,
         _ => changes::answer(&process, request).await,
     }
     .unwrap_or_else(|error| error.response())
 }
 
 /// Answers a request that reads, once its token was checked.
-fn read<B>(process: &Arc<Process>, request: &Request<B>) -> Result<Response<Body>, AdminError> {
+async fn read(
+    process: &Arc<Process>,
+    request: &Request<Incoming>,
+) -> Result<Response<Body>, AdminError> {
     access::check(request, &process.settings.read_token)?;
     let query = Query::of(request);
     match request.uri().path() {
+        HISTORY_PATH => {
+            json(StatusCode::OK, &history::list(process, query.number("limit")?).await?)
+        }
         STATUS_PATH => json(StatusCode::OK, &status::of(process)),
         LOOKUP_PATH => {
             let service = query.required("service")?;
@@ -60,9 +70,9 @@
             let caller = caller.unwrap_or(process.settings.caller_address.ip());
             json(StatusCode::OK, &lookup::answer_for(process, caller, service)?)
         }
-        CONFIGURATION_PATH => match &*process.version.load() {
-            Some(version) => json(StatusCode::OK, &*version.manifest),
-            None => Err(AdminError::NoConfiguration),
+        CONFIGURATION_PATH => match query.number("number")? {
+            Some(number) => json(StatusCode::OK, &history::manifest(process, number).await?),
+            None => json(StatusCode::OK, &*history::in_force(process)?),
         },
         path => Err(AdminError::NoPage(path.to_owned())),
     }
