Judge links, sites and faults in the laboratory from outside the daemons

The report knew only answers and idempotency keys, and experiments could not bring about a fault. Backend servers now note every request with its times and the availability zone it came from (told at the Dialer border, the lab's own code), experiments declare faults with times, and the report judges link caps, site limits, planned stops, leaving backend servers and changes of the configuration. Callers send a write again with the same key at another instance and come back after Retry-After. The stand-in platform decodes keys, ends waiting watches at an outage and breaks the connection of a lost answer.

--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -1,11 +1,18 @@
 //! Callers: they look up an instance, keep the answer for its TTL, and send requests.
+//!
+//! A caller that got no answer, or none that settles the matter, goes on to the next instance of
+//! its look-up, with the same idempotency key for a write; one that was told when to come back
+//! does so.
 
 use crate::experiment::Load;
-use crate::report::Tally;
+use crate::laboratory::Laboratory;
+use crate::tally::{Attempt, Seen, Tally};
 use bytes::Bytes;
 use configuration::Class;
-use http::{Method, Request, StatusCode};
+use http::header::RETRY_AFTER;
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -22,14 +29,22 @@
 /// How long a caller waits for a whole answer.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Pause before a caller that found no instance asks again.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(200);
+
+/// How often a caller sends one request before it gives up.
+const MAX_ATTEMPTS: usize = 3;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Callers of one availability zone with one load.
 pub(crate) struct Callers {
     pub(crate) load: Load,
-    pub(crate) address: IpAddr,
-    pub(crate) instances: Vec<SocketAddr>,
+    pub(crate) zone: Arc<str>,
+    /// One for each caller.
+    pub(crate) addresses: Vec<IpAddr>,
     pub(crate) seed: u64,
+    pub(crate) laboratory: Arc<Laboratory>,
     pub(crate) tally: Arc<Tally>,
 }
 
@@ -45,20 +60,10 @@
     address: SocketAddr,
 }
 
-/// What a caller saw of one request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Seen {
-    Answered,
-    NotRun,
-    Unknown,
-    Lost,
-    CutOrWrong,
-}
-
 struct Session {
     callers: Callers,
     client: HttpClient,
-    cached: Mutex<Option<(Instant, LookupAnswer)>>,
+    cached: Mutex<Vec<Option<(Instant, LookupAnswer)>>>,
 }
 
 impl Callers {
@@ -67,10 +72,11 @@
         let client = Client::builder(TokioExecutor::new()).build_http();
         let mut random = SmallRng::seed_from_u64(self.seed);
         let rate = self.load.rate_per_s;
-        let session = Arc::new(Session { callers: self, client, cached: Mutex::new(None) });
+        let cached = Mutex::new(vec![None; self.addresses.len()]);
+        let session = Arc::new(Session { callers: self, client, cached });
         let mut requests = JoinSet::new();
         let mut next = Instant::now();
-        for number in 0_u64.. {
+        for number in 0_usize.. {
             let uniform: f64 = random.random();
             next += Duration::from_secs_f64(-(1.0 - uniform).ln() / rate);
             if next >= end {
@@ -84,46 +90,73 @@
 }
 
 impl Session {
-    async fn request(self: Arc<Self>, number: u64) {
+    /// Sends one request until it has an answer that settles it, or the caller gives up.
+    async fn request(self: Arc<Self>, number: usize) {
         let started = Instant::now();
         let load = &self.callers.load;
-        let (id, seen) = match self.look_up().await {
-            Some(answer) => {
-                let prefix = &answer.idempotency_key_prefix;
-                let id = format!("{prefix}{:x}-{number}", self.callers.seed);
-                let seen = tokio::time::timeout(CALLER_TIMEOUT, self.send(&answer, &id)).await;
-                (id, seen.unwrap_or(Seen::Lost))
-            }
-            None => (String::new(), Seen::Lost),
-        };
         let tally = &self.callers.tally;
-        tally.count(load, seen, started.elapsed());
-        if load.class != Class::Read && !id.is_empty() {
-            tally.write(id, seen);
+        let caller = number % self.callers.addresses.len();
+        let mut key = None;
+        let mut last = Attempt::from(Seen::Lost);
+        let mut failed = 0;
+        for attempt in 0..MAX_ATTEMPTS {
+            let Some(answer) = self.look_up(caller).await else {
+                tokio::time::sleep(LOOKUP_PAUSE).await;
+                continue;
+            };
+            let prefix = &answer.idempotency_key_prefix;
+            let key = key.get_or_insert_with(|| self.new_key(prefix, number));
+            // A read sent again is another request; a write sent again is the same one.
+            let id = match load.class {
+                Class::Read => format!("{key}-{attempt}"),
+                Class::Write | Class::Upload => key.clone(),
+            };
+            let Some(instance) = answer.instances.get(failed % answer.instances.len().max(1))
+            else {
+                continue;
+            };
+            last = self.attempt(caller, instance.address, &id).await;
+            tally.told(load.class, &id, last.seen);
+            match (last.seen, last.retry_after) {
+                (Seen::Answered | Seen::Wrong | Seen::NotRun, None) => break,
+                (_, Some(pause)) => tokio::time::sleep(pause).await,
+                _ => {
+                    failed += 1;
+                    self.cached.lock()[caller] = None;
+                }
+            }
+        }
+        tally.count(load, &last, started.elapsed());
+        if let (Some(key), Class::Write | Class::Upload) = (key, load.class) {
+            tally.write(key);
         }
     }
 
+    fn new_key(&self, prefix: &str, number: usize) -> String {
+        format!("{prefix}{:x}-{number}", self.callers.seed)
+    }
+
     /// Returns the cached answer while it is valid, else asks one instance after another.
-    async fn look_up(&self) -> Option<LookupAnswer> {
-        if let Some((until, answer)) = &*self.cached.lock()
+    async fn look_up(&self, caller: usize) -> Option<LookupAnswer> {
+        if let Some((until, answer)) = &self.cached.lock()[caller]
             && Instant::now() < *until
         {
             return Some(answer.clone());
         }
-        for instance in &self.callers.instances {
-            if let Some(answer) = self.ask(*instance).await {
+        for instance in self.callers.laboratory.instances_from(&self.callers.zone) {
+            if let Some(answer) = self.ask(caller, instance).await {
                 let until = Instant::now() + Duration::from_millis(answer.ttl_ms);
-                *self.cached.lock() = Some((until, answer.clone()));
+                self.cached.lock()[caller] = Some((until, answer.clone()));
                 return Some(answer);
             }
         }
         None
     }
 
-    async fn ask(&self, instance: SocketAddr) -> Option<LookupAnswer> {
+    async fn ask(&self, caller: usize, instance: SocketAddr) -> Option<LookupAnswer> {
         let uri = format!("http://{instance}/lookup?service={}", self.callers.load.service);
         let request = Request::get(uri)
-            .header("runpin-caller-address", self.callers.address.to_string())
+            .header("runpin-caller-address", self.callers.addresses[caller].to_string())
             .body(Full::default())
             .ok()?;
         let response = self.client.request(request).await.ok()?;
@@ -134,28 +167,64 @@
         serde_json::from_slice(&body.to_bytes()).ok()
     }
 
-    /// Sends the request to the first instance of the answer and judges what comes back.
-    async fn send(&self, answer: &LookupAnswer, id: &str) -> Seen {
-        let Some(instance) = answer.instances.first() else { return Seen::Lost };
+    /// Sends the request to an instance and judges what comes back.
+    async fn attempt(&self, caller: usize, instance: SocketAddr, id: &str) -> Attempt {
+        let began = Instant::now();
+        let sending = tokio::time::timeout(CALLER_TIMEOUT, self.send(caller, instance, id));
+        let attempt = sending.await.unwrap_or(Attempt::from(Seen::Lost));
+        if matches!(attempt.seen, Seen::Lost | Seen::Cut) {
+            self.callers.tally.broken(instance, began, Instant::now());
+        }
+        attempt
+    }
+
+    async fn send(&self, caller: usize, instance: SocketAddr, id: &str) -> Attempt {
+        let Some(request) = self.build(caller, instance, id) else { return Seen::Wrong.into() };
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return Seen::NotReached.into(),
+            Err(_) => return Seen::Lost.into(),
+        };
+        self.judge(response, id).await
+    }
+
+    fn build(&self, caller: usize, instance: SocketAddr, id: &str) -> Option<Request<Full<Bytes>>> {
         let load = &self.callers.load;
-        let Ok(method) = load.method.parse::<Method>() else { return Seen::Lost };
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{}", instance.address, load.path))
-            .header("runpin-caller-address", self.callers.address.to_string())
-            .header("idempotency-key", id)
-            .body(Full::new(Bytes::from(vec![b'x'; load.body_bytes])));
-        let Ok(request) = request else { return Seen::Lost };
-        let Ok(response) = self.client.request(request).await else { return Seen::Lost };
+        let id_header = match load.class {
+            Class::Read => "lab-request-id",
+            Class::Write | Class::Upload => "idempotency-key",
+        };
+        let mut request = Request::builder()
+            .method(load.method.parse::<Method>().ok()?)
+            .uri(format!("http://{instance}{}", load.path))
+            .header("runpin-caller-address", self.callers.addresses[caller].to_string())
+            .header(id_header, id);
+        if let Some(tenant) = &load.tenant {
+            request = request.header("runpin-tenant", tenant);
+        }
+        request.body(Full::new(Bytes::from(vec![b'x'; load.body_bytes]))).ok()
+    }
+
+    async fn judge(&self, response: Response<Incoming>, id: &str) -> Attempt {
         let status = response.status();
-        let outcome = response.headers().get("runpin-outcome").cloned();
-        let Ok(body) = response.into_body().collect().await else { return Seen::CutOrWrong };
-        match outcome.as_ref().and_then(|outcome| outcome.to_str().ok()) {
+        let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
+        let outcome = header("runpin-outcome");
+        let arm = header("runpin-arm");
+        let retry_after_s = header(RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
+        let Ok(body) = response.into_body().collect().await else { return Seen::Cut.into() };
+        let whole = format!("{id} {}\n", self.callers.load.body_bytes);
+        let seen = match outcome.as_deref() {
             Some("not-run") => Seen::NotRun,
             Some(_) => Seen::Unknown,
-            None if status != StatusCode::OK => Seen::CutOrWrong,
-            None if body.to_bytes() == format!("{id} {}\n", load.body_bytes) => Seen::Answered,
-            None => Seen::CutOrWrong,
-        }
+            // The backend server's own refusal.
+            None if status.is_server_error() => Seen::Unknown,
+            None if status == StatusCode::OK && body.to_bytes() == whole => Seen::Answered,
+            None => Seen::Wrong,
+        };
+        let retry_after = match seen {
+            Seen::NotRun => retry_after_s.map(Duration::from_secs),
+            _ => None,
+        };
+        Attempt { seen, retry_after, arm }
     }
 }
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -3,6 +3,7 @@
 use configuration::ConfigurationError;
 use platform::StoreError;
 use runpind::DaemonError;
+use runpind::error::SettingsError;
 use std::io;
 use std::path::PathBuf;
 use thiserror::Error;
@@ -42,9 +43,18 @@
         /// Name that was not found.
         name: String,
     },
+    /// A change that the experiment makes can't be applied to the configuration.
+    #[error("field `{0}` is not in the configuration")]
+    Field(String),
+    /// A change that the experiment makes was not accepted.
+    #[error("the change was not accepted: {0}")]
+    Refused(String),
     /// A stand-in can't listen.
     #[error("a stand-in can't listen: {0}")]
     Listen(io::Error),
+    /// The lab's settings for a daemon are not valid.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
     /// A daemon can't start.
     #[error(transparent)]
     Daemon(#[from] DaemonError),
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -1,33 +1,25 @@
 //! Stand-in of the platform: objects with versions, conditional updates and watches, and a list
 //! of instances, in memory, with switches for its failures.
 
-use ::platform::wire::{
-    BatchBody, ConflictBody, INSTANCES_PATH, InstancesBody, OBJECTS_PATH, ObjectBody, VersionBody,
-};
 use ::platform::{
     Expected, InstanceDirectory, InstanceEntry, Object, ObjectStore, StoreError, UnavailableCause,
     Version, WatchBatch,
 };
 use async_trait::async_trait;
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 /// Largest value, in bytes.
-const MAX_VALUE_BYTES: usize = 1_000_000;
+pub(crate) const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// Answer to every call during an outage.
+const OUT_OF_SERVICE: StoreError = StoreError::Unavailable(UnavailableCause::Status(503));
 
 /// Failures that an experiment can switch on.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -45,7 +37,7 @@
 pub struct PlatformStandIn {
     state: Mutex<State>,
     changed: watch::Sender<u64>,
-    switches: Mutex<PlatformSwitches>,
+    switches: watch::Sender<PlatformSwitches>,
     calls: AtomicU64,
 }
 
@@ -63,16 +55,21 @@
         Self {
             state: Mutex::default(),
             changed: watch::Sender::new(0),
-            switches: Mutex::default(),
+            switches: watch::Sender::default(),
             calls: AtomicU64::new(0),
         }
     }
 }
 
 impl PlatformStandIn {
-    /// Sets the failures.
+    /// Sets the failures; an outage also ends the watches that wait.
     pub fn set_switches(&self, switches: PlatformSwitches) {
-        *self.switches.lock() = switches;
+        self.switches.send_replace(switches);
+    }
+
+    /// Returns the failures that are switched on.
+    pub fn switches(&self) -> PlatformSwitches {
+        *self.switches.borrow()
     }
 
     /// Returns the number of calls so far; a waiting watch counts as one.
@@ -85,17 +82,27 @@
         self.state.lock().entry_instances = entries;
     }
 
+    /// Changes the list of entry instances.
+    pub fn change_entry_instances(&self, change: impl FnOnce(&mut Vec<InstanceEntry>)) {
+        change(&mut self.state.lock().entry_instances);
+    }
+
     /// Replaces the list of leaving backend servers.
     pub fn set_leaving_backend_servers(&self, leaving: Vec<SocketAddr>) {
         self.state.lock().leaving_backend_servers = leaving;
     }
 
+    pub(crate) fn leaving(&self) -> Vec<SocketAddr> {
+        self.state.lock().leaving_backend_servers.clone()
+    }
+
     async fn admit(&self) -> Result<PlatformSwitches, StoreError> {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        let switches = *self.switches.lock();
-        tokio::time::sleep(Duration::from_millis(switches.slow_ms)).await;
+        let slow_ms = self.switches().slow_ms;
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+        let switches = self.switches();
         if switches.outage {
-            return Err(StoreError::Unavailable(UnavailableCause::Status(503)));
+            return Err(OUT_OF_SERVICE);
         }
         Ok(switches)
     }
@@ -204,13 +211,11 @@
                 let _ = changed.changed().await;
             }
         };
-        match tokio::time::timeout(wait, found).await {
-            Ok(batch) if self.switches.lock().outage => {
-                drop(batch);
-                Err(StoreError::Unavailable(UnavailableCause::Status(503)))
-            }
-            Ok(batch) => Ok(batch),
-            Err(_) => Ok(self.changes(prefix, after)),
+        let mut switches = self.switches.subscribe();
+        tokio::select! {
+            batch = found => Ok(batch),
+            _ = switches.wait_for(|switches| switches.outage) => Err(OUT_OF_SERVICE),
+            () = tokio::time::sleep(wait) => Ok(self.changes(prefix, after)),
         }
     }
 }
@@ -224,121 +229,6 @@
 
     async fn leaving_backend_servers(&self) -> Result<Vec<SocketAddr>, StoreError> {
         self.admit().await?;
-        Ok(self.state.lock().leaving_backend_servers.clone())
-    }
-}
-
-/// Serves the platform's HTTP/JSON protocol until the task is dropped.
-pub async fn serve(listener: TcpListener, platform: Arc<PlatformStandIn>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let platform = platform.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let platform = platform.clone();
-                async move { Ok::<_, Infallible>(answer(&platform, request).await) }
-            });
-            // A broken connection is the client's to notice.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
-}
-
-async fn answer(platform: &PlatformStandIn, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    match try_answer(platform, request).await {
-        Ok(response) => response,
-        Err(StoreError::Conflict { current }) => {
-            let body = ConflictBody { current: current.map(|version| version.0) };
-            json(StatusCode::CONFLICT, &body)
-        }
-        Err(StoreError::TooLarge { .. }) => empty(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(StoreError::Unsure) => empty(StatusCode::INTERNAL_SERVER_ERROR),
-        Err(_) => empty(StatusCode::SERVICE_UNAVAILABLE),
-    }
-}
-
-async fn try_answer(
-    platform: &PlatformStandIn,
-    request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, StoreError> {
-    let method = request.method().clone();
-    let path = request.uri().path().to_owned();
-    let query = request.uri().query().unwrap_or_default().to_owned();
-    if path == INSTANCES_PATH && method == Method::GET {
-        let body = InstancesBody {
-            entry: platform.entry_instances().await?,
-            leaving_backend_servers: platform.state.lock().leaving_backend_servers.clone(),
-        };
-        return Ok(json(StatusCode::OK, &body));
+        Ok(self.leaving())
     }
-    if path == OBJECTS_PATH && method == Method::GET {
-        let prefix = parameter(&query, "prefix").unwrap_or_default();
-        let batch = match number(&query, "after") {
-            Some(after) => {
-                let wait_ms = number(&query, "wait_ms").unwrap_or(0);
-                platform.watch(prefix, Version(after), Duration::from_millis(wait_ms)).await?
-            }
-            None => platform.list(prefix).await?,
-        };
-        return Ok(json(StatusCode::OK, &batch_body(batch)));
-    }
-    let Some(key) = path.strip_prefix("/objects/") else {
-        return Ok(empty(StatusCode::NOT_FOUND));
-    };
-    let if_version = number(&query, "if_version").unwrap_or(0);
-    match method {
-        Method::GET => Ok(match platform.get(key).await? {
-            Some(object) => json(StatusCode::OK, &object_body(object)),
-            None => empty(StatusCode::NOT_FOUND),
-        }),
-        Method::PUT => {
-            let too_large = |_| StoreError::TooLarge { bytes: 0, limit: MAX_VALUE_BYTES };
-            let body = Limited::new(request.into_body(), MAX_VALUE_BYTES);
-            let value = body.collect().await.map_err(too_large)?.to_bytes();
-            let expected = match if_version {
-                0 => Expected::Absent,
-                version => Expected::Version(Version(version)),
-            };
-            let version = platform.put(key, value, expected).await?.0;
-            Ok(json(StatusCode::OK, &VersionBody { version }))
-        }
-        Method::DELETE => {
-            platform.delete(key, Version(if_version)).await?;
-            Ok(empty(StatusCode::OK))
-        }
-        _ => Ok(empty(StatusCode::METHOD_NOT_ALLOWED)),
-    }
-}
-
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-}
-
-fn number(query: &str, name: &str) -> Option<u64> {
-    parameter(query, name)?.parse().ok()
-}
-
-fn object_body(object: Object) -> ObjectBody {
-    let value = String::from_utf8_lossy(&object.value).into();
-    ObjectBody { key: object.key, version: object.version.0, value }
-}
-
-fn batch_body(batch: WatchBatch) -> BatchBody {
-    BatchBody {
-        revision: batch.revision.0,
-        objects: batch.changed.into_iter().map(object_body).collect(),
-        deleted: batch.deleted,
-    }
-}
-
-fn json<T: serde::Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
-    let text = serde_json::to_vec(body).unwrap_or_default();
-    let mut response = Response::new(Full::new(text.into()));
-    *response.status_mut() = status;
-    response
-}
-
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
 }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,25 +1,9 @@
 //! What an experiment showed, judged from what callers saw and what backend servers ran.
 
-use crate::backend::RunRecord;
-use crate::callers::Seen;
-use crate::experiment::Load;
-use hdrhistogram::Histogram;
-use parking_lot::Mutex;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt;
-use std::time::Duration;
-
-/// Significant digits of latency histograms.
-const LATENCY_DIGITS: u8 = 3;
-
-/// What the callers saw so far.
-#[derive(Debug, Default)]
-pub(crate) struct Tally {
-    requests: Mutex<Requests>,
-    latency: Mutex<BTreeMap<String, Histogram<u64>>>,
-    writes: Mutex<Vec<(String, Seen)>>,
-}
+use std::sync::Arc;
 
 /// A finished experiment.
 #[derive(Clone, Debug, Serialize)]
@@ -30,17 +14,25 @@
     pub seed: u64,
     /// Length of the run, in seconds.
     pub duration_s: u64,
-    /// Requests by what the callers saw.
+    /// Requests by what the callers saw last.
     pub requests: Requests,
     /// Writes and uploads by how often they were run.
     pub writes: Writes,
-    /// Latency of answered requests in milliseconds, by `service/class`.
+    /// Links that were used.
+    pub links: Vec<LinkReport>,
+    /// Sites that were used.
+    pub regions: Vec<SiteReport>,
+    /// Changes of the configuration.
+    pub config: ConfigReport,
+    /// Planned stops of instances.
+    pub drains: Vec<DrainReport>,
+    /// Latency of answered requests in milliseconds, by `service/class/arm`.
     pub latency_ms: BTreeMap<String, Latency>,
     /// Promises with the number of checks made and of violations found.
     pub invariants: BTreeMap<&'static str, Invariant>,
 }
 
-/// Requests by what the callers saw.
+/// Requests by what the callers saw last.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Requests {
     /// Requests sent.
@@ -70,6 +62,56 @@
     pub told_not_run_but_run: u64,
 }
 
+/// Requests over one link, as they arrived at backend servers.
+#[derive(Clone, Debug, Serialize)]
+pub struct LinkReport {
+    /// Availability zone of the instances.
+    pub from: Arc<str>,
+    /// Availability zone of the backend servers.
+    pub to: Arc<str>,
+    /// Requests allowed in any second.
+    pub cap_per_s: u64,
+    /// Most requests in any second.
+    pub peak_per_s: u64,
+    /// Requests that began a second with more than allowed.
+    pub over_cap_windows: u64,
+}
+
+/// Requests at one service's backend servers in one availability zone.
+#[derive(Clone, Debug, Serialize)]
+pub struct SiteReport {
+    /// The service.
+    pub service: Arc<str>,
+    /// The availability zone.
+    pub availability_zone: Arc<str>,
+    /// Slots that steering may fill.
+    pub capacity_slots: u32,
+    /// Most requests present at once.
+    pub peak_in_use: u32,
+    /// Seconds in which more were present than allowed.
+    pub over_windows: u64,
+}
+
+/// Changes of the configuration.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ConfigReport {
+    /// Changes accepted.
+    pub accepted: u64,
+    /// Longest time from sending a change to its being in force everywhere, in milliseconds.
+    pub in_force_ms_max: u64,
+    /// Times that an instance went back to a lower version.
+    pub reverts: u64,
+}
+
+/// A planned stop of an instance.
+#[derive(Clone, Debug, Serialize)]
+pub struct DrainReport {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Time from the signal to the end, in milliseconds.
+    pub drain_ms: u64,
+}
+
 /// A summary of a latency histogram, in milliseconds.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Latency {
@@ -94,111 +136,13 @@
     pub violations: u64,
 }
 
-impl Tally {
-    pub(crate) fn count(&self, load: &Load, seen: Seen, latency: Duration) {
-        let mut requests = self.requests.lock();
-        requests.sent += 1;
-        match seen {
-            Seen::Answered => requests.answered += 1,
-            Seen::NotRun => requests.not_run += 1,
-            Seen::Unknown => requests.unknown += 1,
-            Seen::Lost => requests.lost += 1,
-            Seen::CutOrWrong => requests.cut_or_wrong += 1,
-        }
-        if seen == Seen::Answered {
-            let name = format!("{}/{}", load.service, load.class);
-            let mut histograms = self.latency.lock();
-            let histogram = histograms.entry(name).or_insert_with(new_histogram);
-            histogram.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
-        }
-    }
-
-    pub(crate) fn write(&self, id: String, seen: Seen) {
-        self.writes.lock().push((id, seen));
-    }
-
-    /// Returns the requests counted so far.
-    pub(crate) fn requests(&self) -> Requests {
-        *self.requests.lock()
-    }
-
-    pub(crate) fn report(
-        &self,
-        experiment: String,
-        seed: u64,
-        duration_s: u64,
-        record: &RunRecord,
-    ) -> Report {
-        let requests = self.requests();
-        let writes = self.judge_writes(record);
-        let mut invariants = BTreeMap::new();
-        let at_most_once =
-            Invariant { checked: writes.keys, violations: writes.run_more_than_once };
-        let not_run =
-            Invariant { checked: requests.not_run, violations: writes.told_not_run_but_run };
-        let whole_answers = Invariant {
-            checked: requests.answered + requests.cut_or_wrong,
-            violations: requests.cut_or_wrong,
-        };
-        let no_request_lost = Invariant { checked: requests.sent, violations: requests.lost };
-        invariants.insert("writes_run_at_most_once", at_most_once);
-        invariants.insert("not_run_means_not_run", not_run);
-        invariants.insert("whole_answers", whole_answers);
-        invariants.insert("no_request_lost", no_request_lost);
-        let latency_ms = self
-            .latency
-            .lock()
-            .iter()
-            .map(|(name, histogram)| (name.clone(), Latency::from(histogram)))
-            .collect();
-        Report { experiment, seed, duration_s, requests, writes, latency_ms, invariants }
-    }
-
-    fn judge_writes(&self, record: &RunRecord) -> Writes {
-        let mut writes = Writes::default();
-        for (id, seen) in self.writes.lock().iter() {
-            let times = record.times_run(id);
-            writes.keys += 1;
-            writes.run_once += u64::from(times == 1);
-            writes.run_more_than_once += u64::from(times > 1);
-            writes.told_not_run_but_run += u64::from(times > 0 && *seen == Seen::NotRun);
-        }
-        writes
-    }
-}
-
-fn new_histogram() -> Histogram<u64> {
-    const LONGEST_US: u64 = 60_000_000;
-    Histogram::new_with_max(LONGEST_US, LATENCY_DIGITS).unwrap_or_else(|_| unreachable_histogram())
-}
-
-fn unreachable_histogram() -> Histogram<u64> {
-    unreachable!("3 digits and a minute in microseconds are within the library's limits")
-}
-
-impl From<&Histogram<u64>> for Latency {
-    fn from(histogram: &Histogram<u64>) -> Self {
-        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
-        Self {
-            count: histogram.len(),
-            p50: at(0.5),
-            p99: at(0.99),
-            p999: at(0.999),
-            max: histogram.max() as f64 / 1_000.0,
-        }
-    }
-}
-
 impl Report {
     /// Tells whether any promise was broken.
     pub fn has_violations(&self) -> bool {
         self.invariants.values().any(|invariant| invariant.violations > 0)
     }
-}
 
-impl fmt::Display for Report {
-    /// Writes the report as a short table.
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn write_totals(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let requests = &self.requests;
         writeln!(formatter, "{}: {} s, seed {}", self.experiment, self.duration_s, self.seed)?;
         writeln!(
@@ -217,13 +161,58 @@
             "writes    {} keys, {} run once, {} more than once, {} run though told not",
             writes.keys, writes.run_once, writes.run_more_than_once, writes.told_not_run_but_run
         )?;
+        let config = &self.config;
+        writeln!(
+            formatter,
+            "config    {} accepted, in force within {} ms, {} reverts",
+            config.accepted, config.in_force_ms_max, config.reverts
+        )?;
+        let longest_ms = self.drains.iter().map(|drain| drain.drain_ms).max().unwrap_or(0);
+        let drains = self.drains.len();
+        writeln!(formatter, "drains    {drains} instances, longest {longest_ms} ms")
+    }
+
+    /// Writes the link and the site of each service that were nearest their limits.
+    fn write_fullest(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let part = |used: f64, limit: f64| (used / limit * 1_000.0) as u64;
+        let fullest = self
+            .links
+            .iter()
+            .max_by_key(|link| part(link.peak_per_s as f64, link.cap_per_s as f64));
+        if let Some(link) = fullest {
+            let LinkReport { from, to, cap_per_s, peak_per_s, .. } = link;
+            writeln!(
+                formatter,
+                "fullest link  {from} to {to}: {peak_per_s} of {cap_per_s} requests/s"
+            )?;
+        }
+        let fullest = self
+            .regions
+            .iter()
+            .max_by_key(|site| part(f64::from(site.peak_in_use), f64::from(site.capacity_slots)));
+        if let Some(site) = fullest {
+            let SiteReport { service, availability_zone, capacity_slots, peak_in_use, .. } = site;
+            writeln!(
+                formatter,
+                "fullest site  {service} in {availability_zone}: {peak_in_use} of {capacity_slots} slots"
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Report {
+    /// Writes the report as a short table.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.write_totals(formatter)?;
+        self.write_fullest(formatter)?;
         let header = ["latency in ms", "count", "p50", "p99", "p999", "max"];
         let [name, count, p50, p99, p999, max] = header;
-        writeln!(formatter, "\n{name:28} {count:>8} {p50:>8} {p99:>8} {p999:>8} {max:>8}")?;
+        writeln!(formatter, "\n{name:36} {count:>8} {p50:>8} {p99:>8} {p999:>8} {max:>8}")?;
         for (name, latency) in &self.latency_ms {
             writeln!(
                 formatter,
-                "{name:28} {:>8} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
+                "{name:36} {:>8} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
                 latency.count, latency.p50, latency.p99, latency.p999, latency.max
             )?;
         }
@@ -233,10 +222,10 @@
                 Invariant { checked: 0, .. } => "not checked".to_owned(),
                 Invariant { checked, violations: 0 } => format!("held in {checked} checks"),
                 Invariant { checked, violations } => {
-                    format!("BROKEN in {violations} of {checked} checks")
+                    format!("BROKEN: {violations} violations, {checked} checks")
                 }
             };
-            writeln!(formatter, "{name:28} {verdict}")?;
+            writeln!(formatter, "{name:36} {verdict}")?;
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/lab/tests/backend.rs
@@ -0,0 +1,48 @@
+//! The stand-in of a backend server: drain, shedding, deadlines and its record.
+
+use http::header::CONNECTION;
+use http::{Request, Response, StatusCode};
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use lab::{BackendOptions, BackendStandIn, RunRecord};
+
+async fn start(mean_service_ms: f64) -> (BackendStandIn, RunRecord) {
+    let record = RunRecord::default();
+    let options = BackendOptions { slots: 1, mean_service_ms, seed: 1 };
+    let backend = BackendStandIn::start(options, record.clone()).await.expect("backend");
+    (backend, record)
+}
+
+async fn get(backend: &BackendStandIn, headers: &[(&str, &str)]) -> Response<Incoming> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<bytes::Bytes>>();
+    let mut request = Request::get(format!("http://{}/work", backend.address));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    client.request(request.body(Empty::new()).expect("request")).await.expect("an answer")
+}
+
+#[tokio::test]
+async fn draining_backend_server_runs_nothing_and_says_so() {
+    let (backend, record) = start(0.1).await;
+    backend.switch(|switches| switches.draining = true);
+
+    let answer = get(&backend, &[("lab-request-id", "one")]).await;
+
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.headers()[CONNECTION], "close");
+    assert_eq!(record.times_run("one"), 0);
+    assert_eq!(record.visits().len(), 1);
+}
+
+#[tokio::test]
+async fn request_past_its_deadline_is_given_up() {
+    let (backend, record) = start(3_600_000.0).await;
+
+    let answer = get(&backend, &[("lab-request-id", "one"), ("runpin-timeout-ms", "20")]).await;
+
+    assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(record.times_run("one"), 1);
+}
--- /dev/null
+++ b/crates/lab/tests/experiments.rs
@@ -0,0 +1,41 @@
+//! Experiments: the shipped ones are understood, and a short one is judged.
+
+use lab::{Experiment, RunOptions};
+use std::path::{Path, PathBuf};
+
+fn shipped() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/experiments");
+    let entries = std::fs::read_dir(folder).expect("folder of experiments");
+    entries.map(|entry| entry.expect("entry").path()).collect()
+}
+
+#[test]
+fn shipped_experiments_are_understood() {
+    let paths = shipped();
+
+    let read: Vec<_> = paths.iter().map(|path| Experiment::read(path)).collect();
+
+    assert!(read.len() >= 2);
+    for experiment in read {
+        let experiment = experiment.expect("understood");
+        assert!(experiment.configuration.exists(), "{}", experiment.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run_is_judged_by_what_was_seen_and_run() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/experiments");
+    let mut experiment = Experiment::read(&path.join("repair-day.toml")).expect("understood");
+    experiment.instances_per_zone = 1;
+    experiment.faults.clear();
+    let options = RunOptions { seed: 1, duration_s: Some(1) };
+
+    let report = lab::run(&experiment, options, |_| {}).await.expect("a report");
+
+    let arrived: u64 = report.invariants["link_caps"].checked;
+    assert!(report.requests.answered > 0, "{report}");
+    assert!(arrived >= report.requests.answered, "{report}");
+    assert!(report.links.iter().all(|link| link.peak_per_s > 0), "{report}");
+    assert!(!report.regions.is_empty(), "{report}");
+    assert_eq!(report.invariants["planned_stop_cuts_nothing"].checked, 0, "{report}");
+}
--- /dev/null
+++ b/crates/lab/tests/platform.rs
@@ -0,0 +1,55 @@
+//! The stand-in of the platform over HTTP, as the daemons' own client sees it.
+
+use lab::{PlatformStandIn, PlatformSwitches, serve_platform};
+use platform::{Expected, HttpPlatform, ObjectStore, StoreError, UnavailableCause, Version};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+async fn start() -> (Arc<PlatformStandIn>, HttpPlatform) {
+    let platform = Arc::new(PlatformStandIn::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(serve_platform(listener, platform.clone()));
+    (platform, HttpPlatform::new(address))
+}
+
+#[tokio::test]
+async fn keys_with_special_characters_are_kept() {
+    let (platform, client) = start().await;
+    let key = "a b/50%25&x=é";
+
+    client.put(key, "value".into(), Expected::Absent).await.expect("written");
+
+    let stored = platform.get(key).await.expect("read").expect("present");
+    let listed = client.list("a b/50%").await.expect("listed");
+    assert_eq!(stored.value, "value");
+    assert_eq!(listed.changed.len(), 1);
+    assert_eq!(&*listed.changed[0].key, key);
+}
+
+#[tokio::test]
+async fn lost_answer_of_a_write_that_took_effect_is_unsure() {
+    let (platform, client) = start().await;
+    platform.set_switches(PlatformSwitches { lose_write_answers: true, ..Default::default() });
+
+    let answer = client.put("key", "value".into(), Expected::Absent).await;
+
+    assert_eq!(answer, Err(StoreError::Unsure));
+    assert!(platform.get("key").await.expect("read").is_some());
+}
+
+#[tokio::test]
+async fn outage_ends_a_waiting_watch() {
+    let (platform, client) = start().await;
+    let watching =
+        tokio::spawn(async move { client.watch("", Version(0), Duration::from_secs(60)).await });
+    while platform.calls() == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    platform.set_switches(PlatformSwitches { outage: true, ..Default::default() });
+
+    let ended = watching.await.expect("the watch ends");
+    assert_eq!(ended, Err(StoreError::Unavailable(UnavailableCause::Status(503))));
+}
