Move callers before a planned stop closes the listener

A stop closed the listener at once. Callers with cached look-ups met refused connections, and a connection accepted but not yet read was closed with its request: planned_stop_finishes_an_upload_in_flight failed so in one run (connection reset while the body was sent).

--- a/crates/runpind/src/connection/listener.rs
+++ b/crates/runpind/src/connection/listener.rs
@@ -3,7 +3,8 @@
 use crate::error::DaemonError;
 use crate::process::Process;
 use crate::request::body::Body;
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -24,6 +25,10 @@
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// How long a connection that has sent no request yet is kept once the listener closes: its first
+/// request may be on the way.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_secs(1);
+
 /// Pause after an accept failed, as it does when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -103,7 +108,9 @@
     S: Fn(Arc<Process>, SocketAddr, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
 {
     loop {
+        // What has already connected when the listener closes is still accepted.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             () = closing.cancelled() => return,
         };
@@ -134,9 +141,19 @@
 {
     // Only latency suffers when this is refused.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let answer = serve(process.clone(), peer, request);
-        async move { Ok::<_, Infallible>(answer.await) }
+    let requested = CancellationToken::new();
+    let request_seen = requested.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        request_seen.cancel();
+        let version = request.version();
+        let process = process.clone();
+        async move {
+            let mut response = serve(process.clone(), peer, request).await;
+            if process.is_draining() && version < Version::HTTP_2 {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -151,9 +168,16 @@
     // A connection error is the caller's: it is told by the broken connection itself.
     tokio::select! {
         _ = connection.as_mut() => {}
-        () = closing.cancelled() => {
+        () = may_end(closing, requested) => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
     }
 }
+
+/// Waits until the listener closes and the connection has sent a request or had the time for it.
+async fn may_end(closing: CancellationToken, requested: CancellationToken) {
+    closing.cancelled().await;
+    // Either way the connection is told to end after what it has sent.
+    let _ = tokio::time::timeout(FIRST_REQUEST_GRACE, requested.cancelled()).await;
+}
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -5,7 +5,7 @@
 use super::metrics::Metrics;
 use super::peer_metrics::PeerMetrics;
 use super::peers::{self, Answerer};
-use super::{Process, membership};
+use super::{Process, membership, planned_stop};
 use crate::connection::dialer::{Dialer, TcpDialer};
 use crate::connection::listener::{self, Listener};
 use crate::error::DaemonError;
@@ -112,10 +112,10 @@
         &self.process
     }
 
-    /// Stops as planned: takes no new work, finishes what is in flight, then ends.
+    /// Stops as planned: moves the callers, takes no new work, finishes what is in flight, ends.
     pub async fn stop(mut self) {
         log::info!("planned stop: {} requests in flight", self.process.in_flight());
-        self.process.start_draining();
+        planned_stop::move_callers(&self.process).await;
         self.callers.close();
         let timeout = Duration::from_millis(self.process.settings.drain_timeout_ms);
         let finished = async {
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod peer_metrics;
 pub mod peers;
+mod planned_stop;
 pub mod signal;
 
 use crate::connection::dialer::Dialer;
--- a/crates/runpind/src/settings.rs
+++ b/crates/runpind/src/settings.rs
@@ -45,6 +45,10 @@
     /// (RUNPIND_DRAIN_TIMEOUT_MS)
     #[argh(option)]
     pub drain_timeout_ms: Option<String>,
+    /// longest time that callers are given to look up other instances before a planned stop closes
+    /// the listener, in milliseconds; default 10000 (RUNPIND_DRAIN_NOTICE_MS)
+    #[argh(option)]
+    pub drain_notice_ms: Option<String>,
     /// for tests: take the caller's address from the header `runpin-caller-address`, `true` or
     /// `false`; default `false` (RUNPIND_TRUST_CALLER_HEADER)
     #[argh(option)]
@@ -108,11 +112,15 @@
     pub log_format: LogFormat,
     /// Longest wait for requests in flight at a planned stop, in milliseconds.
     pub drain_timeout_ms: u64,
+    /// Longest time that callers are given to look up other instances, in milliseconds.
+    pub drain_notice_ms: u64,
     /// Whether the caller's address is taken from a header.
     pub trust_caller_header: bool,
 }
 
 const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 600_000;
+
+const DEFAULT_DRAIN_NOTICE_MS: u64 = 10_000;
 const LEAST_KEY_BYTES: usize = 16;
 const MAX_PEER_KEYS: usize = 2;
 
@@ -131,6 +139,7 @@
             (&mut self.change_token, "RUNPIND_CHANGE_TOKEN"),
             (&mut self.log_format, "RUNPIND_LOG_FORMAT"),
             (&mut self.drain_timeout_ms, "RUNPIND_DRAIN_TIMEOUT_MS"),
+            (&mut self.drain_notice_ms, "RUNPIND_DRAIN_NOTICE_MS"),
             (&mut self.trust_caller_header, "RUNPIND_TRUST_CALLER_HEADER"),
         ];
         for (field, name) in fields {
@@ -232,6 +241,7 @@
         let change_token = setting!(raw, change_token, "change-token", "RUNPIND_CHANGE_TOKEN");
         let log_format = setting!(raw, log_format, "log-format", "RUNPIND_LOG_FORMAT");
         let drain = setting!(raw, drain_timeout_ms, "drain-timeout-ms", "RUNPIND_DRAIN_TIMEOUT_MS");
+        let notice = setting!(raw, drain_notice_ms, "drain-notice-ms", "RUNPIND_DRAIN_NOTICE_MS");
         let trust = setting!(
             raw,
             trust_caller_header,
@@ -262,6 +272,11 @@
                 "a number of milliseconds",
                 |text| text.parse().ok(),
             )?,
+            drain_notice_ms: notice.parse_or(
+                DEFAULT_DRAIN_NOTICE_MS,
+                "a number of milliseconds",
+                |text| text.parse().ok(),
+            )?,
             trust_caller_header: trust
                 .parse_or(false, "`true` or `false`", |text| text.parse().ok())?,
         })
--- a/crates/runpind/tests/common/mod.rs
+++ b/crates/runpind/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod raw;
+pub(crate) mod task;
+
 use configuration::{MANIFEST_KEY, Manifest};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -88,7 +91,7 @@
     )
 }
 
-async fn accept(platform: &PlatformStandIn, text: &str) {
+pub(crate) async fn accept(platform: &PlatformStandIn, text: &str) {
     let manifest = Manifest {
         number: 1,
         write_id: "test".into(),
--- a/crates/runpind/tests/fleet/mod.rs
+++ b/crates/runpind/tests/fleet/mod.rs
@@ -216,6 +216,7 @@
         change_token: Secret::from(SECRET),
         log_format: LogFormat::Text,
         drain_timeout_ms: 10_000,
+        drain_notice_ms: 0,
         trust_caller_header: true,
     }
 }
--- a/crates/runpind/tests/instances/mod.rs
+++ b/crates/runpind/tests/instances/mod.rs
@@ -305,6 +305,7 @@
         change_token: Secret::from(SECRET),
         log_format: LogFormat::Text,
         drain_timeout_ms: 1_000,
+        drain_notice_ms: 0,
         trust_caller_header: false,
     }
 }
