Keep calls to the platform within a budget, and let them rise slowly

Cause: each part of the daemon called the platform as it liked and retried at fixed pauses. At 3,900 instances the list alone would be read 7,800 times a second, and the end of an outage would meet everybody at once.

Change: all calls of a daemon go through BudgetedPlatform: a token bucket sized by the number of instances, a circuit with one probing call at a time after pauses with full jitter, and a rate that rises over 30 s after an outage. Accepting a configuration has a budget of its own. Calls are counted by kind and outcome. The list of instances can be read whole in one call.

--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -2,8 +2,8 @@
 //! of instances, in memory, with switches for its failures.
 
 use ::platform::{
-    Expected, InstanceDirectory, InstanceEntry, Object, ObjectStore, StoreError, UnavailableCause,
-    Version, WatchBatch,
+    Expected, InstanceDirectory, InstanceEntry, InstanceList, Object, ObjectStore, StoreError,
+    UnavailableCause, Version, WatchBatch,
 };
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -222,6 +222,15 @@
 
 #[async_trait]
 impl InstanceDirectory for PlatformStandIn {
+    async fn instances(&self) -> Result<InstanceList, StoreError> {
+        self.admit().await?;
+        let state = self.state.lock();
+        Ok(InstanceList {
+            entry: state.entry_instances.clone(),
+            leaving_backend_servers: state.leaving_backend_servers.clone(),
+        })
+    }
+
     async fn entry_instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
         self.admit().await?;
         Ok(self.state.lock().entry_instances.clone())
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,8 +4,8 @@
     BatchBody, ConflictBody, INSTANCES_PATH, InstancesBody, OBJECTS_PATH, ObjectBody, VersionBody,
 };
 use crate::{
-    Expected, InstanceDirectory, InstanceEntry, Object, ObjectStore, StoreError, UnavailableCause,
-    Version, WatchBatch,
+    Expected, InstanceDirectory, InstanceEntry, InstanceList, Object, ObjectStore, StoreError,
+    UnavailableCause, Version, WatchBatch,
 };
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -207,13 +207,18 @@
 
 #[async_trait]
 impl InstanceDirectory for HttpPlatform {
-    async fn entry_instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
+    async fn instances(&self) -> Result<InstanceList, StoreError> {
         let body = self.read::<InstancesBody>(INSTANCES_PATH, CALL_TIMEOUT).await?;
-        Ok(body.unwrap_or_default().entry)
+        let body = body.unwrap_or_default();
+        let leaving_backend_servers = body.leaving_backend_servers;
+        Ok(InstanceList { entry: body.entry, leaving_backend_servers })
+    }
+
+    async fn entry_instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
+        Ok(self.instances().await?.entry)
     }
 
     async fn leaving_backend_servers(&self) -> Result<Vec<SocketAddr>, StoreError> {
-        let body = self.read::<InstancesBody>(INSTANCES_PATH, CALL_TIMEOUT).await?;
-        Ok(body.unwrap_or_default().leaving_backend_servers)
+        Ok(self.instances().await?.leaving_backend_servers)
     }
 }
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -31,9 +31,26 @@
     Leaving,
 }
 
+/// The whole list, as one call returns it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct InstanceList {
+    /// Entry instances.
+    pub entry: Vec<InstanceEntry>,
+    /// Addresses of backend servers that are leaving.
+    pub leaving_backend_servers: Vec<SocketAddr>,
+}
+
 /// The platform's list of entry instances and backend server instances.
 #[async_trait]
 pub trait InstanceDirectory: Send + Sync + 'static {
+    /// Returns the whole list; in one call, where an implementation can.
+    async fn instances(&self) -> Result<InstanceList, StoreError> {
+        Ok(InstanceList {
+            entry: self.entry_instances().await?,
+            leaving_backend_servers: self.leaving_backend_servers().await?,
+        })
+    }
+
     /// Returns the entry instances.
     async fn entry_instances(&self) -> Result<Vec<InstanceEntry>, StoreError>;
 
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -49,4 +49,7 @@
     /// Our own budget of calls is used up.
     #[error("the budget of calls is used up")]
     Budget,
+    /// It was out of reach a moment ago, and is not asked again yet.
+    #[error("it was out of reach a moment ago")]
+    CircuitOpen,
 }
--- a/crates/runpind/src/process/configuration/status.rs
+++ b/crates/runpind/src/process/configuration/status.rs
@@ -3,6 +3,7 @@
 use super::{ConfigurationActor, Heard};
 use kameo::actor::ActorRef;
 use parking_lot::Mutex;
+use platform::ObjectStore;
 use std::fmt;
 use std::sync::{Arc, OnceLock};
 use steering::Time;
@@ -15,6 +16,7 @@
     actor: OnceLock<ActorRef<ConfigurationActor>>,
     status: Mutex<Status>,
     heard_at: Mutex<Option<Instant>>,
+    proposals: OnceLock<Arc<dyn ObjectStore>>,
 }
 
 /// What operators are shown.
@@ -54,6 +56,17 @@
         }
     }
 
+    /// Sets the platform as proposals reach it, with a budget of their own.
+    pub fn set_store_for_proposals(&self, store: Arc<dyn ObjectStore>) {
+        // It is set once, when the daemon starts.
+        let _ = self.proposals.set(store);
+    }
+
+    /// Returns the platform as proposals reach it; `None` where they have no budget of their own.
+    pub fn store_for_proposals(&self) -> Option<Arc<dyn ObjectStore>> {
+        self.proposals.get().cloned()
+    }
+
     /// Returns what operators are shown.
     pub fn status(&self) -> Status {
         self.status.lock().clone()
--- a/crates/runpind/src/process/configuration/watch.rs
+++ b/crates/runpind/src/process/configuration/watch.rs
@@ -105,7 +105,8 @@
     let _ = actor.tell(Fetched { source: Source::Platform, outcome }).await;
 }
 
-fn watches(process: &Process) -> bool {
+/// Tells whether this instance watches the platform for its availability zone.
+pub fn watches(process: &Process) -> bool {
     let settings = &process.settings;
     let members = process.members.load();
     let in_zone = members
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -5,6 +5,7 @@
 use super::metrics::Metrics;
 use super::peer_metrics::PeerMetrics;
 use super::peers::{self, Answerer};
+use super::platform_budget::{self, Budget};
 use super::{Process, membership, planned_stop};
 use crate::connection::dialer::{Dialer, TcpDialer};
 use crate::connection::listener::{self, Listener};
@@ -66,6 +67,7 @@
         let metrics = Metrics::new()?;
         let configuration_metrics = ConfigurationMetrics::new(metrics.registry())?;
         let peer_metrics = PeerMetrics::new(metrics.registry())?;
+        let budget = Budget::new(&metrics, &dependencies, incarnation)?;
         let (client, starter) =
             peers::transport(&settings, incarnation, dependencies.dialer.clone(), peer_metrics)?;
         let process = Arc::new(Process::new(
@@ -73,15 +75,17 @@
             incarnation,
             dependencies.clock,
             dependencies.dialer,
-            dependencies.store,
+            budget.ordinary.clone(),
             Arc::new(client),
             metrics,
         ));
+        process.configuration.set_store_for_proposals(budget.proposals);
         let transport =
             starter.start(peers.into_std()?, Arc::new(Answerer::new(process.clone())))?;
         let mut background = JoinSet::new();
         background.spawn(configuration::watch::run(process.clone(), configuration_metrics));
-        background.spawn(membership::refresh(process.clone(), dependencies.directory));
+        background.spawn(membership::refresh(process.clone(), budget.ordinary.clone()));
+        background.spawn(platform_budget::keep_rate(process.clone(), budget.ordinary));
         let callers = Listener::start(callers, process.clone(), request::serve_caller);
         let admin = Listener::start(admin, process.clone(), request::serve_admin);
         log::info!(
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod peer_metrics;
 pub mod peers;
 mod planned_stop;
+pub mod platform_budget;
 pub mod signal;
 pub mod waiting;
 
--- /dev/null
+++ b/crates/runpind/src/process/platform_budget.rs
@@ -0,0 +1,122 @@
+//! The budget of calls to the platform, and its metrics.
+
+use super::Process;
+use super::daemon::Dependencies;
+use super::metrics::Metrics;
+use platform::{BudgetedPlatform, CallKind, CallObserver, CallOutcome};
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use std::sync::Arc;
+use std::time::Duration;
+use steering::Incarnation;
+use steering::call_budget::rate_per_s;
+
+/// Calls a second for accepting a configuration, which may upload hundreds of chunks.
+const PROPOSAL_CALLS_PER_S: f64 = 100.0;
+
+/// Time between two looks at how many instances share the platform.
+const RATE_PERIOD: Duration = Duration::from_secs(5);
+
+/// Time between two looks for the first list of instances.
+const MEMBERS_PERIOD: Duration = Duration::from_millis(100);
+
+/// Counters of calls to the platform.
+#[derive(Clone)]
+pub struct PlatformMetrics {
+    calls: IntCounterVec,
+    circuit_open: IntGauge,
+}
+
+impl PlatformMetrics {
+    /// Registers the metrics.
+    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let calls = IntCounterVec::new(
+            Opts::new("runpin_platform_calls_total", "Calls to the platform, made or refused."),
+            &["kind", "outcome"],
+        )?;
+        let circuit_open = IntGauge::new(
+            "runpin_platform_circuit_open",
+            "Whether calls are refused because the platform was out of reach.",
+        )?;
+        registry.register(Box::new(calls.clone()))?;
+        registry.register(Box::new(circuit_open.clone()))?;
+        Ok(Self { calls, circuit_open })
+    }
+}
+
+impl CallObserver for PlatformMetrics {
+    fn called(&self, kind: CallKind, outcome: CallOutcome) {
+        self.calls.with_label_values(&[kind_label(kind), outcome_label(outcome)]).inc();
+    }
+
+    fn circuit(&self, is_open: bool) {
+        self.circuit_open.set(i64::from(is_open));
+        match is_open {
+            true => log::warn!("the platform is out of reach; it is probed now and then"),
+            false => log::info!("the platform is in reach again"),
+        }
+    }
+}
+
+fn kind_label(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Get => "get",
+        CallKind::List => "list",
+        CallKind::Put => "put",
+        CallKind::Delete => "delete",
+        CallKind::Watch => "watch",
+        CallKind::Instances => "instances",
+    }
+}
+
+fn outcome_label(outcome: CallOutcome) -> &'static str {
+    match outcome {
+        CallOutcome::Answered => "answered",
+        CallOutcome::Failed => "failed",
+        CallOutcome::OverRate => "over_rate",
+        CallOutcome::CircuitOpen => "circuit_open",
+    }
+}
+
+/// The platform as one daemon calls it.
+pub(super) struct Budget {
+    /// For everything that goes on all the time.
+    pub(super) ordinary: Arc<BudgetedPlatform>,
+    /// For accepting a configuration.
+    pub(super) proposals: Arc<BudgetedPlatform>,
+}
+
+impl Budget {
+    /// Wraps the platform that the daemon was given.
+    pub(super) fn new(
+        metrics: &Metrics,
+        dependencies: &Dependencies,
+        incarnation: Incarnation,
+    ) -> Result<Self, prometheus::Error> {
+        let observer = Arc::new(PlatformMetrics::new(metrics.registry())?);
+        let budgeted = |rate_per_s, seed| {
+            Arc::new(BudgetedPlatform::new(
+                dependencies.store.clone(),
+                dependencies.directory.clone(),
+                observer.clone(),
+                rate_per_s,
+                seed,
+            ))
+        };
+        Ok(Self {
+            ordinary: budgeted(rate_per_s(1, true), incarnation.0),
+            proposals: budgeted(PROPOSAL_CALLS_PER_S, !incarnation.0),
+        })
+    }
+}
+
+/// Keeps the rate at this instance's part of what the platform takes, for ever.
+pub async fn keep_rate(process: Arc<Process>, platform: Arc<BudgetedPlatform>) {
+    while process.members.load().is_none() {
+        tokio::time::sleep(MEMBERS_PERIOD).await;
+    }
+    loop {
+        let instances = process.members.load().as_ref().map_or(1, |known| known.members.len());
+        platform.set_rate(rate_per_s(instances, super::configuration::watch::watches(&process)));
+        tokio::time::sleep(RATE_PERIOD).await;
+    }
+}
--- a/crates/runpind/src/request/admin/changes.rs
+++ b/crates/runpind/src/request/admin/changes.rs
@@ -42,7 +42,9 @@
     let change = change_of(request).await?;
     let proposal = Proposal { change, author, expected_number, dry_run };
     let in_force = process.version.load_full();
-    let accepted = propose(&*process.store, in_force.as_deref(), proposal).await?;
+    let own_budget = process.configuration.store_for_proposals();
+    let store = own_budget.unwrap_or_else(|| process.store.clone());
+    let accepted = propose(&*store, in_force.as_deref(), proposal).await?;
     json(StatusCode::OK, &Accepted { number: accepted.number, dry_run })
 }
 
--- a/crates/steering/src/call_budget.rs
+++ b/crates/steering/src/call_budget.rs
@@ -25,7 +25,7 @@
 const BURST_S: f64 = 2.0;
 
 /// Least burst, in calls.
-const LEAST_BURST: f64 = 8.0;
+const LEAST_BURST: f64 = 4.0;
 
 /// Time over which the rate rises again after an outage.
 const RAMP: Duration = Duration::from_secs(30);
@@ -37,7 +37,7 @@
 const FLEET_CALLS_PER_S: f64 = 1_500.0;
 
 /// Calls a second that an instance may make where it could have more.
-const MAX_CALLS_PER_S: f64 = 20.0;
+const MAX_CALLS_PER_S: f64 = 50.0;
 
 /// Further calls a second for an instance that watches on behalf of its availability zone.
 const WATCHER_CALLS_PER_S: f64 = 5.0;
