Refuse answers whose cut could not be told, and cancel for callers that leave

Tests of 22 edge cases on both sides found six faults: answers that only the end of their connection ends were passed on as whole, a 101 that nobody asked for was passed on, HTTP/1.0 callers could not tell a cut, a service's host did not match a Host header with a port or upper case, a Host header went before an absolute request target, and a caller that went away was noticed only at the deadline (10 s in the test), as connections allowed half-closing.

--- a/crates/runpind/src/connection/listener.rs
+++ b/crates/runpind/src/connection/listener.rs
@@ -160,8 +160,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .half_close(true);
+        .max_buf_size(MAX_HEAD_BYTES);
     builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -17,7 +17,7 @@
 use super::replay::Shed;
 use super::retry::Retry;
 use super::route::Route;
-use super::{deadline, key, lookup, reserve, route};
+use super::{deadline, headers, key, lookup, reserve, route};
 use crate::connection::dialer::Endpoint;
 use crate::connection::pool::PooledConnection;
 use crate::process::ledger::RunningKey;
@@ -69,15 +69,13 @@
         request: &Request<Incoming>,
         in_flight: InFlight,
     ) -> Result<Self, Problem> {
+        headers::check_version(request.version())?;
         let version = process.version.load_full().ok_or(Problem::NoConfiguration)?;
         let path = request.uri().path();
-        let host = request
-            .uri()
-            .host()
-            .or_else(|| request.headers().get(HOST).and_then(|host| host.to_str().ok()));
+        let host = headers::host_of(request);
         let service = version
             .configuration
-            .service_for(host, path)
+            .service_for(host.as_deref(), path)
             .ok_or_else(|| Problem::UnknownService(path.to_owned()))?;
         let class = version.configuration.class_of(service, request.method().as_str(), path);
         lookup::caller_address(&process, peer, request.headers())?;
@@ -118,6 +116,7 @@
     async fn send(self, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
         let mut admission = Admission::new(request.headers());
         let (mut retry, mut request) = Retry::of(&self, prepare(request));
+        let method = request.method().clone();
         admission.wait_turn(&self).await?;
         let mut route = route::of_request(&self);
         let mut offers = 0;
@@ -131,6 +130,7 @@
             self.set_timeout(&mut request)?;
             match attempt::send(&self, &mut slot, &endpoint, request).await? {
                 Attempt::Answered(response, connection) => {
+                    headers::check_answer(&method, &response)?;
                     return Ok(self.pass_on(response, connection, slot, &route));
                 }
                 Attempt::NotSent(returned) if offers < MAX_OFFERS => request = returned,
@@ -207,7 +207,8 @@
 fn prepare(request: Request<Incoming>) -> Request<Body> {
     let (mut parts, body) = request.into_parts();
     remove_hop_by_hop(&mut parts.headers);
-    if let (false, Some(authority)) = (parts.headers.contains_key(HOST), parts.uri.authority())
+    // The request target goes before the header (RFC 9112, section 3.2.2).
+    if let Some(authority) = parts.uri.authority()
         && let Ok(host) = HeaderValue::from_str(authority.as_str())
     {
         parts.headers.insert(HOST, host);
--- a/crates/runpind/src/request/headers.rs
+++ b/crates/runpind/src/request/headers.rs
@@ -1,6 +1,11 @@
 //! Headers that concern one connection only, and those that runpin reads.
 
-use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use super::problem::Problem;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRANSFER_ENCODING,
+};
+use http::{Method, Request, Response, StatusCode, Version};
+use std::borrow::Cow;
 
 /// Timeout of a request in milliseconds, set by the caller and passed on with what is left.
 pub(super) const TIMEOUT_HEADER: &str = "runpin-timeout-ms";
@@ -11,6 +16,9 @@
 /// The caller's address, believed only when the settings say so.
 pub(super) const CALLER_HEADER: &str = "runpin-caller-address";
 
+/// The only value of `TE` that is passed on.
+const TRAILERS: &str = "trailers";
+
 /// Headers that end at this connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
@@ -35,9 +43,62 @@
     for name in named {
         headers.remove(name);
     }
+    let takes_trailers = headers.get_all(TE).iter().any(|value| value == TRAILERS);
     for name in HOP_BY_HOP {
         headers.remove(name);
     }
+    // Trailers are passed on both ways, so what the caller takes we take.
+    if takes_trailers {
+        headers.insert(TE, HeaderValue::from_static(TRAILERS));
+    }
+}
+
+/// Returns the host that a request is for, without its port and in lower case: that of the request
+/// target, else that of the `Host` header.
+pub(super) fn host_of<B>(request: &Request<B>) -> Option<Cow<'_, str>> {
+    let host = match request.uri().host() {
+        Some(host) => host,
+        None => without_port(request.headers().get(HOST)?.to_str().ok()?),
+    };
+    match host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        true => Some(host.to_ascii_lowercase().into()),
+        false => Some(host.into()),
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    let is_port = |port: &str| port.bytes().all(|byte| byte.is_ascii_digit());
+    match host.rsplit_once(':') {
+        Some((name, port)) if is_port(port) => name,
+        _ => host,
+    }
+}
+
+/// Refuses a version of HTTP in which a caller can't tell a cut answer from a shorter whole one.
+pub(super) fn check_version(version: Version) -> Result<(), Problem> {
+    match version < Version::HTTP_11 {
+        true => Err(Problem::HttpVersion),
+        false => Ok(()),
+    }
+}
+
+/// Refuses an answer that can't be passed on: one that leaves HTTP, and one whose end only the end
+/// of its connection tells, so that a cut can't be told from it.
+pub(super) fn check_answer<B>(method: &Method, response: &Response<B>) -> Result<(), Problem> {
+    let status = response.status();
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        return Err(Problem::Broken);
+    }
+    let has_no_body = method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    let headers = response.headers();
+    let is_bounded =
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    match has_no_body || is_bounded {
+        true => Ok(()),
+        false => Err(Problem::UnboundedAnswer),
+    }
 }
 
 /// Tells whether the sender closes the connection after this message.
--- a/crates/runpind/src/request/problem.rs
+++ b/crates/runpind/src/request/problem.rs
@@ -52,6 +52,12 @@
     /// The exchange with the backend server broke after the request was sent.
     #[error("the exchange with the backend server broke")]
     Broken,
+    /// The version of HTTP does not let a caller tell a cut answer from a whole one.
+    #[error("HTTP/1.1 or HTTP/2 is needed")]
+    HttpVersion,
+    /// The backend server's answer has neither a length nor an end.
+    #[error("the backend server's answer has neither a length nor chunks")]
+    UnboundedAnswer,
     /// The idempotency key forbids it.
     #[error("{0}")]
     Key(KeyProblem),
@@ -68,7 +74,8 @@
             Problem::UnknownService(_) => StatusCode::NOT_FOUND,
             Problem::MissingParameter(_) | Problem::BadHeader { .. } => StatusCode::BAD_REQUEST,
             Problem::TimeoutBeforeSend | Problem::TimeoutAfterSend => StatusCode::GATEWAY_TIMEOUT,
-            Problem::Broken => StatusCode::BAD_GATEWAY,
+            Problem::Broken | Problem::UnboundedAnswer => StatusCode::BAD_GATEWAY,
+            Problem::HttpVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Problem::Key(problem) => problem.status(),
         }
     }
@@ -76,7 +83,9 @@
     /// Returns what is known of the request.
     pub fn outcome(&self) -> Outcome {
         match self {
-            Problem::TimeoutAfterSend | Problem::Broken => Outcome::Unknown,
+            Problem::TimeoutAfterSend | Problem::Broken | Problem::UnboundedAnswer => {
+                Outcome::Unknown
+            }
             Problem::Key(problem) => problem.outcome(),
             _ => Outcome::NotRun,
         }
@@ -95,6 +104,8 @@
             Problem::TimeoutBeforeSend => "timeout-before-send",
             Problem::TimeoutAfterSend => "timeout-after-send",
             Problem::Broken => "broken-exchange",
+            Problem::HttpVersion => "http-version",
+            Problem::UnboundedAnswer => "unbounded-answer",
             Problem::Key(problem) => problem.kind(),
         }
     }
