--- a/crates/runpind/tests/overload.rs
+++ b/crates/runpind/tests/overload.rs
@@ -92,7 +92,7 @@
             continue;
         }
         let breaks = String::from_utf8_lossy(&head).contains("break");
-        if breaks && broken.fetch_add(1, Ordering::SeqCst) % 2 == 0 {
+        if breaks && broken.fetch_add(1, Ordering::SeqCst).is_multiple_of(2) {
             return;
         }
         let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
