Steer by policies, arms and a guard

Requests went to the nearest site whatever it had to bear. Now each instance builds a table of weights once a second, and whenever a configuration version is adopted: from figures (own work in flight, answer times, failures; reports of others decay to a floor as they age) to views, from views to wishes (rhai programs with bounded operations, compiled once per version), and from wishes to what the guard allows (shift limit of the link, free headroom, slow start by measured answer times, closed sites). A request reads its version's table, swapped whole; its arm comes from a hash of the caller's address that is the same on every instance.

A failing policy keeps its last good weights, then the built-in policy, nearest with headroom. An arm that is new or has another share starts from the weights that its callers had.

--- a/crates/runpind/src/process/configuration/mod.rs
+++ b/crates/runpind/src/process/configuration/mod.rs
@@ -91,6 +91,7 @@
         let Some(version) = self.loaded.take().filter(|version| version.number == number) else {
             return;
         };
+        self.process.build_table(&version);
         log::info!("configuration version {number} is in force");
         self.process.metrics.configuration_version.set(number as i64);
         self.process.version.store(Some(version));
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -6,7 +6,7 @@
 use super::peer_metrics::PeerMetrics;
 use super::peers::{self, Answerer};
 use super::platform_budget::{self, Budget};
-use super::{Process, membership, planned_stop};
+use super::{Process, membership, planned_stop, routing};
 use crate::connection::dialer::{Dialer, TcpDialer};
 use crate::connection::listener::{self, Listener};
 use crate::error::DaemonError;
@@ -86,6 +86,7 @@
         background.spawn(configuration::watch::run(process.clone(), configuration_metrics));
         background.spawn(membership::refresh(process.clone(), budget.ordinary.clone()));
         background.spawn(platform_budget::keep_rate(process.clone(), budget.ordinary));
+        background.spawn(routing::run(process.clone()));
         let callers = Listener::start(callers, process.clone(), request::serve_caller);
         let admin = Listener::start(admin, process.clone(), request::serve_admin);
         log::info!(
--- a/crates/runpind/src/process/metrics.rs
+++ b/crates/runpind/src/process/metrics.rs
@@ -21,6 +21,12 @@
     pub latency: HistogramVec,
     /// Look-ups by outcome.
     pub lookups: IntCounterVec,
+    /// Requests by service, arm and the availability zone of the site that they try first.
+    pub site_choices: IntCounterVec,
+    /// What shadow arms would have chosen, with the same labels.
+    pub shadow_choices: IntCounterVec,
+    /// Tables that were built without an answer of the arm's policy, by arm.
+    pub policy_failures: IntCounterVec,
     /// Number of the configuration version in force.
     pub configuration_version: IntGauge,
     /// Idempotency keys.
@@ -49,6 +55,19 @@
             Opts::new("runpin_lookups_total", "Look-ups by outcome."),
             &["outcome"],
         )?;
+        let choice_labels = ["service", "arm", "availability_zone"];
+        let site_choices = IntCounterVec::new(
+            Opts::new("runpin_site_choices_total", "Requests by the site that they try first."),
+            &choice_labels,
+        )?;
+        let shadow_choices = IntCounterVec::new(
+            Opts::new("runpin_shadow_choices_total", "What shadow arms would have chosen."),
+            &choice_labels,
+        )?;
+        let policy_failures = IntCounterVec::new(
+            Opts::new("runpin_policy_failures_total", "Tables built without the arm's policy."),
+            &["arm"],
+        )?;
         let configuration_version = IntGauge::new(
             "runpin_configuration_version",
             "Number of the configuration version in force.",
@@ -56,10 +75,24 @@
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(lookups.clone()))?;
+        registry.register(Box::new(site_choices.clone()))?;
+        registry.register(Box::new(shadow_choices.clone()))?;
+        registry.register(Box::new(policy_failures.clone()))?;
         registry.register(Box::new(configuration_version.clone()))?;
         let ledger = LedgerMetrics::register(&registry)?;
         let overload = OverloadMetrics::register(&registry)?;
-        Ok(Self { registry, requests, latency, lookups, configuration_version, ledger, overload })
+        Ok(Self {
+            registry,
+            requests,
+            latency,
+            lookups,
+            site_choices,
+            shadow_choices,
+            policy_failures,
+            configuration_version,
+            ledger,
+            overload,
+        })
     }
 
     /// Returns the registry, for further metrics.
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 mod planned_stop;
 pub mod platform_budget;
+pub mod routing;
 pub mod signal;
 pub mod waiting;
 
@@ -30,6 +31,7 @@
 use metrics::Metrics;
 use peer::PeerClient;
 use platform::ObjectStore;
+use routing::Routing;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use steering::Incarnation;
@@ -64,6 +66,8 @@
     pub pools: Pools,
     /// The ledger of idempotency keys.
     pub ledger: Arc<LedgerState>,
+    /// Figures of the sites and the tables built from them.
+    pub routing: Routing,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Set once a planned stop began.
@@ -103,6 +107,7 @@
             waiting: Waiting::default(),
             pools: Pools::default(),
             ledger: Arc::new(ledger),
+            routing: Routing::new(incarnation.0),
             metrics,
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/runpind/src/request/attempt.rs
+++ b/crates/runpind/src/request/attempt.rs
@@ -7,11 +7,13 @@
 use super::reserve::Reservation;
 use crate::connection::dialer::Endpoint;
 use crate::connection::pool::{ConnectError, PooledConnection};
-use configuration::SiteIndex;
+use crate::process::routing::SiteExchange;
+use configuration::{SiteIndex, ZoneIndex};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::io::ErrorKind;
 use std::time::Duration;
+use steering::figures::SiteName;
 use steering::servers::Ending;
 
 /// Milliseconds in a second.
@@ -43,7 +45,21 @@
     let delay_ms = exchange.version.configuration.delay_ms(own, zone);
     let cancellation_delay = Duration::from_secs_f64(delay_ms / MS_PER_S);
     let endpoint = Endpoint { address: chosen.address, availability_zone };
-    Some((Slot::taken(exchange, chosen, cancellation_delay, reservation), endpoint))
+    let work = site_exchange(exchange, zone);
+    Some((Slot::taken(exchange, chosen, cancellation_delay, reservation, work), endpoint))
+}
+
+/// Counts the exchange in the figures of its site.
+fn site_exchange(exchange: &Exchange, zone: ZoneIndex) -> SiteExchange {
+    let configuration = &exchange.version.configuration;
+    let own = exchange.version.own_zone.unwrap_or(zone);
+    let name = SiteName {
+        service: exchange.service().name.clone(),
+        availability_zone: configuration.availability_zones[zone.get()].name.clone(),
+    };
+    let round_trip_ms = 2.0 * configuration.delay_ms(own, zone);
+    let round_trip = Duration::from_secs_f64(round_trip_ms.max(0.0) / MS_PER_S);
+    SiteExchange::start(exchange.process.clone(), name, round_trip)
 }
 
 /// Sends the request over a connection of the backend server's pool.
--- a/crates/runpind/src/request/exchange.rs
+++ b/crates/runpind/src/request/exchange.rs
@@ -6,6 +6,7 @@
 use super::reserve::Reservation;
 use crate::connection::pool::PooledConnection;
 use crate::process::backend_servers::Chosen;
+use crate::process::routing::SiteExchange;
 use crate::process::{InFlight, Process};
 use crate::version::Version;
 use bytes::Bytes;
@@ -35,6 +36,8 @@
     cancellation_delay: Duration,
     report: Report,
     reservation: Option<Reservation>,
+    /// Records the exchange in the figures of its site.
+    work: SiteExchange,
 }
 
 impl Slot {
@@ -44,6 +47,7 @@
         chosen: Chosen,
         cancellation_delay: Duration,
         reservation: Reservation,
+        work: SiteExchange,
     ) -> Self {
         let process = exchange.process.clone();
         let report = Report::new(process.clock.now(), Ending::Abandoned);
@@ -57,6 +61,7 @@
             cancellation_delay,
             report,
             reservation: Some(reservation),
+            work,
         }
     }
 
@@ -68,10 +73,19 @@
     /// Records how the exchange ended.
     pub(super) fn ended(&mut self, ending: Ending) {
         self.report.ending = ending;
+        match ending {
+            Ending::Failed | Ending::Refused => self.work.failed(),
+            Ending::TimedOut => self.work.timed_out(),
+            _ => {}
+        }
     }
 
     /// Records the head of an answer; the exchange goes on with its body.
     pub(super) fn answered(&mut self, response: &Response<Incoming>, class: Class) {
+        let status = response.status();
+        // A site that sheds has no headroom, but it does not fail.
+        let failed = status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE;
+        self.work.answered(class, failed);
         self.report.closing = closes_connection(response.headers());
         // The time of an upload is mostly its caller's.
         if class != Class::Upload {
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -28,7 +28,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, Uri, Version as HttpVersion};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -42,6 +42,8 @@
     pub(super) version: Arc<Version>,
     pub(super) service: ServiceIndex,
     pub(super) class: Class,
+    /// Address of the caller, which decides its arm.
+    pub(super) caller: IpAddr,
     pub(super) deadline: Instant,
     pub(super) started: Instant,
     /// The idempotency key that is run here.
@@ -78,11 +80,12 @@
             .service_for(host.as_deref(), path)
             .ok_or_else(|| Problem::UnknownService(path.to_owned()))?;
         let class = version.configuration.class_of(service, request.method().as_str(), path);
-        lookup::caller_address(&process, peer, request.headers())?;
+        let caller = lookup::caller_address(&process, peer, request.headers())?;
         let timeout_ms = version.configuration.overload.default_timeout_ms;
         let deadline = deadline::of_request(request.headers(), class, timeout_ms)?;
         let started = Instant::now();
-        Ok(Self { process, version, service, class, deadline, started, key: None, in_flight })
+        let key = None;
+        Ok(Self { process, version, service, class, caller, deadline, started, key, in_flight })
     }
 
     pub(super) fn service(&self) -> &Service {
@@ -119,6 +122,10 @@
         let method = request.method().clone();
         admission.wait_turn(&self).await?;
         let mut route = route::of_request(&self);
+        if route.sites.is_empty() {
+            // Waiting would not change that no site may take it.
+            return Err(Problem::NoCapacity);
+        }
         let mut offers = 0;
         loop {
             let Some((site, mut slot, endpoint)) = self.pick(&route) else {
--- a/crates/runpind/src/request/route.rs
+++ b/crates/runpind/src/request/route.rs
@@ -1,29 +1,35 @@
 //! Which sites may run a request, best first.
 
 use super::forward::Exchange;
-use configuration::{SiteIndex, ZoneIndex};
+use configuration::SiteIndex;
 use std::sync::Arc;
-
-/// Arm of requests when the configuration names none.
-const BUILT_IN_ARM: &str = "built-in";
+use steering::hash::{address_hash, mix};
 
 /// Where a request may be run.
 pub(super) struct Route {
-    /// Sites of the request's service, best first.
+    /// Sites of the request's service, best first; none when no site may take the request now.
     pub(super) sites: Vec<SiteIndex>,
     /// Arm that chose them.
     pub(super) arm: Arc<str>,
 }
 
-/// Chooses the sites of a request: nearest first.
+/// Chooses the sites of a request by the weights of its caller's arm, and records what shadow arms
+/// would have chosen.
 pub(super) fn of_request(exchange: &Exchange) -> Route {
-    let configuration = &exchange.version.configuration;
-    let own = exchange.version.own_zone.unwrap_or(ZoneIndex(0));
-    let delay_ms = |site: &SiteIndex| {
-        let zone = exchange.service().sites[site.get()].availability_zone;
-        configuration.delay_ms(own, zone)
-    };
-    let mut sites: Vec<_> = (0..exchange.service().sites.len()).map(SiteIndex::from).collect();
-    sites.sort_by(|a, b| delay_ms(a).total_cmp(&delay_ms(b)));
-    Route { sites, arm: BUILT_IN_ARM.into() }
+    let routing = &exchange.version.routing;
+    let caller_hash = address_hash(exchange.caller);
+    let draw = mix(exchange.process.routing.draws.next() ^ caller_hash);
+    let table = routing.table();
+    for shadow in routing.arms.shadows() {
+        if let Some(flow) = table.flow(exchange.service, shadow) {
+            flow.counters.count(flow.weights.first(draw));
+        }
+    }
+    let arm = routing.arms.of_caller(caller_hash);
+    let flow = table.flow(exchange.service, arm);
+    let sites = flow.map(|flow| flow.weights.order(draw)).unwrap_or_default();
+    if let Some(flow) = flow {
+        flow.counters.count(sites.first().copied());
+    }
+    Route { sites, arm: routing.arms.entries()[arm].name.clone() }
 }
--- a/crates/runpind/src/version/mod.rs
+++ b/crates/runpind/src/version/mod.rs
@@ -1,5 +1,9 @@
 //! What belongs to one version of the configuration: built once, then only read.
 
+mod routing;
+
+pub use routing::VersionRouting;
+
 use configuration::{BlockChunk, Configuration, Manifest, ManifestError, ZoneIndex};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -20,6 +24,8 @@
     pub configuration: Configuration,
     /// Availability zone of each caller address.
     pub blocks: BlockTable,
+    /// Arms, policies and the table that requests read.
+    pub routing: VersionRouting,
     /// Availability zone of this instance; `None` when the version does not have it.
     pub own_zone: Option<ZoneIndex>,
 }
@@ -36,12 +42,14 @@
         // The table holds them in a tenth of the memory.
         configuration.client_blocks = Vec::new();
         let own_zone = configuration.zone(own_zone);
+        let routing = VersionRouting::new(&configuration);
         Ok(Self {
             number: manifest.number,
             manifest: Arc::new(manifest),
             chunks,
             configuration,
             blocks,
+            routing,
             own_zone,
         })
     }
--- a/crates/runpind/tests/distribution.rs
+++ b/crates/runpind/tests/distribution.rs
@@ -235,7 +235,7 @@
         .map(|n: u32| format!("10.{}.{}.{}/32 z0\n", n >> 16, (n >> 8) & 255, n & 255))
         .collect();
     let comment = format!("# {}\n", "x".repeat(300_000));
-    let large = proposal_of("anna", &(text() + &comment), Some(&blocks));
+    let large = proposal_of("anna", &(text() + comment.as_str()), Some(&blocks));
 
     propose(&*fleet.platform, None, large).await.expect("accepted");
     fleet.wait_for(1).await;
--- /dev/null
+++ b/crates/steering/src/guard/state.rs
@@ -0,0 +1,277 @@
+//! What the guard remembers from one table to the next.
+
+use super::allow::{FlowWish, Limits, allow};
+use super::ramp::{GrowthLimit, RampInput, growth_limit};
+use crate::Time;
+use crate::figures::{SiteFigures, SiteName};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time between two tables that allowances are given for.
+const LONGEST_STEP_S: f64 = 2.0;
+
+/// Time in which damped traffic makes most of a wished move.
+const DAMPING_S: f64 = 3.0;
+
+/// How long growth is remembered that figures may not show yet.
+const GROWTH_KEPT: Duration = Duration::from_secs(30);
+
+/// Time in which the usual answer time follows a longer one.
+const USUAL_RISE_S: f64 = 300.0;
+
+/// Part of recent exchanges that failed, from which a site is closed.
+const CLOSED_FAILED_SHARE: f64 = 0.5;
+
+/// Whether moves are slowed and growth is remembered until figures show it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Damping {
+    /// As in the daemon.
+    #[default]
+    On,
+    /// For comparison in measurements: each step makes the whole move that limits allow.
+    Off,
+}
+
+/// One service of one arm.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GuardedFlow {
+    /// Name of the arm.
+    pub arm: Arc<str>,
+    /// The service.
+    pub service: Arc<str>,
+    /// Part of the callers, in percent; 0 for a shadow arm.
+    pub share_percent: u32,
+    /// Requests of the flow at this instance, per second; 0 for a shadow arm.
+    pub rate_per_s: f64,
+    /// Weights that the policy wishes, by position among the service's sites.
+    pub wished: Vec<f64>,
+    /// Positions of the service's sites in [`GuardInput::sites`].
+    pub sites: Vec<usize>,
+}
+
+/// One site and what is known of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GuardedSite {
+    /// The site.
+    pub name: SiteName,
+    /// Its figures.
+    pub figures: SiteFigures,
+    /// Whether it has a backend server that may get work.
+    pub is_usable: bool,
+    /// Link that leads to it, as a position in [`GuardInput::links_per_s`].
+    pub link: usize,
+}
+
+/// What one table is made from.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct GuardInput {
+    /// Every flow.
+    pub flows: Vec<GuardedFlow>,
+    /// Every site of every service.
+    pub sites: Vec<GuardedSite>,
+    /// Growth that each link allows this instance in one second, in requests per second.
+    pub links_per_s: Vec<f64>,
+}
+
+/// Turns wishes into what is allowed, table after table.
+#[derive(Debug, Default)]
+pub struct Guard {
+    damping: Damping,
+    last_step: Option<Time>,
+    /// Weights in force of each arm, by service.
+    weights: HashMap<Arc<str>, Vec<ArmWeights>>,
+    growth: HashMap<SiteName, VecDeque<Growth>>,
+    usual_answer_times_ms: HashMap<Arc<str>, f64>,
+}
+
+/// Weights in force of one service and arm, by the site's availability zone.
+#[derive(Clone, Debug)]
+struct ArmWeights {
+    arm: Arc<str>,
+    share_percent: u32,
+    by_zone: HashMap<Arc<str>, f64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Growth {
+    at: Time,
+    slots: f64,
+}
+
+impl Guard {
+    /// Makes a guard that knows no weights yet.
+    pub fn new(damping: Damping) -> Self {
+        Self { damping, ..Self::default() }
+    }
+
+    /// Returns the weights that each flow may have now, and what limits each site's growth; `None`
+    /// for a closed site.
+    pub fn apply(
+        &mut self,
+        input: &GuardInput,
+        now: Time,
+    ) -> (Vec<Vec<f64>>, Vec<Option<GrowthLimit>>) {
+        let elapsed_s = self.last_step.map_or(0.0, |last| now.since(last).as_secs_f64());
+        let elapsed_s = elapsed_s.min(LONGEST_STEP_S);
+        self.follow_answer_times(input, elapsed_s);
+        let flows: Vec<FlowWish> = input.flows.iter().map(|flow| self.wish(flow, input)).collect();
+        let closed = closed_sites(input);
+        let site_limits: Vec<Option<GrowthLimit>> = (0..input.sites.len())
+            .map(|site| {
+                (!closed.contains(&site)).then(|| self.limit(site, input, &flows, elapsed_s, now))
+            })
+            .collect();
+        let limits = Limits {
+            sites_per_s: site_limits.iter().map(|limit| limit.map(GrowthLimit::per_s)).collect(),
+            site_links: input.sites.iter().map(|site| site.link).collect(),
+            links_per_s: input.links_per_s.iter().map(|limit| limit * elapsed_s).collect(),
+            gain: self.gain(elapsed_s),
+        };
+        let allowed = allow(&flows, &limits);
+        self.remember(input, &flows, &allowed, now);
+        (allowed, site_limits)
+    }
+
+    fn gain(&self, elapsed_s: f64) -> f64 {
+        match self.damping {
+            Damping::On => 1.0 - (-elapsed_s / DAMPING_S).exp(),
+            Damping::Off => 1.0,
+        }
+    }
+
+    fn wish(&self, flow: &GuardedFlow, input: &GuardInput) -> FlowWish {
+        let by_zone = self.weights.get(&flow.service).map(|arms| weights_in_force(arms, flow));
+        let weight_of = |by_zone: &HashMap<Arc<str>, f64>, site: &usize| {
+            by_zone.get(&input.sites[*site].name.availability_zone).copied().unwrap_or(0.0)
+        };
+        FlowWish {
+            rate_per_s: flow.rate_per_s,
+            sites: flow.sites.clone(),
+            current: by_zone
+                .map(|by_zone| flow.sites.iter().map(|site| weight_of(&by_zone, site)).collect()),
+            wished: flow.wished.clone(),
+        }
+    }
+
+    fn limit(
+        &self,
+        site: usize,
+        input: &GuardInput,
+        flows: &[FlowWish],
+        elapsed_s: f64,
+        now: Time,
+    ) -> GrowthLimit {
+        let GuardedSite { name, figures, .. } = &input.sites[site];
+        growth_limit(RampInput {
+            rate_per_s: flows.iter().map(|flow| current_rate_per_s(flow, site)).sum(),
+            headroom_slots: figures.headroom_slots - self.unseen_slots(name, figures.age, now),
+            latency_ms: figures.latency_ms,
+            answer_time_ms: figures.answer_time_ms.filter(|_| figures.is_measured),
+            usual_answer_time_ms: self.usual_answer_times_ms.get(&name.service).copied(),
+            elapsed_s,
+        })
+    }
+
+    /// Returns the slots that growth newer than the figures will fill.
+    fn unseen_slots(&self, site: &SiteName, age: Duration, now: Time) -> f64 {
+        if self.damping == Damping::Off {
+            return 0.0;
+        }
+        let growth = self.growth.get(site).into_iter().flatten();
+        growth.filter(|growth| now.since(growth.at) <= age).map(|growth| growth.slots).sum()
+    }
+
+    /// The usual answer time of a service is the median of its measured sites: it falls at once
+    /// and rises slowly, so that sites that all slow down do not pass for usual.
+    fn follow_answer_times(&mut self, input: &GuardInput, elapsed_s: f64) {
+        let mut measured: HashMap<&Arc<str>, Vec<f64>> = HashMap::new();
+        for site in &input.sites {
+            if let Some(time_ms) = site.figures.answer_time_ms {
+                measured.entry(&site.name.service).or_default().push(time_ms);
+            }
+        }
+        for (service, mut times_ms) in measured {
+            times_ms.sort_by(f64::total_cmp);
+            let median_ms = times_ms[(times_ms.len() - 1) / 2];
+            let usual_ms = self.usual_answer_times_ms.entry(service.clone()).or_insert(median_ms);
+            let rise = (elapsed_s / USUAL_RISE_S).min(1.0);
+            *usual_ms = median_ms.min(*usual_ms + (median_ms - *usual_ms) * rise);
+        }
+    }
+
+    fn remember(
+        &mut self,
+        input: &GuardInput,
+        flows: &[FlowWish],
+        allowed: &[Vec<f64>],
+        now: Time,
+    ) {
+        self.last_step = Some(now);
+        for growth in self.growth.values_mut() {
+            growth.retain(|growth| now.since(growth.at) < GROWTH_KEPT);
+        }
+        self.growth.retain(|_, growth| !growth.is_empty());
+        self.weights.clear();
+        for ((named, flow), allowed) in input.flows.iter().zip(flows).zip(allowed) {
+            let mut by_zone = HashMap::new();
+            for (position, (site, weight)) in flow.sites.iter().zip(allowed).enumerate() {
+                let GuardedSite { name, figures, .. } = &input.sites[*site];
+                by_zone.insert(name.availability_zone.clone(), *weight);
+                let current = flow.current.as_ref().map_or(*weight, |current| current[position]);
+                let grown_per_s = (weight - current) * flow.rate_per_s;
+                if grown_per_s > 0.0 {
+                    let slots = grown_per_s * figures.latency_ms / 1_000.0;
+                    let growth = self.growth.entry(name.clone()).or_default();
+                    growth.push_back(Growth { at: now, slots });
+                }
+            }
+            let (arm, share_percent) = (named.arm.clone(), named.share_percent);
+            let arms = self.weights.entry(named.service.clone()).or_default();
+            arms.push(ArmWeights { arm, share_percent, by_zone });
+        }
+    }
+}
+
+/// Returns the weights that the callers of a flow have now: those of the arm, or if the arm is new
+/// or has another share, those of all arms by their shares, as its callers came from any of them.
+fn weights_in_force(arms: &[ArmWeights], flow: &GuardedFlow) -> HashMap<Arc<str>, f64> {
+    let is_same =
+        |known: &&ArmWeights| known.arm == flow.arm && known.share_percent == flow.share_percent;
+    if let Some(known) = arms.iter().find(is_same) {
+        return known.by_zone.clone();
+    }
+    let mut mixed = HashMap::new();
+    for known in arms {
+        for (zone, weight) in &known.by_zone {
+            let part = f64::from(known.share_percent) / 100.0;
+            *mixed.entry(zone.clone()).or_insert(0.0) += weight * part;
+        }
+    }
+    mixed
+}
+
+fn current_rate_per_s(flow: &FlowWish, site: usize) -> f64 {
+    let Some(current) = &flow.current else { return 0.0 };
+    let weights = flow.sites.iter().zip(current).filter(|(position, _)| **position == site);
+    weights.map(|(_, weight)| weight * flow.rate_per_s).sum()
+}
+
+/// Returns the sites that may get nothing: those without a usable backend server, and those that
+/// fail, unless more than half of a service's sites do: then the figures are not believed.
+fn closed_sites(input: &GuardInput) -> HashSet<usize> {
+    let mut closed: HashSet<usize> =
+        (0..input.sites.len()).filter(|site| !input.sites[*site].is_usable).collect();
+    let mut by_service: HashMap<&Arc<str>, Vec<usize>> = HashMap::new();
+    for (position, site) in input.sites.iter().enumerate().filter(|(_, site)| site.is_usable) {
+        by_service.entry(&site.name.service).or_default().push(position);
+    }
+    for sites in by_service.into_values() {
+        let fails = |site: &&usize| input.sites[**site].figures.failed_share >= CLOSED_FAILED_SHARE;
+        let failing: Vec<usize> = sites.iter().filter(fails).copied().collect();
+        if failing.len() * 2 <= sites.len() {
+            closed.extend(failing);
+        }
+    }
+    closed
+}
--- /dev/null
+++ b/crates/steering/src/routing/builder.rs
@@ -0,0 +1,232 @@
+//! Building a table: figures to views, views to wishes, wishes to what is allowed.
+
+use super::arms::{ArmEntry, Arms, BUILT_IN_ARM};
+use super::choice::Weights;
+use super::counters::{Counters, FlowCounts};
+use super::explain::{ArmExplanation, SiteExplanation, Status};
+use super::rates::{FlowName, Rates};
+use super::table::{Flow, Table};
+use super::views::{ServiceView, view_of};
+use super::wishes::{LastGood, Programs, Wish};
+use crate::Time;
+use crate::figures::{Figures, SiteName};
+use crate::guard::{Damping, GrowthLimit, Guard, GuardInput, GuardedFlow, GuardedSite};
+use configuration::{Configuration, ServiceIndex, ZoneIndex};
+use std::collections::HashSet;
+use std::sync::Arc;
+
+/// What a table is built from.
+#[derive(Clone, Copy, Debug)]
+pub struct Input<'a> {
+    /// Number of the configuration version.
+    pub version: u64,
+    /// The configuration.
+    pub configuration: &'a Configuration,
+    /// Availability zone of this instance.
+    pub own_zone: ZoneIndex,
+    /// The version's arms.
+    pub arms: &'a Arms,
+    /// The version's compiled policies.
+    pub programs: &'a Programs,
+    /// What the version's requests chose.
+    pub counters: &'a Counters,
+    /// What is known of the sites.
+    pub figures: &'a Figures,
+    /// Sites without a backend server that may get work.
+    pub unusable: &'a HashSet<SiteName>,
+    /// Entry instances of the own availability zone, this one included.
+    pub instances: usize,
+    /// Other entry instances that could report figures.
+    pub others: usize,
+}
+
+/// A table and what there is to say about it.
+#[derive(Debug)]
+pub struct Built {
+    /// The table.
+    pub table: Table,
+    /// Why it is as it is.
+    pub status: Status,
+    /// What requests chose since the last table, by service and then by arm.
+    pub chosen: Vec<Vec<FlowCounts>>,
+}
+
+/// Builds table after table; what it remembers outlives configuration versions.
+#[derive(Debug, Default)]
+pub struct Builder {
+    guard: Guard,
+    rates: Rates,
+    last_good: LastGood,
+}
+
+impl Builder {
+    /// Makes a builder that has built nothing yet.
+    pub fn new(damping: Damping) -> Self {
+        Self { guard: Guard::new(damping), ..Self::default() }
+    }
+
+    /// Builds the table that is to be in force from now.
+    pub fn build(&mut self, input: &Input<'_>, now: Time) -> Built {
+        let chosen = self.measure(input, now);
+        let services = &input.configuration.services;
+        let views: Vec<ServiceView> =
+            services.iter().map(|service| view_of(input, service, now)).collect();
+        let wishes: Vec<Vec<Wish>> = views
+            .iter()
+            .map(|view| {
+                input.arms.entries().iter().map(|arm| self.wish(input, arm, view)).collect()
+            })
+            .collect();
+        let guarded = self.guard_input(input, &views, &wishes);
+        let (allowed, limits) = self.guard.apply(&guarded, now);
+        let flows = explanations(input, &views, &wishes, &guarded, &allowed, &limits);
+        let status = Status { configuration_version: input.version, flows };
+        Built { table: table(input, &allowed), status, chosen }
+    }
+
+    fn measure(&mut self, input: &Input<'_>, now: Time) -> Vec<Vec<FlowCounts>> {
+        let counts = flows_of(input)
+            .map(|(service, position, arm)| {
+                let name = FlowName::new(&input.configuration.services[service.get()].name, arm);
+                let flow = input.counters.flow(service, position);
+                (name, flow.map(|flow| flow.counts()).unwrap_or_default())
+            })
+            .collect();
+        let since = self.rates.measure(input.version, counts, now);
+        since.chunks(input.arms.entries().len()).map(<[FlowCounts]>::to_vec).collect()
+    }
+
+    fn wish(&mut self, input: &Input<'_>, arm: &ArmEntry, view: &ServiceView) -> Wish {
+        self.last_good.wish(input.programs, &arm.name, arm.policy, &view.view)
+    }
+
+    fn guard_input(
+        &self,
+        input: &Input<'_>,
+        views: &[ServiceView],
+        wishes: &[Vec<Wish>],
+    ) -> GuardInput {
+        let mut first_sites = Vec::with_capacity(views.len());
+        let mut sites = Vec::new();
+        for (view, service) in views.iter().zip(&input.configuration.services) {
+            first_sites.push(sites.len());
+            let named = view.names.iter().zip(&view.figures).zip(&service.sites);
+            sites.extend(named.map(|((name, figures), site)| GuardedSite {
+                name: name.clone(),
+                figures: *figures,
+                is_usable: !input.unusable.contains(name),
+                link: site.availability_zone.get(),
+            }));
+        }
+        let flows = flows_of(input)
+            .map(|(service, position, arm)| {
+                let view = &views[service.get()];
+                let first = first_sites[service.get()];
+                GuardedFlow {
+                    arm: arm.name.clone(),
+                    service: view.view.service.clone(),
+                    share_percent: arm.share_percent,
+                    rate_per_s: self.rates.of(&FlowName::new(&view.view.service, arm)),
+                    wished: wishes[service.get()][position].weights.clone(),
+                    sites: (first..first + view.names.len()).collect(),
+                }
+            })
+            .collect();
+        GuardInput { flows, sites, links_per_s: link_growth_per_s(input) }
+    }
+}
+
+/// Returns every service with every arm, by service and then by arm.
+fn flows_of<'a>(
+    input: &Input<'a>,
+) -> impl Iterator<Item = (ServiceIndex, usize, &'a ArmEntry)> + use<'a> {
+    let arms = input.arms.entries();
+    let services = 0..input.configuration.services.len();
+    services.flat_map(move |service| {
+        let arms = arms.iter().enumerate();
+        arms.map(move |(position, arm)| (ServiceIndex::from(service), position, arm))
+    })
+}
+
+/// Returns this instance's even part of the shift limit of each link, by the zone it leads to.
+fn link_growth_per_s(input: &Input<'_>) -> Vec<f64> {
+    let configuration = input.configuration;
+    (0..configuration.availability_zones.len())
+        .map(|to| {
+            let index = configuration.link(input.own_zone, ZoneIndex::from(to));
+            let link = &configuration.links[index.get()];
+            let limit = link.cap_requests_per_s as f64 * link.shift_share_per_s;
+            limit / input.instances.max(1) as f64
+        })
+        .collect()
+}
+
+fn table(input: &Input<'_>, allowed: &[Vec<f64>]) -> Table {
+    let flow =
+        |((service, position, _), weights): ((ServiceIndex, usize, &ArmEntry), &Vec<f64>)| {
+            let counters = input.counters.flow(service, position)?.clone();
+            Some(Flow { weights: Weights::new(weights), counters })
+        };
+    let flows: Vec<Flow> = flows_of(input).zip(allowed).filter_map(flow).collect();
+    Table { flows: flows.chunks(input.arms.entries().len()).map(<[Flow]>::to_vec).collect() }
+}
+
+fn explanations(
+    input: &Input<'_>,
+    views: &[ServiceView],
+    wishes: &[Vec<Wish>],
+    guarded: &GuardInput,
+    allowed: &[Vec<f64>],
+    limits: &[Option<GrowthLimit>],
+) -> Vec<ArmExplanation> {
+    flows_of(input)
+        .zip(&guarded.flows)
+        .zip(allowed)
+        .map(|(((service, position, arm), flow), weights)| {
+            let view = &views[service.get()];
+            let wish = &wishes[service.get()][position];
+            let explain = |site: usize| {
+                let global = flow.sites[site];
+                let link_per_s = guarded.links_per_s[guarded.sites[global].link];
+                explain_site(view, site, wish.weights[site], weights[site])
+                    .limited(limits[global], link_per_s)
+            };
+            ArmExplanation {
+                service: flow.service.clone(),
+                arm: arm.name.clone(),
+                share_percent: arm.share_percent,
+                shadow: arm.shadow,
+                policy: policy_name(input, arm),
+                origin: wish.origin,
+                policy_error: wish.error.as_ref().map(ToString::to_string),
+                rate_per_s: flow.rate_per_s,
+                unplaced_share: (1.0 - weights.iter().sum::<f64>()).max(0.0),
+                sites: (0..weights.len()).map(explain).collect(),
+            }
+        })
+        .collect()
+}
+
+fn policy_name(input: &Input<'_>, arm: &ArmEntry) -> Arc<str> {
+    let policy = arm.policy.and_then(|policy| input.configuration.policies.get(policy));
+    policy.map_or_else(|| BUILT_IN_ARM.into(), |policy| policy.name.clone())
+}
+
+fn explain_site(view: &ServiceView, site: usize, wished: f64, weight: f64) -> SiteExplanation {
+    let shown = &view.view.sites[site];
+    SiteExplanation {
+        availability_zone: shown.availability_zone.clone(),
+        wished,
+        weight,
+        is_closed: false,
+        headroom_growth_per_s: 0.0,
+        ramp_growth_per_s: 0.0,
+        link_growth_per_s: 0.0,
+        capacity_slots: shown.capacity_slots,
+        headroom_slots: shown.headroom_slots,
+        latency_ms: shown.latency_ms,
+        is_measured: view.figures[site].is_measured,
+        failed_share: shown.failed_share,
+        age_ms: shown.age_ms,
+    }
+}
--- /dev/null
+++ b/crates/steering/src/routing/mod.rs
@@ -0,0 +1,19 @@
+//! Where the requests of each service go: arms, tables of weights, and the choice of a request.
+
+mod arms;
+mod builder;
+mod choice;
+mod counters;
+mod explain;
+mod rates;
+mod table;
+mod views;
+mod wishes;
+
+pub use arms::{ArmEntry, Arms, BUILT_IN_ARM};
+pub use builder::{Builder, Built, Input};
+pub use choice::{Draws, Weights};
+pub use counters::{Counters, FlowCounters, FlowCounts};
+pub use explain::{ArmExplanation, Explanation, Origin, SiteExplanation, Status};
+pub use table::{Flow, Table};
+pub use wishes::Programs;
