Apply client blocks by themselves over the address for operators

Change: PUT /v1/configuration/blocks replaces the client blocks and leaves the text as it is; bad blocks refuse the whole.

Conclusion: blocks change without the text, and the text without the blocks.

--- a/crates/runpind/src/process/acceptance.rs
+++ b/crates/runpind/src/process/acceptance.rs
@@ -23,6 +23,8 @@
         /// Client blocks, lines of `BLOCK ZONE`, in place of those in force; `None` keeps these.
         blocks: Option<Arc<str>>,
     },
+    /// Client blocks, lines of `BLOCK ZONE`, in place of those in force; the text stays as it is.
+    Blocks(Arc<str>),
     /// One thing more takes no new work; all else stays as it is.
     Drain(Drain),
     /// One thing takes work again; all else stays as it is.
@@ -130,7 +132,7 @@
     }
     let known = known_chunks(in_force);
     let chunks = match &proposal.change {
-        Change::Text { blocks: Some(blocks), .. } => chunk_blocks(blocks),
+        Change::Text { blocks: Some(blocks), .. } | Change::Blocks(blocks) => chunk_blocks(blocks),
         _ => read_chunks(store, &next.chunks, &known).await?,
     };
     let mut next = Manifest { chunks: references(&chunks), ..next };
@@ -204,7 +206,10 @@
         (Change::Undrain(drain), Some(base)) => {
             Ok((base.text.clone(), remove_drain(&base.drains, drain)?))
         }
-        (Change::Drain(_) | Change::Undrain(_), None) => Err(AcceptanceError::NoConfiguration),
+        (Change::Blocks(_), Some(base)) => Ok((base.text.clone(), base.drains.clone())),
+        (Change::Blocks(_) | Change::Drain(_) | Change::Undrain(_), None) => {
+            Err(AcceptanceError::NoConfiguration)
+        }
     }
 }
 
--- a/crates/runpind/src/request/admin/changes.rs
+++ b/crates/runpind/src/request/admin/changes.rs
@@ -3,7 +3,7 @@
 use super::error::AdminError;
 use super::query::Query;
 use super::respond::json;
-use super::{CONFIGURATION_PATH, DRAINS_PREFIX, access};
+use super::{BLOCKS_PATH, CONFIGURATION_PATH, DRAINS_PREFIX, access};
 use crate::process::Process;
 use crate::process::acceptance::{Change, Proposal, propose};
 use crate::request::body::Body;
@@ -17,6 +17,9 @@
 /// Largest configuration text, in bytes.
 const MAX_CONFIGURATION_BYTES: usize = 900_000;
 
+/// Largest text of client blocks, in bytes: room for 900,000 lines of 70 bytes.
+const MAX_BLOCKS_BYTES: usize = 64 << 20;
+
 /// Author of a change whose request names none.
 const UNKNOWN_AUTHOR: &str = "unknown";
 
@@ -53,7 +56,11 @@
     let drain = path.strip_prefix(DRAINS_PREFIX).and_then(|thing| thing.split_once('/'));
     match (request.method().clone(), drain) {
         (Method::PUT, None) if path == CONFIGURATION_PATH => {
-            Ok(Change::Text { text: text_of(request).await?, blocks: None })
+            let text = text_of(request, MAX_CONFIGURATION_BYTES).await?;
+            Ok(Change::Text { text, blocks: None })
+        }
+        (Method::PUT, None) if path == BLOCKS_PATH => {
+            Ok(Change::Blocks(text_of(request, MAX_BLOCKS_BYTES).await?))
         }
         (Method::PUT, Some((kind, name))) => Ok(Change::Drain(Drain::parse(kind, name)?)),
         (Method::DELETE, Some((kind, name))) => Ok(Change::Undrain(Drain::parse(kind, name)?)),
@@ -61,9 +68,9 @@
     }
 }
 
-async fn text_of(request: Request<Incoming>) -> Result<Arc<str>, AdminError> {
-    let body = Limited::new(request.into_body(), MAX_CONFIGURATION_BYTES).collect().await;
-    let body = body.map_err(|_| AdminError::TooLarge(MAX_CONFIGURATION_BYTES))?;
+async fn text_of(request: Request<Incoming>, max_bytes: usize) -> Result<Arc<str>, AdminError> {
+    let body = Limited::new(request.into_body(), max_bytes).collect().await;
+    let body = body.map_err(|_| AdminError::TooLarge(max_bytes))?;
     let text = String::from_utf8(body.to_bytes().into()).map_err(|_| AdminError::NotText)?;
     Ok(text.into())
 }
--- a/crates/runpind/src/request/admin/mod.rs
+++ b/crates/runpind/src/request/admin/mod.rs
@@ -9,6 +9,7 @@
 //! | `GET /v1/configuration?number=N` | read | the manifest of an accepted version |
 //! | `GET /v1/configuration/history?limit=N` | read | [`history::History`] |
 //! | `PUT /v1/configuration`, body = text | change | [`changes::Accepted`] |
+//! | `PUT /v1/configuration/blocks`, body = lines of `BLOCK ZONE` | change | [`changes::Accepted`] |
 //! | `PUT /v1/drains/KIND/NAME` | change | [`changes::Accepted`] |
 //! | `DELETE /v1/drains/KIND/NAME` | change | [`changes::Accepted`] |
 //!
@@ -37,6 +38,7 @@
 const STATUS_PATH: &str = "/v1/status";
 const LOOKUP_PATH: &str = "/v1/lookup";
 const CONFIGURATION_PATH: &str = "/v1/configuration";
+const BLOCKS_PATH: &str = "/v1/configuration/blocks";
 const HISTORY_PATH: &str = "/v1/configuration/history";
 const DRAINS_PREFIX: &str = "/v1/drains/";
 
--- a/crates/runpind/tests/acceptance.rs
+++ b/crates/runpind/tests/acceptance.rs
@@ -320,6 +320,21 @@
     assert!(matches!(platform.delete(&key, decided).await, Err(StoreError::Conflict { .. })));
 }
 
+#[tokio::test(start_paused = true)]
+async fn blocks_alone_leave_the_text_as_it_is() {
+    let platform = PlatformStandIn::default();
+    propose(&platform, None, proposal("anna", None)).await.expect("accepted");
+    let change = Change::Blocks("10.0.0.0/24 n1\n10.0.1.0/24 n2".into());
+
+    propose(&platform, None, Proposal { change, ..proposal("carla", None) })
+        .await
+        .expect("accepted");
+
+    let manifest = current(&platform).await.expect("current");
+    assert_eq!(&*manifest.text, TEXT);
+    assert_eq!(manifest.chunks.iter().map(|chunk| chunk.blocks).sum::<usize>(), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn bad_blocks_are_refused_before_anything_is_written() {
     let platform = PlatformStandIn::default();
--- a/crates/runpind/tests/common/mod.rs
+++ b/crates/runpind/tests/common/mod.rs
@@ -185,6 +185,16 @@
         }
     }
 
+    /// Puts a text to the address for operators and returns the status of the answer.
+    pub(crate) async fn put_admin(&self, path: &str, text: &str) -> u16 {
+        let request = hyper::Request::put(format!("http://{}{path}", self.admin_address))
+            .header("authorization", format!("Bearer {SECRET}"))
+            .body(Full::new(bytes::Bytes::from(text.to_owned())))
+            .expect("a request");
+        let client = Client::builder(TokioExecutor::new()).build_http::<Full<bytes::Bytes>>();
+        client.request(request).await.expect("an answer").status().as_u16()
+    }
+
     /// Waits until the metrics hold a line.
     pub(crate) async fn metric_reaches(&self, line: &str) {
         loop {
