Pass keys on to their home and hand the ledger over at a planned stop

Cause: a key brought to an instance other than its home was run there without a ledger, and a planned stop lost the ledger. Change: such a request is streamed over HTTP to its home, whose address and successor come from the members; `runpin-forwarded-by` guards against loops, and a home that is gone or unreachable makes the outcome unknown, never a run. At a planned stop the ledger is closed at once and goes to one named incarnation in parts; the part marked last is the point of no return, and outcomes of requests still in progress follow it. Look-ups give the prefix of the instance that they choose. While no other instance was heard from, foreign keys are run as before.

Schedules found one fault on the way: a closed home told not-run for a key that it had forgotten; the age of a key is now looked at first.

--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -2,6 +2,7 @@
 
 use super::clock::{BootClock, Clock};
 use super::configuration::{self, metrics::ConfigurationMetrics};
+use super::ledger::hand_over;
 use super::metrics::Metrics;
 use super::peer_metrics::PeerMetrics;
 use super::peers::{self, Answerer};
@@ -122,6 +123,7 @@
         log::info!("planned stop: {} requests in flight", self.process.in_flight());
         planned_stop::move_callers(&self.process).await;
         self.callers.close();
+        let handing_over = hand_over::start(&self.process);
         let timeout = Duration::from_millis(self.process.settings.drain_timeout_ms);
         let finished = async {
             self.callers.closed().await;
@@ -129,7 +131,10 @@
         };
         if tokio::time::timeout(timeout, finished).await.is_err() {
             log::warn!("drain timeout with {} requests in flight", self.process.in_flight());
+            self.process.ledger.abort();
+            self.process.ledger.exchanges_ended().await;
         }
+        handing_over.finish().await;
         self.admin.close();
         self.background.shutdown().await;
         drop(self.transport);
--- a/crates/runpind/src/process/ledger.rs
+++ b/crates/runpind/src/process/ledger.rs
@@ -1,5 +1,8 @@
 //! The ledger of idempotency keys, as the requests of one daemon share it.
 
+pub mod hand_over;
+mod message;
+
 use super::clock::Clock;
 use crate::version::Version;
 use parking_lot::Mutex;
@@ -22,6 +25,8 @@
     bytes: IntGauge,
     /// Requests with a key, by what was decided.
     requests: IntCounterVec,
+    /// Parts of ledgers handed over, by what came back.
+    parts: IntCounterVec,
 }
 
 impl LedgerMetrics {
@@ -39,10 +44,18 @@
             ),
             &["decision"],
         )?;
+        let parts = IntCounterVec::new(
+            Opts::new(
+                "runpin_ledger_parts_total",
+                "Parts of ledgers handed over at planned stops, by what became of them.",
+            ),
+            &["result"],
+        )?;
+        registry.register(Box::new(parts.clone()))?;
         registry.register(Box::new(keys.clone()))?;
         registry.register(Box::new(bytes.clone()))?;
         registry.register(Box::new(requests.clone()))?;
-        Ok(Self { keys, bytes, requests })
+        Ok(Self { keys, bytes, requests, parts })
     }
 
     /// Counts a decision.
@@ -50,6 +63,10 @@
         self.requests.with_label_values(&[decision]).inc();
     }
 
+    fn count_part(&self, result: &str) {
+        self.parts.with_label_values(&[result]).inc();
+    }
+
     fn set_size(&self, status: &LedgerStatus) {
         self.keys.set(i64::try_from(status.keys).unwrap_or(i64::MAX));
         self.bytes.set(i64::try_from(status.bytes).unwrap_or(i64::MAX));
@@ -59,7 +76,7 @@
 /// The ledger with the exchanges whose outcomes it waits for.
 pub struct LedgerState {
     clock: Arc<dyn Clock>,
-    metrics: LedgerMetrics,
+    pub(crate) metrics: LedgerMetrics,
     ledger: Mutex<Ledger>,
     exchanges: TaskTracker,
     aborting: CancellationToken,
@@ -105,6 +122,11 @@
         begin
     }
 
+    /// Returns the homes whose ledgers were taken over, which a digest is to name.
+    pub fn successor_of(&self) -> Vec<Incarnation> {
+        self.ledger.lock().successor_of()
+    }
+
     /// Runs the exchange of a key to its end, whether or not its caller waits for it.
     pub fn spawn(&self, exchange: impl Future<Output = ()> + Send + 'static) {
         let aborting = self.aborting.clone();
@@ -188,6 +210,7 @@
         Begin::Expired => "expired",
         Begin::NotIssued => "not-issued",
         Begin::Closed => "closed",
+        Begin::HandedOn => "handed-on",
         Begin::NotHome => "not-home",
     }
 }
--- /dev/null
+++ b/crates/runpind/src/process/ledger/message.rs
@@ -0,0 +1,67 @@
+//! Parts of a ledger as messages between instances.
+
+use peer::message::{HandOverRequest, KeyOutcome, KeyRecord};
+use std::time::Duration;
+use steering::ledger::{Answer, Fingerprint, HandedOutcome, HandedRecord, Outcome, Part};
+use steering::{Incarnation, KeyError};
+
+/// Makes the message that carries a part.
+pub(super) fn request(part: Part) -> HandOverRequest {
+    HandOverRequest {
+        home: part.home.0,
+        successor: part.successor.0,
+        horizon_ms: part.horizon_ms,
+        part: part.number,
+        last: part.last,
+        records: part.records.into_iter().map(record).collect(),
+    }
+}
+
+/// Reads a part; fails on a record that does not hold a key.
+pub(super) fn part(request: HandOverRequest) -> Result<Part, KeyError> {
+    let records: Result<_, _> = request.records.into_iter().map(handed_record).collect();
+    Ok(Part {
+        home: Incarnation(request.home),
+        successor: Incarnation(request.successor),
+        number: request.part,
+        last: request.last,
+        horizon_ms: request.horizon_ms,
+        records: records?,
+    })
+}
+
+fn record(handed: HandedRecord) -> KeyRecord {
+    KeyRecord {
+        key: handed.key.as_str().into(),
+        fingerprint: handed.fingerprint.0,
+        keep_ms: u64::try_from(handed.keep.as_millis()).unwrap_or(u64::MAX),
+        outcome: match handed.outcome {
+            HandedOutcome::Known(Outcome::Answered(answer)) => KeyOutcome::Answered {
+                status: answer.status,
+                content_type: answer.content_type,
+                body: answer.body,
+            },
+            HandedOutcome::Known(Outcome::Ran) => KeyOutcome::Ran,
+            HandedOutcome::Known(Outcome::Unknown) => KeyOutcome::Unknown,
+            HandedOutcome::InProgress => KeyOutcome::InProgress,
+            HandedOutcome::NotRun => KeyOutcome::NotRun,
+        },
+    }
+}
+
+fn handed_record(record: KeyRecord) -> Result<HandedRecord, KeyError> {
+    Ok(HandedRecord {
+        key: record.key.parse()?,
+        fingerprint: Fingerprint(record.fingerprint),
+        keep: Duration::from_millis(record.keep_ms),
+        outcome: match record.outcome {
+            KeyOutcome::Answered { status, content_type, body } => {
+                HandedOutcome::Known(Outcome::Answered(Answer { status, content_type, body }))
+            }
+            KeyOutcome::Ran => HandedOutcome::Known(Outcome::Ran),
+            KeyOutcome::Unknown => HandedOutcome::Known(Outcome::Unknown),
+            KeyOutcome::InProgress => HandedOutcome::InProgress,
+            KeyOutcome::NotRun => HandedOutcome::NotRun,
+        },
+    })
+}
--- a/crates/runpind/src/process/membership.rs
+++ b/crates/runpind/src/process/membership.rs
@@ -48,11 +48,11 @@
         self.members.iter().filter(move |member| &*member.availability_zone == zone)
     }
 
-    /// Returns the instance that is `incarnation` or took over its ledger.
+    /// Returns the instance that took over the ledger of `incarnation`, else the one that is it.
     pub fn home(&self, incarnation: Incarnation) -> Option<&Member> {
         let is = |member: &&Member| member.incarnation == Some(incarnation);
         let took_over = |member: &&Member| member.successor_of.contains(&incarnation);
-        self.members.iter().find(is).or_else(|| self.members.iter().find(took_over))
+        self.members.iter().find(took_over).or_else(|| self.members.iter().find(is))
     }
 }
 
@@ -80,12 +80,25 @@
     }
 }
 
+/// Keeps what instances told of themselves while their addresses stay the same.
+fn keep_what_was_heard(process: &Process, members: &mut [Member]) {
+    let Some(before) = process.members.load_full() else { return };
+    for member in members {
+        let same = |old: &&Member| old.peer_address == member.peer_address;
+        if let Some(old) = before.members.iter().find(same) {
+            member.incarnation = old.incarnation;
+            member.successor_of.clone_from(&old.successor_of);
+        }
+    }
+}
+
 /// Reads the list again and again; a failed read leaves the last one in use.
 pub async fn refresh(process: Arc<Process>, directory: Arc<dyn InstanceDirectory>) {
     loop {
         if let Ok(entries) = directory.entry_instances().await {
             let mut members: Vec<Member> = entries.into_iter().map(Member::from).collect();
             members.sort_by(|a, b| a.name.cmp(&b.name));
+            keep_what_was_heard(&process, &mut members);
             process.members.store(Some(Arc::new(Members { members })));
         }
         if let Ok(leaving) = directory.leaving_backend_servers().await {
--- a/crates/runpind/src/process/peers.rs
+++ b/crates/runpind/src/process/peers.rs
@@ -2,6 +2,7 @@
 
 use super::Process;
 use super::configuration::answer::{answer_chunk, answer_manifest};
+use super::ledger::hand_over::answer_hand_over;
 use super::peer_metrics::PeerMetrics;
 use crate::connection::dialer::{Dialer, Endpoint};
 use crate::error::DaemonError;
@@ -72,6 +73,7 @@
                 Reply::Manifest(answer_manifest(&self.process, &from, request))
             }
             Request::Chunk(request) => Reply::Chunk(answer_chunk(&self.process, &request)),
+            Request::HandOver(request) => Reply::HandOver(answer_hand_over(&self.process, request)),
             _ => Reply::Refused,
         }
     }
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -160,7 +160,12 @@
         })
     }
 
-    fn set_timeout(&self, request: &mut Request<Body>) -> Result<(), Problem> {
+    /// Takes what counts the request as in flight.
+    pub(super) fn into_in_flight(self) -> InFlight {
+        self.in_flight
+    }
+
+    pub(super) fn set_timeout(&self, request: &mut Request<Body>) -> Result<(), Problem> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         if left_ms == 0 {
@@ -211,7 +216,7 @@
 }
 
 /// Makes the request that is sent on: origin form, HTTP/1.1, no hop-by-hop headers.
-fn prepare(request: Request<Incoming>) -> Request<Body> {
+pub(super) fn prepare(request: Request<Incoming>) -> Request<Body> {
     let (mut parts, body) = request.into_parts();
     remove_hop_by_hop(&mut parts.headers);
     // The request target goes before the header (RFC 9112, section 3.2.2).
--- a/crates/runpind/src/request/key.rs
+++ b/crates/runpind/src/request/key.rs
@@ -4,7 +4,7 @@
 use super::forward::Exchange;
 use super::key_problem::KeyProblem;
 use super::problem::Problem;
-use super::replay;
+use super::{home, replay};
 use crate::process::ledger::RunningKey;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -28,6 +28,7 @@
         Ok(key) => key,
         Err(problem) => return exchange.refuse(problem.into()),
     };
+    let home = key.home();
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     let fingerprint = Fingerprint::of(request.method().as_str(), path);
     let ledger = exchange.process.ledger.clone();
@@ -45,7 +46,10 @@
         Begin::Expired => KeyProblem::Expired,
         Begin::NotIssued => KeyProblem::NotIssued,
         Begin::Closed => KeyProblem::HomeStopping,
-        Begin::NotHome => return exchange.run(request).await,
+        Begin::NotHome if home::is_alone(&exchange.process) => return exchange.run(request).await,
+        Begin::HandedOn | Begin::NotHome => {
+            return home::forward(exchange, request, home).await;
+        }
     };
     exchange.refuse(problem.into())
 }
--- a/crates/runpind/src/request/key_problem.rs
+++ b/crates/runpind/src/request/key_problem.rs
@@ -38,8 +38,8 @@
     /// The key's home can't be reached now.
     #[error("the instance that knows this idempotency key can't be reached now")]
     HomeUnreachable,
-    /// The home stops, and its successor is not known yet.
-    #[error("the instance that knows this idempotency key is stopping")]
+    /// The home stops and runs nothing more; no successor does yet.
+    #[error("the instance that runs this idempotency key is stopping; a successor will run it")]
     HomeStopping,
     /// The exchange with the key's home broke.
     #[error("the exchange with the instance that knows this idempotency key broke")]
@@ -67,7 +67,8 @@
             KeyProblem::Bad(_)
             | KeyProblem::NotIssued
             | KeyProblem::Mismatch
-            | KeyProblem::Full => Outcome::NotRun,
+            | KeyProblem::Full
+            | KeyProblem::HomeStopping => Outcome::NotRun,
             KeyProblem::Ran => Outcome::Ran,
             _ => Outcome::Unknown,
         }
--- a/crates/runpind/src/request/lookup.rs
+++ b/crates/runpind/src/request/lookup.rs
@@ -4,6 +4,7 @@
 use super::headers::CALLER_HEADER;
 use super::problem::Problem;
 use crate::process::Process;
+use crate::process::membership::Member;
 use crate::version::Version;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Request, Response};
@@ -11,7 +12,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use steering::lookup::{Candidate, choose};
+use steering::lookup::{Candidate, Choice, choose};
 
 /// Answer to a look-up.
 #[derive(Debug, Serialize)]
@@ -80,11 +81,22 @@
             .map(|choice| InstanceAnswer { address: choice.address, weight: choice.weight })
             .collect(),
         ttl_ms: configuration.lookup.ttl_ms,
-        idempotency_key_prefix: process.ledger.prefix(process.incarnation),
+        idempotency_key_prefix: key_prefix(process, choices.first()),
         configuration_version: version.number,
     })
 }
 
+/// Returns a prefix whose home is the chosen instance, so that its keys need not be passed on; an
+/// instance that was not heard from yet gets keys whose home is this one.
+fn key_prefix(process: &Process, chosen: Option<&Choice>) -> String {
+    let members = process.members.load();
+    let home = chosen.and_then(|chosen| {
+        let is = |member: &&Member| member.caller_address == chosen.address;
+        members.as_ref()?.members.iter().find(is)?.incarnation
+    });
+    process.ledger.prefix(home.unwrap_or(process.incarnation))
+}
+
 fn service_parameter(query: Option<&str>) -> Result<&str, Problem> {
     query
         .unwrap_or_default()
--- a/crates/runpind/src/request/mod.rs
+++ b/crates/runpind/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod forward;
 mod headers;
+mod home;
 mod key;
 pub mod key_problem;
 mod lookup;
--- a/crates/runpind/tests/fleet/mod.rs
+++ b/crates/runpind/tests/fleet/mod.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use steering::ledger::Fingerprint;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
@@ -144,7 +145,41 @@
         self.daemon_on(name, SocketAddr::from(([127, 0, 0, 1], 0))).await
     }
 
-    pub(crate) async fn daemon_on(&self, name: &str, caller_address: SocketAddr) -> Daemon {
+    /// Starts a daemon on an address that another one has just left.
+    pub(crate) async fn daemon_again(&self, name: &str, address: SocketAddr) -> Daemon {
+        let is_free = || std::net::TcpListener::bind(address).is_ok();
+        self.until(is_free).await;
+        self.daemon_on(name, address).await
+    }
+
+    /// Waits until each of the daemons has all of them in its list.
+    pub(crate) async fn listed(&self, daemons: &[&Daemon]) {
+        let has = |daemon: &Daemon, other: &Daemon| {
+            daemon.process().members.load().as_ref().is_some_and(|list| {
+                list.members.iter().any(|it| it.peer_address == other.peer_address())
+            })
+        };
+        let all = || daemons.iter().all(|it| daemons.iter().all(|other| has(it, other)));
+        self.until(all).await;
+    }
+
+    pub(crate) async fn until(&self, condition: impl Fn() -> bool) {
+        while !condition() {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Uses up the ledger of a daemon.
+    pub(crate) fn fill(&self, daemon: &Daemon) {
+        let ledger = &daemon.process().ledger;
+        let version = daemon.process().version.load_full().expect("a version");
+        for number in 0..ledger.status().max_keys {
+            let key = key_of(daemon, &number.to_string()).parse().expect("a key");
+            ledger.begin(&version, &key, Fingerprint(0));
+        }
+    }
+
+    async fn daemon_on(&self, name: &str, caller_address: SocketAddr) -> Daemon {
         let dependencies = Dependencies {
             store: self.platform.clone(),
             directory: self.platform.clone(),
@@ -181,12 +216,24 @@
     }
 
     pub(crate) async fn try_send(&self, to: SocketAddr, path: &str, key: &str) -> Option<Answer> {
-        let request = Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{to}{path}"))
-            .header("idempotency-key", key)
-            .body(Full::from("body"))
-            .expect("request");
+        self.exchange(to, path, &[("idempotency-key", key)]).await
+    }
+
+    pub(crate) async fn send_forwarded(&self, to: SocketAddr, path: &str, key: &str) -> Answer {
+        let headers = [("idempotency-key", key), ("runpin-forwarded-by", "0000000000000001")];
+        self.exchange(to, path, &headers).await.expect("an answer")
+    }
+
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        let request = Request::builder().method(Method::POST).uri(format!("http://{to}{path}"));
+        let request =
+            headers.iter().fold(request, |request, (name, value)| request.header(*name, *value));
+        let request = request.body(Full::from("body")).expect("request");
         let response = self.client.request(request).await.ok()?;
         let status = response.status().as_u16();
         let outcome = response.headers().get("runpin-outcome");
@@ -258,3 +305,20 @@
 "#
     )
 }
+
+/// Tells each daemon the incarnations of all.
+pub(crate) fn introduce(daemons: &[&Daemon]) {
+    for daemon in daemons {
+        let process = daemon.process();
+        let mut members =
+            process.members.load_full().map_or_else(Default::default, |it| (*it).clone());
+        for member in &mut members.members {
+            let is = |other: &&&Daemon| other.caller_address() == member.caller_address;
+            if let Some(other) = daemons.iter().find(is) {
+                member.incarnation = Some(other.process().incarnation);
+                member.successor_of = other.process().ledger.successor_of();
+            }
+        }
+        process.members.store(Some(Arc::new(members)));
+    }
+}
--- a/crates/steering/src/ledger/book.rs
+++ b/crates/steering/src/ledger/book.rs
@@ -17,8 +17,10 @@
     Receiving,
     /// We decide.
     Open,
-    /// We run nothing more; a successor may.
+    /// We run nothing more, and nobody else does yet.
     Closed,
+    /// A successor may have the whole book and decide.
+    HandedOn,
 }
 
 /// How long a record is kept.
@@ -49,11 +51,11 @@
 }
 
 impl Book {
-    pub(super) fn new(standing: Standing, horizon_ms: u64) -> Self {
+    pub(super) fn new(standing: Standing) -> Self {
         Self {
             standing,
             next_part: 0,
-            horizon_ms,
+            horizon_ms: 0,
             records: HashMap::new(),
             expiries: BinaryHeap::new(),
             updates: Vec::new(),
@@ -116,7 +118,7 @@
                 (Settled::of(&outcome), HandedOutcome::Known(outcome))
             }
         };
-        if self.standing == Standing::Closed {
+        if matches!(self.standing, Standing::Closed | Standing::HandedOn) {
             let key = key.clone();
             self.updates.push(HandedRecord {
                 key,
--- a/crates/steering/src/ledger/hand_over.rs
+++ b/crates/steering/src/ledger/hand_over.rs
@@ -8,9 +8,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Most records in a part.
-const MAX_PART_RECORDS: usize = 500;
-
 /// Most bytes of bodies in a part, unless one body alone is larger.
 const MAX_PART_BYTES: usize = 256 << 10;
 
@@ -86,6 +83,7 @@
 pub struct HandOver {
     home: Incarnation,
     horizon_ms: u64,
+    max_part_records: usize,
     /// Parts of the closed book, then updates; their content never changes.
     parts: Vec<Vec<HandedRecord>>,
     /// Position of the part that makes the successor's book whole.
@@ -98,12 +96,18 @@
 }
 
 impl HandOver {
-    pub(super) fn new(home: Incarnation, horizon_ms: u64, records: Vec<HandedRecord>) -> Self {
-        let parts = split(records);
+    pub(super) fn new(
+        home: Incarnation,
+        horizon_ms: u64,
+        records: Vec<HandedRecord>,
+        max_part_records: usize,
+    ) -> Self {
+        let parts = split(records, max_part_records);
         let last = parts.len() - 1;
         Self {
             home,
             horizon_ms,
+            max_part_records,
             parts,
             last,
             next: 0,
@@ -128,6 +132,11 @@
         self.committed
     }
 
+    /// Tells whether there is no successor to send parts to.
+    pub fn needs_successor(&self) -> bool {
+        self.successor.is_none() && !self.given_up
+    }
+
     /// Begins with a successor; refused once another one may have the whole book.
     pub fn begin(&mut self, successor: Incarnation) -> bool {
         if self.given_up || self.committed {
@@ -139,14 +148,14 @@
     }
 
     /// Adds outcomes that came after the book was closed.
-    pub fn push_updates(&mut self, updates: Vec<HandedRecord>) {
+    pub(super) fn push_updates(&mut self, updates: Vec<HandedRecord>) {
         if !updates.is_empty() {
-            self.parts.extend(split(updates));
+            self.parts.extend(split(updates, self.max_part_records));
         }
     }
 
     /// Returns the part to send now; `None` when there is none.
-    pub fn next_part(&self) -> Option<Part> {
+    pub(super) fn next_part(&self) -> Option<Part> {
         let successor = self.successor.filter(|_| !self.given_up)?;
         let records = self.parts.get(self.next)?.clone();
         Some(Part {
@@ -159,7 +168,8 @@
         })
     }
 
-    /// Takes in what came back for the part that [`next_part`](Self::next_part) returned.
+    /// Takes in what came back for the part that [`Ledger::next_part`](super::Ledger::next_part)
+    /// returned.
     pub fn replied(&mut self, reply: PartReply) -> Step {
         let is_last = self.next == self.last;
         match reply {
@@ -186,7 +196,7 @@
 }
 
 /// Divides records into parts of bounded size, at least one.
-fn split(records: Vec<HandedRecord>) -> Vec<Vec<HandedRecord>> {
+fn split(records: Vec<HandedRecord>, max_records: usize) -> Vec<Vec<HandedRecord>> {
     let mut parts = vec![Vec::new()];
     let mut bytes = 0;
     let mut queue = VecDeque::from(records);
@@ -196,7 +206,7 @@
             HandedOutcome::InProgress | HandedOutcome::NotRun => 0,
         };
         let Some(part) = parts.last_mut() else { return parts };
-        let full = part.len() == MAX_PART_RECORDS || bytes + body_bytes > MAX_PART_BYTES;
+        let full = part.len() >= max_records || bytes + body_bytes > MAX_PART_BYTES;
         if full && !part.is_empty() {
             parts.push(vec![record]);
             bytes = body_bytes;
--- a/crates/steering/src/ledger/limits.rs
+++ b/crates/steering/src/ledger/limits.rs
@@ -9,11 +9,18 @@
     pub max_bytes: usize,
     /// Part of `max_bytes` that bodies of answers leave free for further keys.
     pub reserved_for_keys_bytes: usize,
+    /// Records in one part of a hand-over.
+    pub max_part_records: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_keys: 100_000, max_bytes: 80 << 20, reserved_for_keys_bytes: 48 << 20 }
+        Self {
+            max_keys: 100_000,
+            max_bytes: 80 << 20,
+            reserved_for_keys_bytes: 48 << 20,
+            max_part_records: 500,
+        }
     }
 }
 
--- a/crates/steering/src/ledger/mod.rs
+++ b/crates/steering/src/ledger/mod.rs
@@ -47,8 +47,10 @@
     Expired,
     /// The key's time of issue lies far ahead; no look-up gave it.
     NotIssued,
-    /// The home has stopped running requests; a successor may go on.
+    /// We have stopped running requests, and nobody else runs them yet; the request was not run.
     Closed,
+    /// A successor runs the home's keys by now, or may.
+    HandedOn,
     /// Another instance is the key's home.
     NotHome,
 }
@@ -89,7 +91,7 @@
     /// Makes the empty ledger of an incarnation that starts at `now`, which is `unix_ms`
     /// milliseconds since the Unix epoch.
     pub fn new(own: Incarnation, limits: Limits, now: Time, unix_ms: u64) -> Self {
-        let book = Book::new(Standing::Open, 0);
+        let book = Book::new(Standing::Open);
         Self {
             own,
             started: now,
@@ -128,12 +130,14 @@
         if let Some(known) = book.known(key, fingerprint) {
             return known;
         }
-        if book.standing == Standing::Closed {
-            return Begin::Closed;
-        }
         if key.issued_ms() < book.horizon_ms {
             return Begin::Expired;
         }
+        match book.standing {
+            Standing::Closed => return Begin::Closed,
+            Standing::HandedOn => return Begin::HandedOn,
+            Standing::Open | Standing::Receiving => {}
+        }
         if key.issued_ms() > latest_ms {
             return Begin::NotIssued;
         }
@@ -181,17 +185,26 @@
     pub fn close(&mut self, now: Time) -> Vec<HandOver> {
         self.expire(now);
         self.closed = true;
+        let max_part_records = self.usage.limits.max_part_records;
         let open = self.books.iter_mut().filter(|(_, book)| book.standing == Standing::Open);
         open.map(|(home, book)| {
             book.standing = Standing::Closed;
-            HandOver::new(*home, book.horizon_ms, snapshot(book, now, self.ttl))
+            HandOver::new(*home, book.horizon_ms, snapshot(book, now, self.ttl), max_part_records)
         })
         .collect()
     }
 
-    /// Returns the outcomes that came since the ledger was closed, once.
-    pub fn take_updates(&mut self, home: Incarnation) -> Vec<HandedRecord> {
-        self.books.get_mut(&home).map(|book| std::mem::take(&mut book.updates)).unwrap_or_default()
+    /// Returns the part of a hand-over to send now, with outcomes that came since the ledger was
+    /// closed; `None` when there is none.
+    pub fn next_part(&mut self, hand_over: &mut HandOver) -> Option<Part> {
+        let book = self.books.get_mut(&hand_over.home())?;
+        hand_over.push_updates(std::mem::take(&mut book.updates));
+        let part = hand_over.next_part()?;
+        if part.last {
+            // Before it is sent: from then on the successor may run keys that we don't know.
+            book.standing = Standing::HandedOn;
+        }
+        Some(part)
     }
 
     /// Takes over a part of another home's book; `false` refuses it.
@@ -203,7 +216,7 @@
             return false;
         }
         if part.number == 0 {
-            let new = || Book::new(Standing::Receiving, part.horizon_ms);
+            let new = || Book::new(Standing::Receiving);
             self.books.entry(part.home).or_insert_with(new);
         }
         let Some(book) = self.books.get_mut(&part.home) else { return false };
@@ -226,10 +239,10 @@
         true
     }
 
-    /// Returns the homes whose ledgers were taken over whole, in order.
+    /// Returns the homes whose ledgers were taken over whole and whose keys we run, in order.
     pub fn successor_of(&self) -> Vec<Incarnation> {
         let taken_over = |(home, book): &(&Incarnation, &Book)| {
-            **home != self.own && book.standing != Standing::Receiving
+            **home != self.own && book.standing == Standing::Open
         };
         let mut homes: Vec<_> =
             self.books.iter().filter(taken_over).map(|(home, _)| *home).collect();
--- a/crates/steering/src/ledger/status.rs
+++ b/crates/steering/src/ledger/status.rs
@@ -26,7 +26,7 @@
     /// The home, as 16 hexadecimal digits.
     pub incarnation: String,
     /// `open` while keys are run here, `receiving` until the home has handed all over, `closed`
-    /// once this instance stops.
+    /// once this instance stops, `handed-on` once a successor may run the keys.
     pub standing: &'static str,
     /// Keys remembered.
     pub keys: usize,
@@ -62,6 +62,7 @@
                 Standing::Receiving => "receiving",
                 Standing::Open => "open",
                 Standing::Closed => "closed",
+                Standing::HandedOn => "handed-on",
             },
             keys: book.records.len(),
             in_progress: book.records.values().filter(running).count(),
--- /dev/null
+++ b/crates/steering/tests/ledger_hand_over.rs
@@ -0,0 +1,186 @@
+//! Handing a ledger over: what the successor knows, and what it refuses.
+
+use std::time::Duration;
+use steering::ledger::{
+    Begin, Ended, Fingerprint, HandOver, Ledger, Limits, Outcome, PartReply, Settled, Step,
+};
+use steering::{IdempotencyKey, Incarnation, Time};
+
+const HOME: Incarnation = Incarnation(1);
+const SUCCESSOR: Incarnation = Incarnation(2);
+const OTHER: Incarnation = Incarnation(3);
+const UNIX_MS: u64 = 1_000_000;
+const TTL_MS: u64 = 100;
+
+fn ledger(own: Incarnation) -> Ledger {
+    let limits = Limits { max_part_records: 1, ..Limits::default() };
+    let mut ledger = Ledger::new(own, limits, Time::from_ms(0), UNIX_MS);
+    ledger.set_ttl(Duration::from_millis(TTL_MS));
+    ledger
+}
+
+fn key(name: u64) -> IdempotencyKey {
+    let text = format!("{}{name}", IdempotencyKey::prefix(HOME, UNIX_MS));
+    text.parse().expect("a key")
+}
+
+fn begin_at(ledger: &mut Ledger, name: u64, ms: u64) -> Begin {
+    ledger.begin(&key(name), Fingerprint(0), Time::from_ms(ms))
+}
+
+fn end_at(ledger: &mut Ledger, name: u64, outcome: Outcome, ms: u64) -> Settled {
+    ledger.finish(&key(name), Ended::Offered(outcome), Time::from_ms(ms))
+}
+
+/// A home that ran two keys and was closed, with its hand-over to the successor.
+fn closed_home() -> (Ledger, HandOver) {
+    let mut home = ledger(HOME);
+    for name in 0..2 {
+        begin_at(&mut home, name, 0);
+        end_at(&mut home, name, Outcome::Ran, 0);
+    }
+    let mut hand_over = home.close(Time::from_ms(0)).remove(0);
+    assert!(hand_over.begin(SUCCESSOR));
+    (home, hand_over)
+}
+
+/// Sends all parts that there are.
+fn send_all(home: &mut Ledger, hand_over: &mut HandOver, to: &mut Ledger, ms: u64) {
+    while let Some(part) = home.next_part(hand_over) {
+        assert!(to.receive(part, Time::from_ms(ms)));
+        hand_over.replied(PartReply::Accepted);
+    }
+}
+
+#[test]
+fn the_successor_decides_from_the_last_part_on() {
+    let ((mut home, mut hand_over), mut successor) = (closed_home(), ledger(SUCCESSOR));
+    let first = home.next_part(&mut hand_over).expect("a part");
+    assert!(!first.last && successor.receive(first, Time::from_ms(0)));
+    hand_over.replied(PartReply::Accepted);
+    let before = begin_at(&mut successor, 9, 0);
+    let at_home_before = begin_at(&mut home, 9, 0);
+
+    send_all(&mut home, &mut hand_over, &mut successor, 0);
+
+    assert_eq!((before, at_home_before), (Begin::NotHome, Begin::Closed));
+    assert_eq!(begin_at(&mut successor, 0, 0), Begin::Replay(Outcome::Ran));
+    assert_eq!(begin_at(&mut successor, 9, 0), Begin::Run);
+    assert_eq!(begin_at(&mut home, 9, 0), Begin::HandedOn);
+    assert_eq!(successor.successor_of(), [HOME]);
+    assert_eq!(hand_over.taken_over_by(), Some(SUCCESSOR));
+}
+
+#[test]
+fn parts_are_taken_in_order_and_once() {
+    let ((mut home, mut hand_over), mut successor) = (closed_home(), ledger(SUCCESSOR));
+    let first = home.next_part(&mut hand_over).expect("a part");
+    hand_over.replied(PartReply::Accepted);
+    let second = home.next_part(&mut hand_over).expect("a part");
+    let now = Time::from_ms(0);
+
+    let too_early = successor.receive(second.clone(), now);
+    let taken =
+        [first.clone(), first, second.clone(), second].map(|part| successor.receive(part, now));
+
+    assert!(!too_early);
+    assert_eq!(taken, [true; 4]);
+    assert_eq!(begin_at(&mut successor, 1, 0), Begin::Replay(Outcome::Ran));
+}
+
+#[test]
+fn only_the_named_incarnation_takes_over_and_not_while_it_stops() {
+    let (mut home, mut hand_over) = closed_home();
+    let part = home.next_part(&mut hand_over).expect("a part");
+    let now = Time::from_ms(0);
+    let (mut other, mut stopping) = (ledger(OTHER), ledger(SUCCESSOR));
+    stopping.close(now);
+
+    assert!(!other.receive(part.clone(), now));
+    assert!(!stopping.receive(part, now));
+}
+
+#[test]
+fn a_lost_reply_to_the_last_part_binds_the_home_to_its_successor() {
+    let (mut home, mut hand_over) = closed_home();
+    home.next_part(&mut hand_over).expect("a part");
+    hand_over.replied(PartReply::Accepted);
+    assert!(home.next_part(&mut hand_over).expect("a part").last);
+
+    let unsure = hand_over.replied(PartReply::Unsure);
+    let another = hand_over.begin(OTHER);
+    let refused = hand_over.replied(PartReply::Refused);
+
+    assert_eq!((unsure, another, refused), (Step::Repeat, false, Step::GiveUp));
+    assert_eq!(begin_at(&mut home, 9, 0), Begin::HandedOn);
+    assert_eq!(home.next_part(&mut hand_over), None);
+}
+
+#[test]
+fn before_the_last_part_another_successor_may_be_tried() {
+    let ((mut home, mut hand_over), mut other) = (closed_home(), ledger(OTHER));
+    home.next_part(&mut hand_over).expect("a part");
+
+    let step = hand_over.replied(PartReply::Refused);
+    let begun = hand_over.begin(OTHER);
+    send_all(&mut home, &mut hand_over, &mut other, 0);
+
+    assert_eq!((step, begun), (Step::Another, true));
+    assert_eq!(begin_at(&mut other, 9, 0), Begin::Run);
+}
+
+#[test]
+fn a_request_in_progress_ends_at_the_successor_too() {
+    let (mut home, mut successor) = (ledger(HOME), ledger(SUCCESSOR));
+    assert_eq!([0, 1].map(|name| begin_at(&mut home, name, 0)), [Begin::Run, Begin::Run]);
+    let mut hand_over = home.close(Time::from_ms(0)).remove(0);
+    hand_over.begin(SUCCESSOR);
+    send_all(&mut home, &mut hand_over, &mut successor, 0);
+    let meanwhile = begin_at(&mut successor, 0, 0);
+
+    end_at(&mut home, 0, Outcome::Ran, 1);
+    home.finish(&key(1), Ended::NotSent, Time::from_ms(1));
+    send_all(&mut home, &mut hand_over, &mut successor, 1);
+
+    assert_eq!(meanwhile, Begin::InProgress);
+    assert_eq!(begin_at(&mut successor, 0, 1), Begin::Replay(Outcome::Ran));
+    assert_eq!(begin_at(&mut successor, 1, 1), Begin::Run);
+}
+
+#[test]
+fn a_key_too_old_for_the_home_is_too_old_for_a_successor_that_remembers_longer() {
+    let (mut home, mut successor) = (ledger(HOME), ledger(SUCCESSOR));
+    begin_at(&mut home, 0, 0);
+    end_at(&mut home, 0, Outcome::Ran, 0);
+    let mut hand_over = home.close(Time::from_ms(TTL_MS)).remove(0);
+    hand_over.begin(SUCCESSOR);
+    successor.set_ttl(Duration::from_millis(1_000 * TTL_MS));
+
+    send_all(&mut home, &mut hand_over, &mut successor, TTL_MS);
+
+    assert_eq!(begin_at(&mut successor, 0, TTL_MS), Begin::Expired);
+}
+
+#[test]
+fn a_longer_time_to_live_keeps_what_could_be_run_again() {
+    let mut home = ledger(HOME);
+    begin_at(&mut home, 0, 0);
+    end_at(&mut home, 0, Outcome::Ran, 0);
+
+    home.set_ttl(Duration::from_millis(10 * TTL_MS));
+
+    assert_eq!(begin_at(&mut home, 0, 2 * TTL_MS), Begin::Replay(Outcome::Ran));
+}
+
+#[test]
+fn an_unknown_outcome_stays_unknown() {
+    let mut home = ledger(HOME);
+    begin_at(&mut home, 0, 0);
+    end_at(&mut home, 0, Outcome::Unknown, 0);
+
+    let again = home.finish(&key(0), Ended::Shed, Time::from_ms(0));
+    let later = end_at(&mut home, 0, Outcome::Ran, 0);
+
+    assert_eq!((again, later), (Settled::Unknown, Settled::Unknown));
+    assert_eq!(begin_at(&mut home, 0, 0), Begin::Replay(Outcome::Unknown));
+}
--- a/crates/steering/tests/ledger_schedules.rs
+++ b/crates/steering/tests/ledger_schedules.rs
@@ -135,7 +135,7 @@
             self.abandon(exchange);
         }
         let incarnation = Incarnation(self.random.random());
-        let limits = Limits { max_keys: 12, ..Limits::default() };
+        let limits = Limits { max_keys: 12, max_part_records: 2, ..Limits::default() };
         let mut ledger = Ledger::new(incarnation, limits, self.now(), UNIX_MS + self.now_ms);
         ledger.set_ttl(Duration::from_millis(TTL_MS));
         self.nodes[address] = Some(Node { incarnation, ledger, hand_overs: Vec::new() });
@@ -209,7 +209,7 @@
                 return self.exchanges.push(exchange);
             }
             Begin::Replay(Outcome::Answered(answer)) => Reply::Answered(answer.body[0]),
-            Begin::Full | Begin::Mismatch => Reply::NotRun,
+            Begin::Full | Begin::Mismatch | Begin::Closed => Reply::NotRun,
             _ => Reply::Unknown,
         };
         self.tell(&key, attempt, reply);
@@ -292,6 +292,10 @@
         history.push((attempt, Action::Response(Some(reply))));
     }
 
+    fn next_part(&mut self, address: usize, hand_over: &mut HandOver) -> Option<Part> {
+        self.nodes[address].as_mut()?.ledger.next_part(hand_over)
+    }
+
     fn receive(&mut self, address: usize, part: Part) -> PartReply {
         let now = self.now();
         let node = self.nodes[address].as_mut();
@@ -320,13 +324,12 @@
         }
         let position = self.random.random_range(0..node.hand_overs.len());
         let mut hand_over = node.hand_overs.swap_remove(position);
-        hand_over.push_updates(node.ledger.take_updates(hand_over.home()));
-        if hand_over.next_part().is_none()
+        if hand_over.needs_successor()
             && let Some(successor) = successor
         {
             hand_over.begin(successor);
         }
-        while let Some(part) = hand_over.next_part() {
+        while let Some(part) = self.next_part(address, &mut hand_over) {
             let at = |node: &Option<Node>| {
                 node.as_ref().is_some_and(|node| node.incarnation == part.successor)
             };
