Damp moves by the age of the figures, and say what each age means

A test of the decay showed that own work, always fresh, kept reports of 45 s from reaching the floor: the age behind a headroom is now that of the others' reports alone. Figures can be taken from and given to descriptions of instances; the exchange itself is not wired yet.

--- a/crates/peer/src/message/digest.rs
+++ b/crates/peer/src/message/digest.rs
@@ -78,7 +78,8 @@
     pub in_flight: u32,
     /// Slots it may use there.
     pub granted_slots: u32,
-    /// Median time to an answer's head in the last period, in microseconds; 0 for unknown.
+    /// Median time to an answer's head less the round trip to the site, in microseconds; 0 for
+    /// unknown.
     pub latency_us: u32,
     /// Part of exchanges that failed in the last period, in thousandths.
     pub failed_per_mille: u16,
--- a/crates/runpind/src/process/routing.rs
+++ b/crates/runpind/src/process/routing.rs
@@ -5,12 +5,13 @@
 use arc_swap::ArcSwap;
 use configuration::Class;
 use parking_lot::Mutex;
+use peer::message::SiteFigure;
 use std::collections::HashSet;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use steering::Time;
-use steering::figures::{ExchangeEnd, Figures, SiteName};
+use steering::figures::{ExchangeEnd, Figures, SiteName, SiteReport};
 use steering::guard::Damping;
 use steering::hash::address_hash;
 use steering::routing::{
@@ -112,13 +113,30 @@
         self.routing.status.store(Arc::new(status));
     }
 
+    /// Takes over another instance's figures, as it described itself `age` ago.
+    ///
+    /// Times to answers travel less their round trip, so that they hold for every instance.
+    pub fn absorb_sites(&self, from: &Arc<str>, sites: &[SiteFigure], age: Duration) {
+        let reports = sites.iter().map(report_of).collect();
+        self.routing.figures.lock().absorb(from, reports, age, self.clock.now());
+    }
+
+    /// Returns this instance's figures for its description of itself.
+    pub fn own_sites(&self) -> Vec<SiteFigure> {
+        let reports = self.routing.figures.lock().own_sites(self.clock.now());
+        reports.into_iter().map(figure_of).collect()
+    }
+
     /// Returns the instances of the own availability zone and the number of other instances.
     fn count_instances(&self) -> (usize, usize) {
         let members = self.members.load();
         let Some(members) = &*members else { return (1, 0) };
         let zone = &self.settings.availability_zone;
         let in_zone = members.in_zone(zone).filter(|member| member.usable).count();
-        (in_zone.max(1), members.usable().count().saturating_sub(1))
+        let others = members.usable().count().saturating_sub(1);
+        // Before the first report, nobody says more of the sites than this instance sees itself.
+        let reporting = self.routing.figures.lock().has_reports();
+        (in_zone.max(1), if reporting { others } else { 0 })
     }
 
     fn count_choices(&self, version: &Version, chosen: &[Vec<FlowCounts>]) {
@@ -182,6 +200,30 @@
     }
 }
 
+fn report_of(figure: &SiteFigure) -> SiteReport {
+    SiteReport {
+        site: SiteName {
+            service: figure.service.clone(),
+            availability_zone: figure.availability_zone.clone(),
+        },
+        in_flight: figure.in_flight,
+        granted_slots: figure.granted_slots,
+        answer_time_us: Some(figure.latency_us).filter(|time_us| *time_us > 0),
+        failed_share: f64::from(figure.failed_per_mille.min(1_000)) / 1_000.0,
+    }
+}
+
+fn figure_of(report: SiteReport) -> SiteFigure {
+    SiteFigure {
+        service: report.site.service,
+        availability_zone: report.site.availability_zone,
+        in_flight: report.in_flight,
+        granted_slots: report.granted_slots,
+        latency_us: report.answer_time_us.unwrap_or(0),
+        failed_per_mille: (report.failed_share * 1_000.0).round() as u16,
+    }
+}
+
 impl SiteExchange {
     /// Records that an exchange with a backend server of the site begins.
     pub fn start(process: Arc<Process>, site: SiteName, round_trip: Duration) -> Self {
--- a/crates/steering/src/figures/mod.rs
+++ b/crates/steering/src/figures/mod.rs
@@ -72,6 +72,11 @@
         self.reports.absorb(from, sites, age, now);
     }
 
+    /// Tells whether any report is known.
+    pub fn has_reports(&self) -> bool {
+        self.reports.any()
+    }
+
     /// Forgets reports that are too old to say anything.
     pub fn forget_old(&mut self, now: Time) {
         self.reports.forget_old(now);
--- a/crates/steering/src/figures/report.rs
+++ b/crates/steering/src/figures/report.rs
@@ -52,6 +52,10 @@
         self.instances.insert(from.clone(), InstanceReport { made_at, sites });
     }
 
+    pub(super) fn any(&self) -> bool {
+        !self.instances.is_empty()
+    }
+
     pub(super) fn forget_old(&mut self, now: Time) {
         self.instances.retain(|_, report| now.since(report.made_at) < FORGET_AFTER);
     }
--- a/crates/steering/src/figures/site.rs
+++ b/crates/steering/src/figures/site.rs
@@ -66,7 +66,7 @@
     let reported: Vec<(Duration, Option<&SiteReport>)> = reports.of_site(site, now).collect();
     let others_in_flight: u32 =
         reported.iter().filter_map(|(_, report)| report.map(|report| report.in_flight)).sum();
-    let age = mean_age(in_flight, &reported, others);
+    let age = mean_age(&reported, others);
     let own_slots = f64::from(in_flight);
     let free_of_own = (capacity.capacity_slots - own_slots).max(0.0);
     let measured_slots = (free_of_own - f64::from(others_in_flight)).max(0.0);
@@ -87,13 +87,9 @@
     }
 }
 
-/// Returns the mean age, each part weighted by its requests and one more; what this instance knows
-/// itself has age 0, and an instance without a report counts as old as a forgotten report.
-fn mean_age(
-    in_flight: u32,
-    reported: &[(Duration, Option<&SiteReport>)],
-    others: usize,
-) -> Duration {
+/// Returns the mean age of what others report, each weighted by its requests and one more; an
+/// instance without a report counts as old as a forgotten report.  Own work is known exactly.
+fn mean_age(reported: &[(Duration, Option<&SiteReport>)], others: usize) -> Duration {
     let weight = |report: Option<&SiteReport>| report.map_or(0, |report| report.in_flight) + 1;
     let missing = others.saturating_sub(reported.len()) as f64;
     let known: f64 = reported.iter().map(|(_, report)| f64::from(weight(*report))).sum();
@@ -102,7 +98,7 @@
         .map(|(age, report)| age.as_secs_f64() * f64::from(weight(*report)))
         .sum::<f64>()
         + FORGET_AFTER.as_secs_f64() * missing;
-    Duration::from_secs_f64(aged / (f64::from(in_flight) + 1.0 + known + missing))
+    Duration::from_secs_f64(aged / (known + missing).max(1.0))
 }
 
 /// Returns the own answer time while it is at most as old as a report may be.
--- a/crates/steering/src/guard/allow.rs
+++ b/crates/steering/src/guard/allow.rs
@@ -14,6 +14,8 @@
     pub current: Option<Vec<f64>>,
     /// Weights that the policy wishes; they add up to 1.
     pub wished: Vec<f64>,
+    /// Part of each wished change that is made in this step, above 0 and at most 1.
+    pub gain: f64,
 }
 
 /// By how much traffic may grow in this step.
@@ -25,8 +27,6 @@
     pub site_links: Vec<usize>,
     /// Growth allowed to each link, in requests per second.
     pub links_per_s: Vec<f64>,
-    /// Part of each wished change that is made in this step, above 0 and at most 1.
-    pub gain: f64,
 }
 
 /// Returns the weights that each flow may have now; those of a flow add up to at most 1.
@@ -72,7 +72,7 @@
     let Some(current) = &flow.current else { return vec![0.0; wish.len()] };
     // What has lost its site moves as fast as the limits allow; damping is for the rest.
     let displaced = displaced_share(flow, current, limits);
-    let gain = if displaced > NEGLIGIBLE { 1.0 } else { limits.gain };
+    let gain = if displaced > NEGLIGIBLE { 1.0 } else { flow.gain };
     let grown = wish.iter().zip(current);
     grown.map(|(wish, current)| (wish - current).max(0.0) * gain * flow.rate_per_s).collect()
 }
--- a/crates/steering/src/guard/state.rs
+++ b/crates/steering/src/guard/state.rs
@@ -11,9 +11,13 @@
 /// Longest time between two tables that allowances are given for.
 const LONGEST_STEP_S: f64 = 2.0;
 
-/// Time in which damped traffic makes most of a wished move.
+/// Time in which damped traffic makes most of a wished move when figures are fresh, in seconds.
 const DAMPING_S: f64 = 3.0;
 
+/// How much longer that takes for each second of the figures' age: a loop that corrects faster
+/// than it sees the effect of its corrections oscillates.
+const DAMPING_PER_AGE: f64 = 3.0;
+
 /// How long growth is remembered that figures may not show yet.
 const GROWTH_KEPT: Duration = Duration::from_secs(30);
 
@@ -115,7 +119,8 @@
         let elapsed_s = self.last_step.map_or(0.0, |last| now.since(last).as_secs_f64());
         let elapsed_s = elapsed_s.min(LONGEST_STEP_S);
         self.follow_answer_times(input, elapsed_s);
-        let flows: Vec<FlowWish> = input.flows.iter().map(|flow| self.wish(flow, input)).collect();
+        let flows: Vec<FlowWish> =
+            input.flows.iter().map(|flow| self.wish(flow, input, elapsed_s)).collect();
         let closed = closed_sites(input);
         let site_limits: Vec<Option<GrowthLimit>> = (0..input.sites.len())
             .map(|site| {
@@ -126,21 +131,26 @@
             sites_per_s: site_limits.iter().map(|limit| limit.map(GrowthLimit::per_s)).collect(),
             site_links: input.sites.iter().map(|site| site.link).collect(),
             links_per_s: input.links_per_s.iter().map(|limit| limit * elapsed_s).collect(),
-            gain: self.gain(elapsed_s),
         };
         let allowed = allow(&flows, &limits);
         self.remember(input, &flows, &allowed, now);
         (allowed, site_limits)
     }
 
-    fn gain(&self, elapsed_s: f64) -> f64 {
+    /// Returns the part of a wished move that a flow makes in this step.
+    fn gain(&self, flow: &GuardedFlow, input: &GuardInput, elapsed_s: f64) -> f64 {
+        let ages = flow.sites.iter().map(|site| input.sites[*site].figures.age.as_secs_f64());
+        let mean_age_s = ages.sum::<f64>() / flow.sites.len().max(1) as f64;
         match self.damping {
-            Damping::On => 1.0 - (-elapsed_s / DAMPING_S).exp(),
+            Damping::On => {
+                let damping_s = DAMPING_S + DAMPING_PER_AGE * mean_age_s;
+                1.0 - (-elapsed_s / damping_s).exp()
+            }
             Damping::Off => 1.0,
         }
     }
 
-    fn wish(&self, flow: &GuardedFlow, input: &GuardInput) -> FlowWish {
+    fn wish(&self, flow: &GuardedFlow, input: &GuardInput, elapsed_s: f64) -> FlowWish {
         let by_zone = self.weights.get(&flow.service).map(|arms| weights_in_force(arms, flow));
         let weight_of = |by_zone: &HashMap<Arc<str>, f64>, site: &usize| {
             by_zone.get(&input.sites[*site].name.availability_zone).copied().unwrap_or(0.0)
@@ -151,6 +161,7 @@
             current: by_zone
                 .map(|by_zone| flow.sites.iter().map(|site| weight_of(&by_zone, site)).collect()),
             wished: flow.wished.clone(),
+            gain: self.gain(flow, input, elapsed_s),
         }
     }
 
--- a/crates/steering/tests/guard.rs
+++ b/crates/steering/tests/guard.rs
@@ -23,21 +23,26 @@
             prop::collection::vec(limit, sites),
             prop::collection::vec(0..links, sites),
             prop::collection::vec(0.0..50.0_f64, links),
-            0.01..=1.0_f64,
         )
-            .prop_map(|(sites_per_s, site_links, links_per_s, gain)| Limits {
+            .prop_map(|(sites_per_s, site_links, links_per_s)| Limits {
                 sites_per_s,
                 site_links,
                 links_per_s,
-                gain,
             });
         let weights = prop::collection::vec(prop_oneof![Just(0.0), 0.0..1.0_f64], sites);
-        let flow = (0.0..200.0_f64, prop::option::of(weights.clone()), weights, 0.0..=1.0_f64)
-            .prop_map(move |(rate_per_s, current, wished, placed)| FlowWish {
+        let flow = (
+            0.0..200.0_f64,
+            prop::option::of(weights.clone()),
+            weights,
+            0.0..=1.0_f64,
+            0.01..=1.0_f64,
+        )
+            .prop_map(move |(rate_per_s, current, wished, placed, gain)| FlowWish {
                 rate_per_s,
                 sites: (0..sites).collect(),
                 current: current.map(|current| scaled(current, placed)),
                 wished: scaled(wished, 1.0),
+                gain,
             });
         (prop::collection::vec(flow, flows), limits)
     })
@@ -97,10 +102,10 @@
 
     /// Without limits in the way, a whole step reaches the wish.
     #[test]
-    fn free_moves_reach_the_wish((flows, mut limits) in step()) {
+    fn free_moves_reach_the_wish((mut flows, mut limits) in step()) {
         limits.sites_per_s.iter_mut().for_each(|limit| *limit = Some(f64::MAX));
         limits.links_per_s.iter_mut().for_each(|limit| *limit = f64::MAX);
-        limits.gain = 1.0;
+        flows.iter_mut().for_each(|flow| flow.gain = 1.0);
 
         let allowed = allow(&flows, &limits);
 
