Bound what is spent over every window of one second

Cause: a bucket that holds its rate on average lets up to its burst more through in some window of one second. Change: a sliding window of 32 bins, all that a window can touch summed; requests for grants number themselves and name the reply that they hold, and the slots in use, so that the issuer knows what it can hand on. Proof: 10,000 cases against a log of every spending: no window above its limit, and a refusal only when the log over one bin more has no room; 10,000 cases of the time that a refusal names.

--- a/crates/peer/src/message/grant.rs
+++ b/crates/peer/src/message/grant.rs
@@ -7,10 +7,16 @@
 pub struct GrantRequest {
     /// Highest epoch that the asker has seen.
     pub known_epoch: u64,
+    /// Number of this request, counted by the asker from 1.
+    pub number: u64,
+    /// Number of the request whose reply the asker holds grants from; 0 when it holds none.
+    pub accepted_number: u64,
     /// What the asker would use on each link.
     pub links: Vec<LinkAmount>,
     /// What the asker would use at each site.
     pub sites: Vec<SiteAmount>,
+    /// Slots that the asker's exchanges occupy at each site.
+    pub in_use: Vec<SiteAmount>,
 }
 
 /// An amount on the link from the own availability zone to another.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod routing;
 pub mod servers;
+pub mod shares;
 pub mod time;
 pub mod watchers;
 
--- /dev/null
+++ b/crates/steering/tests/shares_window.rs
@@ -0,0 +1,84 @@
+//! The sliding window against a naive log of every time at which something was spent.
+
+use proptest::prelude::*;
+use steering::Time;
+use steering::shares::{SlidingWindow, WINDOW};
+
+/// Spending at `step_ms` after the one before, under the limit that then holds.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    step_ns: u64,
+    amount: u64,
+    limit: u64,
+}
+
+/// Steps from below a bin to above a window, and bursts in between.
+fn attempt() -> impl Strategy<Value = Attempt> {
+    let step_ns = prop_oneof![
+        3 => Just(0),
+        4 => 1_u64..40_000_000,
+        2 => Just(31_250_000),
+        1 => 900_000_000_u64..1_100_000_000,
+    ];
+    (step_ns, 1_u64..4, prop_oneof![0_u64..4, 4_u64..20])
+        .prop_map(|(step_ns, amount, limit)| Attempt { step_ns, amount, limit })
+}
+
+/// Sums what the log holds in the window of one second that ends with `now`.
+fn naive_spent(log: &[(Time, u64)], now: Time) -> u64 {
+    log.iter().filter(|(at, _)| now.since(*at) < WINDOW).map(|(_, amount)| amount).sum()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 10_000, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_window_holds_more_than_its_limit(
+        start_ns in 0_u64..100_000_000,
+        attempts in prop::collection::vec(attempt(), 1..60),
+    ) {
+        let mut window = SlidingWindow::default();
+        let mut log = Vec::new();
+        let mut now_ns = start_ns;
+
+        for Attempt { step_ns, amount, limit } in attempts {
+            now_ns += step_ns;
+            let now = Time::from_ns(now_ns);
+            match window.try_spend(now, amount, limit) {
+                Ok(()) => {
+                    log.push((now, amount));
+                    prop_assert!(naive_spent(&log, now) <= limit);
+                }
+                // A refusal is right if the log, over one bin more than a window, has no room.
+                Err(earliest) => {
+                    let longest = WINDOW + std::time::Duration::from_nanos(31_250_000);
+                    let spent: u64 = log.iter()
+                        .filter(|(at, _)| now.since(*at) < longest)
+                        .map(|(_, amount)| amount).sum();
+                    prop_assert!(spent + amount > limit);
+                    prop_assert_eq!(earliest.is_none(), amount > limit);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_refusal_names_the_first_time_with_room(
+        attempts in prop::collection::vec(attempt(), 1..40),
+        limit in 3_u64..20,
+    ) {
+        let mut window = SlidingWindow::default();
+        let mut now_ns = 0;
+        for Attempt { step_ns, amount, .. } in attempts {
+            now_ns += step_ns;
+            if let Err(earliest) = window.try_spend(Time::from_ns(now_ns), amount, limit) {
+                let earliest = earliest.expect("an amount below the limit");
+
+                let just_before = Time::from_ns(earliest.as_ns() - 1);
+                prop_assert!(window.clone().try_spend(just_before, amount, limit).is_err());
+                prop_assert!(window.clone().try_spend(earliest, amount, limit).is_ok());
+            }
+        }
+    }
+}
