Spend a share of the link before each attempt

Cause: nothing kept the requests on a link within its cap. Change: each cap is floors of numbered slots plus a rest. A reservation spends a share right before dispatch. A release of grants names the last request that it covers.

--- a/crates/lab/src/laboratory.rs
+++ b/crates/lab/src/laboratory.rs
@@ -225,6 +225,7 @@
 fn is_ready(daemon: &Daemon) -> bool {
     let process = daemon.process();
     process.version.load().is_some()
+        && process.shares.is_ready(process.clock.now())
         && process.members.load().as_ref().is_some_and(|members| !members.members.is_empty())
 }
 
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -130,6 +130,9 @@
   knownEpoch @0 :UInt64;
   links @1 :List(LinkAmount);
   sites @2 :List(SiteAmount);
+  number @3 :UInt64;
+  acceptedNumber @4 :UInt64;
+  inUse @5 :List(SiteAmount);
 }
 
 struct LinkAmount {
@@ -153,6 +156,7 @@
 
 struct ReleaseRequest {
   epoch @0 :UInt64;
+  number @1 :UInt64;
 }
 
 struct PromiseRequest {
--- a/crates/peer/src/codec/grant.rs
+++ b/crates/peer/src/codec/grant.rs
@@ -13,7 +13,10 @@
 pub(super) fn write_request(mut builder: grant_request::Builder<'_>, request: &GrantRequest) {
     builder.set_known_epoch(request.known_epoch);
     write_links(builder.reborrow().init_links(list_len(&request.links)), &request.links);
-    write_sites(builder.init_sites(list_len(&request.sites)), &request.sites);
+    write_sites(builder.reborrow().init_sites(list_len(&request.sites)), &request.sites);
+    builder.set_number(request.number);
+    builder.set_accepted_number(request.accepted_number);
+    write_sites(builder.init_in_use(list_len(&request.in_use)), &request.in_use);
 }
 
 pub(super) fn read_request(reader: grant_request::Reader<'_>) -> Result<GrantRequest, CodecError> {
@@ -21,6 +24,9 @@
         known_epoch: reader.get_known_epoch(),
         links: read_links(reader.get_links()?)?,
         sites: read_sites(reader.get_sites()?)?,
+        number: reader.get_number(),
+        accepted_number: reader.get_accepted_number(),
+        in_use: read_sites(reader.get_in_use()?)?,
     })
 }
 
@@ -40,8 +46,13 @@
     })
 }
 
+pub(super) fn write_release(mut builder: release_request::Builder<'_>, request: ReleaseRequest) {
+    builder.set_epoch(request.epoch);
+    builder.set_number(request.number);
+}
+
 pub(super) fn read_release(reader: release_request::Reader<'_>) -> ReleaseRequest {
-    ReleaseRequest { epoch: reader.get_epoch() }
+    ReleaseRequest { epoch: reader.get_epoch(), number: reader.get_number() }
 }
 
 pub(super) fn write_promise(mut builder: promise_request::Builder<'_>, request: PromiseRequest) {
--- a/crates/peer/src/codec/mod.rs
+++ b/crates/peer/src/codec/mod.rs
@@ -70,7 +70,7 @@
         Request::Manifest(request) => configuration::write_manifest(root.init_manifest(), request),
         Request::Chunk(request) => configuration::write_chunk(root.init_chunk(), request),
         Request::Grant(request) => grant::write_request(root.init_grant(), request),
-        Request::Release(request) => root.init_release().set_epoch(request.epoch),
+        Request::Release(request) => grant::write_release(root.init_release(), *request),
         Request::Promise(request) => grant::write_promise(root.init_promise(), *request),
         Request::HandOver(request) => hand_over::write(root.init_hand_over(), request),
     }
--- a/crates/peer/src/message/grant.rs
+++ b/crates/peer/src/message/grant.rs
@@ -59,6 +59,8 @@
 pub struct ReleaseRequest {
     /// The epoch.
     pub epoch: u64,
+    /// Number of the asker's last request for grants; later ones are not given back.
+    pub number: u64,
 }
 
 /// Asks for a promise not to take the session while the platform is down.
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -7,7 +7,7 @@
 use super::peer_metrics::PeerMetrics;
 use super::peers::{self, Answerer};
 use super::platform_budget::{self, Budget};
-use super::{Process, membership, planned_stop, routing};
+use super::{Process, membership, planned_stop, routing, shares};
 use crate::connection::dialer::{Dialer, TcpDialer};
 use crate::connection::listener::{self, Listener};
 use crate::error::DaemonError;
@@ -21,6 +21,9 @@
 use steering::Incarnation;
 use tokio::task::JoinSet;
 
+/// Longest wait for the platform to take back shares at a planned stop.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What a daemon gets from outside, so that tests can put small fakes in its place.
 pub struct Dependencies {
     /// The platform's object API.
@@ -79,7 +82,7 @@
             budget.ordinary.clone(),
             Arc::new(client),
             metrics,
-        ));
+        )?);
         process.configuration.set_store_for_proposals(budget.proposals);
         let transport =
             starter.start(peers.into_std()?, Arc::new(Answerer::new(process.clone())))?;
@@ -88,6 +91,7 @@
         background.spawn(membership::refresh(process.clone(), budget.ordinary.clone()));
         background.spawn(platform_budget::keep_rate(process.clone(), budget.ordinary));
         background.spawn(routing::run(process.clone()));
+        background.spawn(shares::run(process.clone()));
         let callers = Listener::start(callers, process.clone(), request::serve_caller);
         let admin = Listener::start(admin, process.clone(), request::serve_admin);
         log::info!(
@@ -137,6 +141,9 @@
         handing_over.finish().await;
         self.admin.close();
         self.background.shutdown().await;
+        if tokio::time::timeout(RELEASE_TIMEOUT, shares::release(&self.process)).await.is_err() {
+            log::warn!("shares were not given back in time");
+        }
         drop(self.transport);
         log::info!("planned stop complete");
     }
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod planned_stop;
 pub mod platform_budget;
 pub mod routing;
+pub mod shares;
 pub mod signal;
 pub mod waiting;
 
@@ -32,6 +33,7 @@
 use peer::PeerClient;
 use platform::ObjectStore;
 use routing::Routing;
+use shares::ShareState;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use steering::Incarnation;
@@ -68,6 +70,8 @@
     pub ledger: Arc<LedgerState>,
     /// Figures of the sites and the tables built from them.
     pub routing: Routing,
+    /// Shares of links, spent before a request is dispatched.
+    pub shares: ShareState,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Set once a planned stop began.
@@ -91,9 +95,11 @@
         store: Arc<dyn ObjectStore>,
         peers: Arc<dyn PeerClient>,
         metrics: Metrics,
-    ) -> Self {
+    ) -> Result<Self, prometheus::Error> {
+        let name = settings.name.clone();
+        let shares = ShareState::new(incarnation, name, clock.now(), metrics.registry())?;
         let ledger = LedgerState::new(incarnation, clock.clone(), metrics.ledger.clone());
-        Self {
+        Ok(Self {
             settings,
             incarnation,
             clock,
@@ -108,11 +114,12 @@
             pools: Pools::default(),
             ledger: Arc::new(ledger),
             routing: Routing::new(incarnation.0),
+            shares,
             metrics,
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             idle: Notify::new(),
-        }
+        })
     }
 
     /// Tells whether a planned stop began.
--- a/crates/runpind/src/process/peers.rs
+++ b/crates/runpind/src/process/peers.rs
@@ -1,9 +1,9 @@
 //! Calls to and from other instances.
 
-use super::Process;
 use super::configuration::answer::{answer_chunk, answer_manifest};
 use super::ledger::hand_over::answer_hand_over;
 use super::peer_metrics::PeerMetrics;
+use super::{Process, shares};
 use crate::connection::dialer::{Dialer, Endpoint};
 use crate::error::DaemonError;
 use crate::settings::{Secret, Settings};
@@ -74,6 +74,9 @@
             }
             Request::Chunk(request) => Reply::Chunk(answer_chunk(&self.process, &request)),
             Request::HandOver(request) => Reply::HandOver(answer_hand_over(&self.process, request)),
+            Request::Grant(request) => shares::answer_grant(&self.process, &from, &request),
+            Request::Release(request) => shares::answer_release(&self.process, &from, request),
+            Request::Promise(request) => shares::answer_promise(&self.process, &from, request),
             _ => Reply::Refused,
         }
     }
--- /dev/null
+++ b/crates/runpind/src/process/shares/convert.rs
@@ -0,0 +1,77 @@
+//! Between messages and decisions.
+
+use peer::message::{GrantReply, GrantRequest, LinkAmount, SiteAmount};
+use std::time::Duration;
+use steering::shares::{Amounts, Ask, Grant, Resource};
+
+/// Thousandths of a request in one request.
+const THOUSANDTHS: u64 = 1_000;
+
+pub(super) fn request_of(ask: &Ask) -> GrantRequest {
+    let (links, sites) = split(&ask.wanted);
+    GrantRequest {
+        known_epoch: ask.known_epoch,
+        number: ask.number,
+        accepted_number: ask.accepted_number,
+        links,
+        sites,
+        in_use: split(&ask.in_use).1,
+    }
+}
+
+pub(super) fn ask_of(request: &GrantRequest) -> Ask {
+    Ask {
+        number: request.number,
+        accepted_number: request.accepted_number,
+        known_epoch: request.known_epoch,
+        wanted: join(&request.links, &request.sites),
+        in_use: join(&[], &request.in_use),
+    }
+}
+
+pub(super) fn reply_of(grant: &Grant) -> GrantReply {
+    let (links, sites) = split(&grant.amounts);
+    let lasts_ms = grant.lasts.as_millis() as u64;
+    GrantReply { epoch: grant.epoch, lasts_ms, links, sites }
+}
+
+/// Reads the reply to request `number`; `None` when the other side does not hold the session.
+pub(super) fn grant_of(reply: &GrantReply, number: u64) -> Option<Grant> {
+    (reply.epoch > 0).then(|| Grant {
+        epoch: reply.epoch,
+        number,
+        lasts: Duration::from_millis(reply.lasts_ms),
+        amounts: join(&reply.links, &reply.sites),
+    })
+}
+
+fn split(amounts: &Amounts) -> (Vec<LinkAmount>, Vec<SiteAmount>) {
+    let (mut links, mut sites) = (Vec::new(), Vec::new());
+    for (resource, amount) in amounts.iter().filter(|(_, amount)| **amount > 0) {
+        match resource {
+            Resource::Link { to } => links.push(LinkAmount {
+                to: to.clone(),
+                requests_per_ks: amount.saturating_mul(THOUSANDTHS),
+                bytes_per_s: 0,
+            }),
+            Resource::Site { service, availability_zone } => sites.push(SiteAmount {
+                service: service.clone(),
+                availability_zone: availability_zone.clone(),
+                slots: u32::try_from(*amount).unwrap_or(u32::MAX),
+            }),
+        }
+    }
+    (links, sites)
+}
+
+fn join(links: &[LinkAmount], sites: &[SiteAmount]) -> Amounts {
+    let links = links
+        .iter()
+        .map(|link| (Resource::Link { to: link.to.clone() }, link.requests_per_ks / THOUSANDTHS));
+    let sites = sites.iter().map(|site| {
+        let service = site.service.clone();
+        let availability_zone = site.availability_zone.clone();
+        (Resource::Site { service, availability_zone }, u64::from(site.slots))
+    });
+    links.chain(sites).collect()
+}
--- /dev/null
+++ b/crates/runpind/src/process/shares/coordination.rs
@@ -0,0 +1,320 @@
+//! Numbered slots and the session of the availability zone, kept in the platform.
+
+use super::Coordination;
+use super::grants::{ask, call, endpoint_of};
+use crate::process::Process;
+use bytes::Bytes;
+use peer::Request;
+use peer::message::ReleaseRequest;
+use platform::{Expected, StoreError, Version, WriteOutcome, write_settled};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use steering::Time;
+use steering::shares::timing::RENEWAL_PERIOD;
+use steering::shares::{SessionRecord, SessionWrite, SlotTable, WriteId};
+
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time between two reads while nothing is amiss.
+const CALM_READ_PERIOD: Duration = Duration::from_secs(30);
+
+/// Time between two reads while there is no slot, or no contact with a session holder.
+const ANXIOUS_READ_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between two looks of the session holder at the slots.
+const HOLDER_READ_PERIOD: Duration = Duration::from_secs(5);
+
+/// Attempts at a conditional update of the slots before the next tick.
+const CLAIM_ATTEMPTS: usize = 5;
+
+/// Age of the last contact above which the session holder counts as out of reach.
+const CONTACT_AGE_LIMIT_MS: u64 = 2_000;
+
+/// When each object was last dealt with.
+#[derive(Default)]
+struct LastTimes {
+    slots: Option<Time>,
+    session: Option<Time>,
+}
+
+/// Keeps the slot and the session up to date until the task is dropped.
+pub async fn run(process: Arc<Process>) {
+    let mut last = LastTimes::default();
+    loop {
+        if process.shares.adopt_plan(process.version.load().as_deref()) {
+            step(&process, &mut last).await;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn step(process: &Process, last: &mut LastTimes) {
+    let now = process.clock.now();
+    if is_due(now, last.slots, slots_period(process, now)) {
+        last.slots = Some(now);
+        refresh_slots(process).await;
+    }
+    let now = process.clock.now();
+    if is_due(now, last.session, session_period(process, now)) {
+        last.session = Some(now);
+        refresh_session(process).await;
+    }
+}
+
+fn is_due(now: Time, last: Option<Time>, period: Duration) -> bool {
+    last.is_none_or(|last| now.since(last) >= period)
+}
+
+fn slots_period(process: &Process, now: Time) -> Duration {
+    let has_slot = process.shares.shares.lock().slot().is_some();
+    let holds = process.shares.coordination.lock().session.holds(now).is_some();
+    match (has_slot, holds) {
+        (false, _) => ANXIOUS_READ_PERIOD,
+        (true, true) => HOLDER_READ_PERIOD,
+        (true, false) => CALM_READ_PERIOD,
+    }
+}
+
+fn session_period(process: &Process, now: Time) -> Duration {
+    if process.shares.coordination.lock().session.holds(now).is_some() {
+        return RENEWAL_PERIOD;
+    }
+    let age_ms = process.shares.shares.lock().holder_age_ms(now);
+    match age_ms {
+        Some(age_ms) if age_ms < CONTACT_AGE_LIMIT_MS => CALM_READ_PERIOD,
+        _ => ANXIOUS_READ_PERIOD,
+    }
+}
+
+fn slots_key(process: &Process) -> String {
+    format!("runpin/zones/{}/slots", process.settings.availability_zone)
+}
+
+fn session_key(process: &Process) -> String {
+    format!("runpin/zones/{}/session", process.settings.availability_zone)
+}
+
+/// Reads the slots, and claims, confirms or takes back what is due.
+async fn refresh_slots(process: &Process) {
+    for _ in 0..CLAIM_ATTEMPTS {
+        let sent_at = process.clock.now();
+        let Ok((version, table)) = read::<SlotTable>(process, &slots_key(process)).await else {
+            return;
+        };
+        let mut table = table.unwrap_or_default();
+        let Some(change) = change_slots(process, &mut table, sent_at) else {
+            process.shares.coordination.lock().table = version.map(|version| (version, table));
+            return;
+        };
+        match write_slots(process, &mut table, version).await {
+            Ok(WriteOutcome::Written(version)) => {
+                let now = process.clock.now();
+                if let Change::Claimed(claim) = change {
+                    log::info!("slot {} is claimed", claim.number);
+                    process.shares.shares.lock().set_slot(Some(claim.held(now)));
+                }
+                process.shares.shares.lock().on_contact(sent_at);
+                process.shares.coordination.lock().table = Some((version, table));
+                return;
+            }
+            Ok(WriteOutcome::Lost { .. }) => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// What a change of the slots is for.
+enum Change {
+    /// This instance claims a slot.
+    Claimed(steering::shares::Claim),
+    /// Any other.
+    Upkeep,
+}
+
+/// Makes the change to the slots that is due; `None` if there is none.
+fn change_slots(process: &Process, table: &mut SlotTable, sent_at: Time) -> Option<Change> {
+    let me = process.incarnation;
+    let mut coordination = process.shares.coordination.lock();
+    let mut shares = process.shares.shares.lock();
+    let now = process.clock.now();
+    table.grow(coordination.plan.instance_slots);
+    match table.of(me) {
+        Some((number, false)) => {
+            shares.on_contact(sent_at);
+            if shares.slot().is_none_or(|slot| slot.number != number) {
+                let claim = steering::shares::Claim { number, used_before: true };
+                shares.set_slot(Some(claim.held(now)));
+            }
+        }
+        Some((_, true)) => {
+            table.set_revoking(me, false);
+            return Some(Change::Upkeep);
+        }
+        None => {
+            if shares.slot().is_some() {
+                log::warn!("the slot of this instance was taken back");
+                shares.set_slot(None);
+            }
+            if !process.is_draining()
+                && let Some(claim) = table.claim(me, &process.settings.name)
+            {
+                return Some(Change::Claimed(claim));
+            }
+        }
+    }
+    drop(shares);
+    reclaim(process, &mut coordination, table, now).then_some(Change::Upkeep)
+}
+
+/// As the session holder, takes back slots of instances that are gone.
+fn reclaim(
+    process: &Process,
+    coordination: &mut Coordination,
+    table: &mut SlotTable,
+    now: Time,
+) -> bool {
+    let members = process.members.load();
+    let Some(members) = members.as_ref().filter(|_| coordination.session.holds(now).is_some())
+    else {
+        return false;
+    };
+    let is_listed = |name: &str| members.members.iter().any(|member| &*member.name == name);
+    let Coordination { reclaimer, contacts, allocator, .. } = coordination;
+    if let Some(allocator) = allocator.as_mut().filter(|_| table.has_free()) {
+        allocator.all_heard(table.owners().map(|(owner, _)| owner), now);
+    }
+    reclaimer.step(table, now, is_listed, |owner| contacts.get(&owner).copied())
+}
+
+async fn write_slots(
+    process: &Process,
+    table: &mut SlotTable,
+    version: Option<Version>,
+) -> Result<WriteOutcome, StoreError> {
+    table.write = next_write_id(process);
+    write_settled(&*process.store, &slots_key(process), encode(table), expected(version)).await
+}
+
+fn next_write_id(process: &Process) -> WriteId {
+    let mut coordination = process.shares.coordination.lock();
+    coordination.writes += 1;
+    WriteId { writer: process.incarnation.0, number: coordination.writes }
+}
+
+/// Renews the session, or reads it and claims it where that is due.
+async fn refresh_session(process: &Process) {
+    let held = process.shares.coordination.lock().session.holds(process.clock.now()).is_some();
+    if !held && read_session(process).await.is_err() {
+        return;
+    }
+    let Some(write) = next_write(process) else { return };
+    if write_session(process, write).await {
+        ask(process).await;
+    } else {
+        // It says what became of a write whose answer was lost, or who came first.
+        let _ = read_session(process).await;
+    }
+}
+
+async fn read_session(process: &Process) -> Result<(), StoreError> {
+    let (version, record) = read::<SessionRecord>(process, &session_key(process)).await?;
+    let now = process.clock.now();
+    let mut coordination = process.shares.coordination.lock();
+    coordination.session.on_read(now, version.map(|version| version.0), record);
+    process.shares.shares.lock().on_epoch(coordination.session.known_epoch());
+    Ok(())
+}
+
+fn next_write(process: &Process) -> Option<SessionWrite> {
+    let mut coordination = process.shares.coordination.lock();
+    let Coordination { session, table, .. } = &mut *coordination;
+    let (_, table) = table.as_ref()?;
+    let electors: BTreeSet<Arc<str>> = table.owners().map(|(_, name)| name.clone()).collect();
+    // Whoever has no slot may not hold the session.
+    if process.is_draining() || table.of(process.incarnation).is_none() {
+        return None;
+    }
+    session.next_write(process.clock.now(), &electors)
+}
+
+/// Sends a write of the session; true if it took effect.
+async fn write_session(process: &Process, write: SessionWrite) -> bool {
+    let key = session_key(process);
+    let value = encode(&write.record);
+    let written = process.store.put(&key, value, expected(write.expected.map(Version))).await;
+    let now = process.clock.now();
+    let mut coordination = process.shares.coordination.lock();
+    let session = &mut coordination.session;
+    let held_before = session.holds(now);
+    match &written {
+        Ok(version) => session.on_written(now, version.0),
+        Err(StoreError::Unavailable(_) | StoreError::TooLarge { .. }) => session.on_not_sent(),
+        // It may have taken effect, or may yet: the next read tells.
+        Err(_) => {}
+    }
+    if session.holds(now).is_some() && session.holds(now) != held_before {
+        log::info!("session epoch {} is held", session.known_epoch());
+    }
+    process.shares.shares.lock().on_epoch(session.known_epoch());
+    written.is_ok()
+}
+
+/// At the end of a planned stop, gives back grants, the slot and the session.
+pub async fn release(process: &Process) {
+    release_grants(process).await;
+    for _ in 0..CLAIM_ATTEMPTS {
+        let Ok((version, Some(mut table))) = read::<SlotTable>(process, &slots_key(process)).await
+        else {
+            break;
+        };
+        process.shares.shares.lock().set_slot(None);
+        if !table.release(process.incarnation) {
+            break;
+        }
+        if matches!(
+            write_slots(process, &mut table, version).await,
+            Ok(WriteOutcome::Written(_)) | Err(_)
+        ) {
+            break;
+        }
+    }
+    let write = process.shares.coordination.lock().session.release(process.clock.now());
+    if let Some(write) = write {
+        write_session(process, write).await;
+    }
+}
+
+async fn release_grants(process: &Process) {
+    let (epoch, number) = process.shares.shares.lock().release_grants();
+    let holder = process.shares.coordination.lock().session.holder_name().cloned();
+    if let Some(endpoint) = holder.and_then(|name| endpoint_of(process, &name)) {
+        // Lost, it only means that the grants last until they are over.
+        let _ = call(process, &endpoint, Request::Release(ReleaseRequest { epoch, number })).await;
+    }
+}
+
+/// Reads an object; one that can't be understood is a failure of the protocol.
+async fn read<T: DeserializeOwned>(
+    process: &Process,
+    key: &str,
+) -> Result<(Option<Version>, Option<T>), StoreError> {
+    let Some(object) = process.store.get(key).await? else { return Ok((None, None)) };
+    let value = serde_json::from_slice(&object.value).map_err(|error| {
+        log::warn!("the object {key} is not understood: {error}");
+        StoreError::Protocol { status: 200 }
+    })?;
+    Ok((Some(object.version), Some(value)))
+}
+
+fn encode<T: Serialize>(value: &T) -> Bytes {
+    // These types have no maps with other keys than text, so they always have a JSON form.
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
+
+fn expected(version: Option<Version>) -> Expected {
+    version.map_or(Expected::Absent, Expected::Version)
+}
--- /dev/null
+++ b/crates/runpind/src/process/shares/mod.rs
@@ -0,0 +1,136 @@
+//! The shares of this instance and, where it holds the session, those of its availability zone.
+//!
+//! Two loops run: [`coordination`] talks to the platform, [`grants`] to other instances, so that a
+//! slow platform does not delay grants.  [`ShareState::spend`] is on the path of every request and
+//! touches neither.
+
+mod answer;
+mod convert;
+mod coordination;
+mod grants;
+mod metrics;
+mod status;
+
+pub use answer::{answer_grant, answer_promise, answer_release};
+pub use coordination::{release, run as coordinate};
+pub use grants::run as ask_for_grants;
+pub use status::{SessionStatus, SharesStatus};
+
+use super::Process;
+use crate::version::Version;
+use metrics::ShareMetrics;
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use steering::shares::{
+    Allocator, Amounts, Plan, Reclaimer, Session, ShareRefusal, Shares, SlotTable, Spent,
+};
+use steering::{Incarnation, Time};
+
+/// Shares of one daemon.
+pub struct ShareState {
+    shares: Mutex<Shares>,
+    coordination: Mutex<Coordination>,
+    metrics: ShareMetrics,
+}
+
+/// What the daemon knows of its availability zone's session and slots.
+struct Coordination {
+    session: Session,
+    allocator: Option<Allocator>,
+    reclaimer: Reclaimer,
+    /// When each instance last asked this one, as the session holder.
+    contacts: HashMap<Incarnation, Time>,
+    table: Option<(platform::Version, SlotTable)>,
+    plan: Arc<Plan>,
+    /// Version of the configuration that `plan` was made from.
+    plan_number: u64,
+    writes: u64,
+}
+
+impl ShareState {
+    /// Starts without any share.
+    pub fn new(
+        incarnation: Incarnation,
+        name: Arc<str>,
+        now: Time,
+        registry: &prometheus::Registry,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            shares: Mutex::default(),
+            coordination: Mutex::new(Coordination {
+                session: Session::new(incarnation, name, now),
+                allocator: None,
+                reclaimer: Reclaimer::default(),
+                contacts: HashMap::new(),
+                table: None,
+                plan: Arc::default(),
+                plan_number: 0,
+                writes: 0,
+            }),
+            metrics: ShareMetrics::new(registry)?,
+        })
+    }
+
+    /// Spends what an exchange needs, right before it is dispatched.
+    pub fn spend(
+        &self,
+        to: &Arc<str>,
+        service: &Arc<str>,
+        now: Time,
+    ) -> Result<Spent, ShareRefusal> {
+        let spent = self.shares.lock().spend(to, service, now);
+        match &spent {
+            Ok(_) => self.metrics.spent.inc(),
+            Err(refusal) => self.metrics.refused.with_label_values(&[refusal.cause.as_str()]).inc(),
+        }
+        spent
+    }
+
+    /// Gives back what an exchange occupied until its end.
+    pub fn give_back(&self, spent: &Spent) {
+        self.shares.lock().give_back(spent);
+    }
+
+    /// Tells whether this instance has a numbered slot or holds grants.
+    pub fn is_ready(&self, now: Time) -> bool {
+        let shares = self.shares.lock();
+        shares.slot().is_some_and(|slot| now >= slot.usable_from) || shares.has_grants(now)
+    }
+
+    /// Adopts the caps of the version in force; false while none is.
+    fn adopt_plan(&self, version: Option<&Version>) -> bool {
+        let Some(version) = version else { return false };
+        let Some(own) = version.own_zone else { return false };
+        let mut coordination = self.coordination.lock();
+        if coordination.plan_number != version.number {
+            let plan = Arc::new(Plan::new(&version.configuration, own));
+            self.shares.lock().set_plan(&plan);
+            coordination.plan = plan;
+            coordination.plan_number = version.number;
+        }
+        true
+    }
+}
+
+impl Coordination {
+    /// Returns the epoch that this instance may grant under now, with an allocator for it.
+    fn holds(&mut self, now: Time) -> Option<u64> {
+        let epoch = self.session.holds(now)?;
+        if self.allocator.as_ref().is_none_or(|allocator| allocator.epoch() != epoch) {
+            self.allocator = Some(Allocator::new(epoch, now, self.session.is_first_epoch()));
+            self.contacts.clear();
+        }
+        Some(epoch)
+    }
+
+    /// Returns what the session holder divides.
+    fn rest(&self) -> Amounts {
+        self.plan.caps.iter().map(|(resource, cap)| (resource.clone(), cap.rest())).collect()
+    }
+}
+
+/// Keeps the shares of a daemon up to date, for ever.
+pub async fn run(process: Arc<Process>) {
+    tokio::join!(coordinate(process.clone()), ask_for_grants(process));
+}
--- a/crates/runpind/src/request/admin/health.rs
+++ b/crates/runpind/src/request/admin/health.rs
@@ -18,6 +18,7 @@
         InstanceState::Ready => return Ok(text(StatusCode::OK, "ready\n")),
         InstanceState::Stopping => "draining\n".to_owned(),
         InstanceState::Drained => "drained by an operator\n".to_owned(),
+        InstanceState::NoShare => "no share of any link yet\n".to_owned(),
         InstanceState::NoConfiguration => {
             format!("{}\n", process.configuration.status().explain())
         }
--- a/crates/runpind/src/request/admin/status.rs
+++ b/crates/runpind/src/request/admin/status.rs
@@ -41,6 +41,8 @@
     Stopping,
     /// An operator drained it or its availability zone.
     Drained,
+    /// It has neither a numbered slot nor grants.
+    NoShare,
     /// It knows no configuration.
     NoConfiguration,
     /// The configuration does not have its availability zone.
@@ -122,6 +124,7 @@
     match version.own_zone {
         None => InstanceState::UnknownAvailabilityZone,
         zone if drained.has_instance(&process.settings.name, zone) => InstanceState::Drained,
+        Some(_) if !process.shares.is_ready(process.clock.now()) => InstanceState::NoShare,
         Some(_) => InstanceState::Ready,
     }
 }
--- a/crates/runpind/src/request/reserve.rs
+++ b/crates/runpind/src/request/reserve.rs
@@ -1,13 +1,29 @@
 //! Spending the shares of a link and a site just before a request is sent.
 
 use super::forward::Exchange;
+use crate::process::Process;
 use configuration::SiteIndex;
+use std::sync::Arc;
+use steering::shares::{ShareRefusal, Spent};
 
 /// What was spent for one attempt: the site's slot is given back when the exchange ends.
-pub(super) struct Reservation;
+pub(super) struct Reservation {
+    process: Arc<Process>,
+    spent: Spent,
+}
+
+/// Spends what an attempt at a site needs; the refusal says when to come back.
+pub(super) fn take(exchange: &Exchange, site: SiteIndex) -> Result<Reservation, ShareRefusal> {
+    let process = &exchange.process;
+    let service = exchange.service();
+    let zone = service.sites[site.get()].availability_zone;
+    let to = &exchange.version.configuration.availability_zones[zone.get()].name;
+    let spent = process.shares.spend(to, &service.name, process.clock.now())?;
+    Ok(Reservation { process: process.clone(), spent })
+}
 
-/// Spends what an attempt at a site needs; `None` when a share does not allow it now.
-pub(super) fn take(exchange: &Exchange, site: SiteIndex) -> Option<Reservation> {
-    exchange.service().sites.get(site.get())?;
-    Some(Reservation)
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.process.shares.give_back(&self.spent);
+    }
 }
--- a/crates/steering/src/shares/mod.rs
+++ b/crates/steering/src/shares/mod.rs
@@ -1,8 +1,31 @@
 //! Shares of what is capped: requests a second on links, and slots at sites.
 //!
 //! A share is spent before a request is dispatched, so that a figure that lags can cost throughput
-//! but never break a cap.  Shares, of which each is at any time in one hand only, add up to the cap.
+//! but never break a cap.  Every part of a cap is in one hand only:
+//!
+//! - a *floor* belongs to a numbered slot ([`SlotTable`]) of an availability zone, and goes on
+//!   while neither the platform nor any other instance can be reached;
+//! - the rest is divided by the holder of the zone's [`Session`], as grants that last seconds
+//!   ([`Allocator`]).
+//!
+//! [`Shares`] is what one instance may spend of both.
 
+mod allocator;
+mod demand;
+mod grant;
+mod instance;
+mod refusal;
+mod resource;
+mod session;
+mod slots;
+pub mod timing;
 mod window;
 
+pub use allocator::Allocator;
+pub use grant::{Amounts, Ask, Grant, GrantRefusal};
+pub use instance::{ShareStatus, Shares, Spent};
+pub use refusal::{RefusalCause, ShareRefusal};
+pub use resource::{Cap, Plan, Resource};
+pub use session::{Observed, Session, SessionRecord, SessionWrite};
+pub use slots::{Claim, HeldSlot, Reclaimer, Slot, SlotTable, WriteId};
 pub use window::{SlidingWindow, WINDOW};
--- /dev/null
+++ b/crates/steering/src/shares/resource.rs
@@ -0,0 +1,95 @@
+//! What is capped, and how much of it an availability zone has.
+
+use configuration::{Configuration, ZoneIndex};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Something of which an availability zone has a share.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Resource {
+    /// Requests a second on the link from the own availability zone.
+    Link {
+        /// Availability zone that the link leads to.
+        to: Arc<str>,
+    },
+    /// Slots at a site.
+    Site {
+        /// The service.
+        service: Arc<str>,
+        /// The site's availability zone.
+        availability_zone: Arc<str>,
+    },
+}
+
+impl Resource {
+    /// Tells links from sites.
+    pub fn is_link(&self) -> bool {
+        matches!(self, Resource::Link { .. })
+    }
+}
+
+/// How a cap is divided into floors and a rest.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Cap {
+    /// What all may use together: requests a second, or slots.
+    pub total: u64,
+    /// The part that is fixed to the numbered slots of this availability zone.
+    pub floor_total: u64,
+    /// Numbered slots among which the floor is divided.
+    pub instance_slots: u32,
+}
+
+impl Cap {
+    /// Returns the floor of a numbered slot; the lowest numbers have what does not divide.
+    pub fn floor(&self, number: u32) -> u64 {
+        if number >= self.instance_slots {
+            return 0;
+        }
+        let slots = u64::from(self.instance_slots);
+        (self.floor_total + slots - 1 - u64::from(number)) / slots
+    }
+
+    /// Returns what is left beside the floors.
+    pub fn rest(&self) -> u64 {
+        self.total.saturating_sub(self.floor_total)
+    }
+}
+
+/// The caps that matter to the instances of one availability zone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Each resource with its cap.
+    pub caps: BTreeMap<Resource, Cap>,
+    /// Numbered slots of the availability zone.
+    pub instance_slots: u32,
+}
+
+impl Plan {
+    /// Divides the caps of a configuration, as seen from `own`.
+    ///
+    /// The floor of a site belongs to its own availability zone alone, as no other one can reach
+    /// the site when the two are cut off from each other.
+    pub fn new(configuration: &Configuration, own: ZoneIndex) -> Self {
+        let name = |zone: ZoneIndex| configuration.availability_zones[zone.get()].name.clone();
+        let links = configuration.links.iter().filter(|link| link.from == own);
+        let instance_slots = links.clone().map(|link| link.instance_slots).max().unwrap_or(0);
+        let caps = links
+            .map(|link| {
+                let cap = Cap {
+                    total: link.cap_requests_per_s,
+                    floor_total: part_of(link.cap_requests_per_s, link.floor_share),
+                    instance_slots: link.instance_slots,
+                };
+                (Resource::Link { to: name(link.to) }, cap)
+            })
+            .collect();
+        Self { caps, instance_slots }
+    }
+}
+
+/// Returns `share` of `total`, rounded down.
+fn part_of(total: u64, share: f64) -> u64 {
+    ((total as f64 * share) as u64).min(total)
+}
--- /dev/null
+++ b/crates/steering/tests/shares_zone/world.rs
@@ -0,0 +1,620 @@
+//! An availability zone's instances, the platform's objects and the messages between them.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use steering::shares::timing::{PROMISE_DURATION, SLOT_HOLD};
+use steering::shares::{
+    Allocator, Ask, Cap, Claim, Grant, Plan, Reclaimer, Resource, Session, SessionRecord,
+    SessionWrite, Shares, SlotTable, Spent, WriteId,
+};
+use steering::{Incarnation, Time};
+
+const LINK_CAP: u64 = 40;
+const SITE_CAP: u64 = 10;
+const INSTANCES: usize = 3;
+
+/// Window in which spending is summed; shorter than a second by how far clocks run apart.
+const CHECKED_WINDOW_NS: u64 = 985_000_000;
+
+/// What happens besides ordinary faults.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Options {
+    pub(crate) long_outages: bool,
+    pub(crate) replaced_often: bool,
+}
+
+/// Something on its way; `to` and `from` are incarnations.
+#[derive(Clone, Debug)]
+enum Message {
+    ReadSlots {
+        from: u64,
+        sent_at: Time,
+    },
+    Slots {
+        to: u64,
+        sent_at: Time,
+        version: Option<u64>,
+        table: SlotTable,
+    },
+    WriteSlots {
+        from: u64,
+        sent_at: Time,
+        table: SlotTable,
+        expected: Option<u64>,
+        claim: Option<Claim>,
+    },
+    SlotsWritten {
+        to: u64,
+        sent_at: Time,
+        table: SlotTable,
+        claim: Option<Claim>,
+    },
+    ReadSession {
+        from: u64,
+    },
+    SessionRead {
+        to: u64,
+        version: Option<u64>,
+        record: Option<SessionRecord>,
+    },
+    WriteSession {
+        from: u64,
+        write: SessionWrite,
+    },
+    SessionWritten {
+        to: u64,
+        write: SessionWrite,
+        result: Result<u64, ()>,
+    },
+    Ask {
+        from: u64,
+        to: u64,
+        sent_at: Time,
+        ask: Ask,
+    },
+    Grant {
+        to: u64,
+        sent_at: Time,
+        epoch: u64,
+        grant: Option<Grant>,
+    },
+    Release {
+        from: u64,
+        to: u64,
+        epoch: u64,
+        number: u64,
+    },
+    Promise {
+        from: u64,
+        to: u64,
+        sent_at: Time,
+        epoch: u64,
+    },
+    Promised {
+        to: u64,
+        by: Arc<str>,
+        sent_at: Time,
+        epoch: u64,
+    },
+}
+
+struct Node {
+    me: Incarnation,
+    name: Arc<str>,
+    /// What this clock shows at the start of the world, and its rate in parts per 1,000.
+    clock: (u64, u64),
+    shares: Shares,
+    session: Session,
+    allocator: Option<Allocator>,
+    reclaimer: Reclaimer,
+    contacts: HashMap<Incarnation, Time>,
+    table: Option<SlotTable>,
+    exchanges: Vec<(u64, Spent)>,
+    writes: u64,
+    paused: bool,
+}
+
+pub(crate) struct World {
+    options: Options,
+    random: SmallRng,
+    now_ns: u64,
+    nodes: Vec<Node>,
+    messages: Vec<Message>,
+    slots: (Option<u64>, SlotTable),
+    session: (Option<u64>, Option<SessionRecord>),
+    listed: BTreeSet<Arc<str>>,
+    outage: bool,
+    plan: Plan,
+    spent: Vec<u64>,
+    spent_total: u64,
+}
+
+fn link() -> Resource {
+    Resource::Link { to: "z".into() }
+}
+
+fn site() -> Resource {
+    Resource::Site { service: "s".into(), availability_zone: "z".into() }
+}
+
+impl World {
+    pub(crate) fn new(options: Options, seed: u64) -> Self {
+        let caps = BTreeMap::from([
+            (link(), Cap { total: LINK_CAP, floor_total: 16, instance_slots: 4 }),
+            (site(), Cap { total: SITE_CAP, floor_total: 4, instance_slots: 4 }),
+        ]);
+        let mut world = Self {
+            options,
+            random: SmallRng::seed_from_u64(seed),
+            now_ns: 1,
+            nodes: Vec::new(),
+            messages: Vec::new(),
+            slots: (None, SlotTable::default()),
+            session: (None, None),
+            listed: BTreeSet::new(),
+            outage: false,
+            plan: Plan { caps, instance_slots: 4 },
+            spent: Vec::new(),
+            spent_total: 0,
+        };
+        (0..INSTANCES).for_each(|number| world.start(&format!("i{number}")));
+        world
+    }
+
+    pub(crate) fn spent_total(&self) -> u64 {
+        self.spent_total
+    }
+
+    /// Does one thing at random, then checks the caps.
+    pub(crate) fn step(&mut self) {
+        match self.random.random_range(0..2_000) {
+            0..100 => self.pass_time(),
+            100..1_100 => self.deliver(),
+            1_100..1_120 => self.lose_or_double(),
+            1_120..1_600 => self.act(),
+            1_600..1_950 => self.spend(),
+            1_950..1_953 => self.pause(),
+            1_953..1_965 => self.wake(),
+            1_965 => self.outage = true,
+            1_966..1_970 => self.outage = false,
+            1_970 => self.replace(),
+            1_971..1_976 if self.options.replaced_often => self.replace(),
+            1_976..1_980 => self.mislist(),
+            _ => self.end_exchanges(),
+        }
+        self.check();
+    }
+
+    fn start(&mut self, name: &str) {
+        let me = Incarnation(self.random.random());
+        let clock = (self.random.random_range(0..1 << 40), self.random.random_range(996..1_005));
+        let name: Arc<str> = name.into();
+        let now = local(clock, self.now_ns);
+        let mut shares = Shares::default();
+        shares.set_plan(&self.plan);
+        self.listed.insert(name.clone());
+        self.nodes.push(Node {
+            me,
+            name: name.clone(),
+            clock,
+            shares,
+            session: Session::new(me, name, now),
+            allocator: None,
+            reclaimer: Reclaimer::default(),
+            contacts: HashMap::new(),
+            table: None,
+            exchanges: Vec::new(),
+            writes: 0,
+            paused: false,
+        });
+    }
+
+    fn pass_time(&mut self) {
+        let longest_ms = match self.random.random_range(0..1_000) {
+            0..50 if self.options.replaced_often => 4_000_000,
+            0..900 => 60,
+            900..985 => 700,
+            985..998 => 9_000,
+            _ if self.options.long_outages => 4_000_000,
+            _ => 20_000,
+        };
+        self.now_ns += self.random.random_range(0..longest_ms) * 1_000_000 + 1;
+        self.end_late_exchanges();
+    }
+
+    /// No exchange outlasts the time that slots count as occupied.
+    fn end_late_exchanges(&mut self) {
+        let oldest = self.now_ns.saturating_sub(SLOT_HOLD.as_nanos() as u64 * 9 / 10);
+        for node in &mut self.nodes {
+            let (late, rest) =
+                std::mem::take(&mut node.exchanges).into_iter().partition(|(at, _)| *at < oldest);
+            node.exchanges = rest;
+            let late: Vec<(u64, Spent)> = late;
+            late.iter().for_each(|(_, spent)| node.shares.give_back(spent));
+        }
+    }
+
+    fn end_exchanges(&mut self) {
+        for node in &mut self.nodes {
+            let ended = std::mem::take(&mut node.exchanges);
+            ended.iter().for_each(|(_, spent)| node.shares.give_back(spent));
+        }
+    }
+
+    fn any_node(&mut self) -> usize {
+        self.random.random_range(0..self.nodes.len())
+    }
+
+    fn pause(&mut self) {
+        let node = self.any_node();
+        self.nodes[node].paused = true;
+    }
+
+    fn wake(&mut self) {
+        let node = self.any_node();
+        self.nodes[node].paused = false;
+    }
+
+    /// Kills an instance, and starts one of the same name or of another.
+    fn replace(&mut self) {
+        let node = self.any_node();
+        let old = self.nodes.swap_remove(node);
+        if self.random.random_bool(0.3) {
+            self.start(&old.name);
+            return;
+        }
+        if self.random.random_bool(0.8) {
+            self.listed.remove(&old.name);
+        }
+        let name = format!("r{:x}", self.random.random::<u64>());
+        self.start(&name);
+    }
+
+    /// Lists or drops an instance that is there.
+    fn mislist(&mut self) {
+        let node = self.any_node();
+        let name = self.nodes[node].name.clone();
+        if !self.listed.remove(&name) {
+            self.listed.insert(name);
+        }
+    }
+
+    fn lose_or_double(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let position = self.random.random_range(0..self.messages.len());
+        let message = self.messages.swap_remove(position);
+        // A doubled write is refused the second time, as the object then has another version.
+        if self.random.random_bool(0.5) {
+            self.messages.extend([message.clone(), message]);
+        }
+    }
+
+    fn deliver(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        // Mostly the oldest one, so that things come to an end.
+        let position = if self.random.random_bool(0.7) {
+            0
+        } else {
+            self.random.random_range(0..self.messages.len())
+        };
+        let message = self.messages.remove(position);
+        self.handle(message);
+    }
+
+    fn spend(&mut self) {
+        let node = self.any_node();
+        let times = self.random.random_range(1..30);
+        let now_ns = self.now_ns;
+        let node = &mut self.nodes[node];
+        if node.paused {
+            return;
+        }
+        for _ in 0..times {
+            let now = node.now(now_ns);
+            if let Ok(spent) = node.shares.spend(&"z".into(), &"s".into(), now) {
+                self.spent.push(now_ns);
+                self.spent_total += 1;
+                node.exchanges.push((now_ns, spent));
+            }
+        }
+        // Most exchanges are short.
+        while node.exchanges.len() > 1 && self.random.random_bool(0.8) {
+            let (_, spent) = node.exchanges.remove(0);
+            node.shares.give_back(&spent);
+        }
+    }
+
+    fn check(&mut self) {
+        let oldest = self.now_ns.saturating_sub(CHECKED_WINDOW_NS);
+        self.spent.retain(|at| *at > oldest);
+        assert!(self.spent.len() as u64 <= LINK_CAP, "{} spent", self.spent.len());
+        let could = |resource: &Resource| -> u64 {
+            self.nodes.iter().map(|n| n.shares.allowance(resource, n.now(self.now_ns))).sum()
+        };
+        assert!(could(&link()) <= LINK_CAP, "link: {} could be spent", could(&link()));
+        let occupied: u64 = self
+            .nodes
+            .iter()
+            .map(|node| {
+                let allowance = node.shares.allowance(&site(), node.now(self.now_ns));
+                allowance.max(node.exchanges.len() as u64)
+            })
+            .sum();
+        assert!(occupied <= SITE_CAP, "site: {occupied} slots could be occupied");
+        let holders = self.nodes.iter().filter(|n| n.session.holds(n.now(self.now_ns)).is_some());
+        assert!(holders.count() <= 1, "two hold the session");
+    }
+
+    /// Lets one instance start something.
+    fn act(&mut self) {
+        let position = self.any_node();
+        let choice = self.random.random_range(0..100);
+        let outage = self.outage;
+        let now_ns = self.now_ns;
+        let names: HashMap<Arc<str>, u64> =
+            self.nodes.iter().map(|node| (node.name.clone(), node.me.0)).collect();
+        let node = &mut self.nodes[position];
+        if node.paused {
+            return;
+        }
+        let now = node.now(now_ns);
+        let from = node.me.0;
+        match choice {
+            0..15 if !outage => self.messages.push(Message::ReadSlots { from, sent_at: now }),
+            15..30 if !outage => self.messages.push(Message::ReadSession { from }),
+            30..50 => {
+                let Some(table) = node.table.as_ref().filter(|t| t.of(node.me).is_some()) else {
+                    return;
+                };
+                let electors = table.owners().map(|(_, name)| name.clone()).collect();
+                let Some(write) = node.session.next_write(now, &electors) else { return };
+                match outage {
+                    true => node.session.on_not_sent(),
+                    false => self.messages.push(Message::WriteSession { from, write }),
+                }
+            }
+            50..85 => {
+                if node.grant_self(now, &self.plan) {
+                    return;
+                }
+                let holder = node.session.holder_name().and_then(|name| names.get(name)).copied();
+                let Some(to) = holder else { return };
+                let ask = node.shares.ask(now);
+                self.messages.push(Message::Ask { from, to, sent_at: now, ask });
+            }
+            85..98 => {
+                let Some(epoch) = node.session.lapsing(now, Duration::from_secs(4)) else { return };
+                let needed = node.session.promises_needed();
+                let asked = needed
+                    .iter()
+                    .filter_map(|name| names.get(name))
+                    .map(|to| Message::Promise { from, to: *to, sent_at: now, epoch });
+                self.messages.extend(asked);
+            }
+            98 => {
+                let (epoch, number) = node.shares.release_grants();
+                node.exchanges.drain(..).for_each(|(_, spent)| node.shares.give_back(&spent));
+                let holder = node.session.holder_name().and_then(|name| names.get(name)).copied();
+                let Some(to) = holder else { return };
+                self.messages.push(Message::Release { from, to, epoch, number });
+            }
+            _ => {
+                let Some(write) = node.session.release(now) else { return };
+                if !outage {
+                    self.messages.push(Message::WriteSession { from, write });
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::ReadSlots { from, sent_at } if !self.outage => {
+                let (version, table) = self.slots.clone();
+                self.messages.push(Message::Slots { to: from, sent_at, version, table });
+            }
+            Message::WriteSlots { from, sent_at, table, expected, claim }
+                if !self.outage && self.slots.0 == expected =>
+            {
+                let version = expected.map_or(1, |version| version + 1);
+                self.slots = (Some(version), table.clone());
+                self.messages.push(Message::SlotsWritten { to: from, sent_at, table, claim });
+            }
+            Message::ReadSession { from } if !self.outage => {
+                let (version, record) = self.session.clone();
+                self.messages.push(Message::SessionRead { to: from, version, record });
+            }
+            Message::WriteSession { from, write } if !self.outage => {
+                let result = if self.session.0 == write.expected {
+                    let version = write.expected.map_or(1, |version| version + 1);
+                    self.session = (Some(version), Some(write.record.clone()));
+                    Ok(version)
+                } else {
+                    Err(())
+                };
+                self.messages.push(Message::SessionWritten { to: from, write, result });
+            }
+            Message::Slots { to, .. }
+            | Message::SlotsWritten { to, .. }
+            | Message::SessionRead { to, .. }
+            | Message::SessionWritten { to, .. }
+            | Message::Ask { to, .. }
+            | Message::Grant { to, .. }
+            | Message::Release { to, .. }
+            | Message::Promise { to, .. }
+            | Message::Promised { to, .. } => self.handle_at(to, message),
+            _ => {}
+        }
+    }
+
+    /// Lets the instance take in a message; a paused one takes it in later.
+    fn handle_at(&mut self, to: u64, message: Message) {
+        let now_ns = self.now_ns;
+        let Some(node) = self.nodes.iter_mut().find(|node| node.me.0 == to) else { return };
+        if node.paused {
+            self.messages.push(message);
+            return;
+        }
+        let now = node.now(now_ns);
+        let answer = node.take_in(message, now, &self.plan, &self.listed);
+        self.messages.extend(answer);
+    }
+}
+
+impl Node {
+    fn now(&self, now_ns: u64) -> Time {
+        local(self.clock, now_ns)
+    }
+
+    fn take_in(
+        &mut self,
+        message: Message,
+        now: Time,
+        plan: &Plan,
+        listed: &BTreeSet<Arc<str>>,
+    ) -> Option<Message> {
+        match message {
+            Message::Slots { sent_at, version, table, .. } => {
+                self.read_slots(sent_at, version, table, now, listed)
+            }
+            Message::SlotsWritten { sent_at, table, claim, .. } => {
+                if let Some(claim) = claim {
+                    self.shares.set_slot(Some(claim.held(now)));
+                }
+                self.shares.on_contact(sent_at);
+                self.table = Some(table);
+                None
+            }
+            Message::SessionRead { version, record, .. } => {
+                self.session.on_read(now, version, record);
+                self.shares.on_epoch(self.session.known_epoch());
+                None
+            }
+            Message::SessionWritten { write, result, .. } => {
+                self.session_written(&write, result, now);
+                None
+            }
+            Message::Ask { from, sent_at, ask, .. } => {
+                self.session.on_epoch(ask.known_epoch);
+                let epoch = self.hold(now)?;
+                self.contacts.insert(Incarnation(from), now);
+                let rest = rest(plan);
+                let grant = self.allocator.as_mut()?.grant(Incarnation(from), &ask, &rest, now);
+                Some(Message::Grant { to: from, sent_at, epoch, grant })
+            }
+            Message::Grant { sent_at, epoch, grant, .. } => {
+                self.session.on_epoch(epoch);
+                match grant {
+                    // A refused grant is one of the things that must not matter.
+                    Some(grant) => {
+                        let _ = self.shares.on_grant(&grant, sent_at, now);
+                    }
+                    None => self.shares.on_holder(epoch, sent_at),
+                }
+                None
+            }
+            Message::Release { from, epoch, number, .. } => {
+                self.allocator.as_mut()?.release(Incarnation(from), epoch, number, now);
+                None
+            }
+            Message::Promise { from, sent_at, epoch, .. } => self
+                .session
+                .promise(now, epoch, PROMISE_DURATION)
+                .then(|| Message::Promised { to: from, by: self.name.clone(), sent_at, epoch }),
+            Message::Promised { by, sent_at, epoch, .. } => {
+                self.session.on_promise(&by, epoch, sent_at, PROMISE_DURATION);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn read_slots(
+        &mut self,
+        sent_at: Time,
+        version: Option<u64>,
+        mut table: SlotTable,
+        now: Time,
+        listed: &BTreeSet<Arc<str>>,
+    ) -> Option<Message> {
+        table.grow(4);
+        let mut claim = None;
+        let changed = match table.of(self.me) {
+            Some((number, false)) => {
+                self.shares.on_contact(sent_at);
+                if self.shares.slot().is_none_or(|slot| slot.number != number) {
+                    self.shares.set_slot(Some(Claim { number, used_before: true }.held(now)));
+                }
+                let Node { reclaimer, contacts, .. } = self;
+                self.session.holds(now).is_some()
+                    && reclaimer.step(
+                        &mut table,
+                        now,
+                        |name| listed.contains(name),
+                        |owner| contacts.get(&owner).copied(),
+                    )
+            }
+            Some((_, true)) => table.set_revoking(self.me, false),
+            None => {
+                self.shares.set_slot(None);
+                claim = table.claim(self.me, &self.name);
+                claim.is_some()
+            }
+        };
+        if !changed {
+            self.table = Some(table);
+            return None;
+        }
+        self.writes += 1;
+        table.write = WriteId { writer: self.me.0, number: self.writes };
+        Some(Message::WriteSlots { from: self.me.0, sent_at, table, expected: version, claim })
+    }
+
+    fn session_written(&mut self, write: &SessionWrite, result: Result<u64, ()>, now: Time) {
+        match result {
+            // An answer to an older write is as good as lost: only the last one is waited for.
+            _ if !self.session.is_pending(write) => {}
+            Ok(version) => self.session.on_written(now, version),
+            Err(()) => {}
+        }
+        self.shares.on_epoch(self.session.known_epoch());
+    }
+
+    /// Returns the epoch that this instance may grant under, with an allocator for it.
+    fn hold(&mut self, now: Time) -> Option<u64> {
+        let epoch = self.session.holds(now)?;
+        if self.allocator.as_ref().is_none_or(|allocator| allocator.epoch() != epoch) {
+            self.allocator = Some(Allocator::new(epoch, now, self.session.is_first_epoch()));
+            self.contacts.clear();
+        }
+        Some(epoch)
+    }
+
+    fn grant_self(&mut self, now: Time, plan: &Plan) -> bool {
+        if self.hold(now).is_none() {
+            return false;
+        }
+        let ask = self.shares.ask(now);
+        let allocator = self.allocator.as_mut();
+        self.shares.on_contact(now);
+        if let Some(grant) = allocator.and_then(|all| all.grant(self.me, &ask, &rest(plan), now)) {
+            let _ = self.shares.on_grant(&grant, now, now);
+        }
+        true
+    }
+}
+
+fn rest(plan: &Plan) -> BTreeMap<Resource, u64> {
+    plan.caps.iter().map(|(resource, cap)| (resource.clone(), cap.rest())).collect()
+}
+
+fn local((offset, rate): (u64, u64), now_ns: u64) -> Time {
+    Time::from_ns(offset + now_ns / 1_000 * rate)
+}
