--- /dev/null
+++ b/crates/steering/tests/shares_lease.rs
@@ -0,0 +1,209 @@
+//! The session and the numbered slots, one failure at a time.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use steering::shares::timing::{FENCE, PROMISE_DURATION, SESSION_DURATION};
+use steering::shares::{Reclaimer, Session, SessionWrite, SlotTable};
+use steering::{Incarnation, Time};
+
+const A: Incarnation = Incarnation(1);
+const B: Incarnation = Incarnation(2);
+
+fn at(ms: u64) -> Time {
+    Time::from_ms(1_000_000 + ms)
+}
+
+fn electors() -> BTreeSet<Arc<str>> {
+    BTreeSet::from(["a".into(), "b".into()])
+}
+
+/// A session that was started long ago and has read that there is no object.
+fn session(me: Incarnation, name: &str) -> Session {
+    let mut session = Session::new(me, name.into(), Time::default());
+    session.on_read(at(0), None, None);
+    session
+}
+
+/// A session held by `a`, whose claim was sent at 0 ms, and the claim.
+fn held() -> (Session, SessionWrite) {
+    let mut session = session(A, "a");
+    let write = session.next_write(at(0), &electors()).expect("a claim");
+    session.on_written(at(10), 1);
+    (session, write)
+}
+
+#[test]
+fn a_claim_with_a_lost_answer_counts_once_it_is_read_back() {
+    let mut session = session(A, "a");
+    let write = session.next_write(at(0), &electors()).expect("a claim");
+
+    assert_eq!(session.holds(at(100)), None);
+    session.on_read(at(3_000), Some(1), Some(write.record));
+
+    assert_eq!(session.holds(at(5_800)), Some(1));
+    assert_eq!(session.holds(at(5_900)), None, "counted from before the claim was sent");
+}
+
+#[test]
+fn a_lost_claim_forbids_promises_while_it_may_take_effect() {
+    let (_, theirs) = held();
+    let mut session = session(B, "b");
+    session.on_read(at(20), Some(1), Some(theirs.record.clone()));
+    let claim = session.next_write(at(7_000), &electors()).expect("a claim");
+
+    assert!(!session.promise(at(7_100), 1, PROMISE_DURATION), "the claim is on its way");
+    session.on_read(at(7_200), Some(2), Some(theirs.record));
+
+    assert_eq!(claim.expected, Some(1));
+    assert!(session.promise(at(7_300), 1, PROMISE_DURATION), "the claim has no effect any more");
+}
+
+#[test]
+fn of_two_claims_at_once_one_holds() {
+    let (mut first, mut second) = (session(A, "a"), session(B, "b"));
+    let write = first.next_write(at(0), &electors()).expect("a claim");
+    let late = second.next_write(at(0), &electors()).expect("a claim");
+
+    first.on_written(at(5), 1);
+    second.on_read(at(10), Some(1), Some(write.record));
+
+    assert_eq!(late.expected, None, "the platform refuses it");
+    assert_eq!((first.holds(at(20)), second.holds(at(20))), (Some(1), None));
+}
+
+#[test]
+fn a_paused_holder_wakes_up_without_the_session() {
+    let (session, _) = held();
+
+    assert_eq!(session.holds(at(5_000)), Some(1));
+    assert_eq!(session.holds(at(3_600_000)), None);
+}
+
+#[test]
+fn a_lapsed_session_is_claimed_by_an_elector_only() {
+    let (_, write) = held();
+    let mut elector = session(B, "b");
+    let mut stranger = session(Incarnation(3), "c");
+    let lapsed_ms = SESSION_DURATION.as_millis() as u64 * 102 / 100;
+    for session in [&mut elector, &mut stranger] {
+        session.on_read(at(20), Some(1), Some(write.record.clone()));
+    }
+
+    assert!(elector.next_write(at(20 + lapsed_ms - 1), &electors()).is_none());
+    assert!(elector.next_write(at(20 + lapsed_ms), &electors()).is_some());
+    assert!(stranger.next_write(at(600_000), &electors()).is_none());
+    assert!(stranger.next_write(at(30) + FENCE + FENCE / 50, &electors()).is_some());
+}
+
+#[test]
+fn a_session_goes_on_for_over_an_hour_while_all_promise() {
+    let (mut session, write) = held();
+    let mut other = Session::new(B, "b".into(), Time::default());
+    other.on_read(at(20), Some(1), Some(write.record));
+
+    // Renewals fail from now on; a promise is asked for every five seconds.
+    for second in (5..4_000).step_by(5) {
+        let now = at(second * 1_000);
+        assert_eq!(session.holds(now), Some(1), "after {second} s");
+        assert!(other.promise(now, 1, PROMISE_DURATION));
+        assert!(other.next_write(now, &electors()).is_none(), "it promised");
+        session.on_promise(&"b".into(), 1, now, PROMISE_DURATION);
+    }
+
+    let over = at(3_995_000) + PROMISE_DURATION;
+    assert_eq!(session.holds(over), None, "one promise is missing");
+    assert!(other.next_write(over + Duration::from_secs(1), &electors()).is_some());
+}
+
+#[test]
+fn promises_do_not_carry_a_session_past_the_fence_time() {
+    let (mut session, _) = held();
+    let now = at(0) + FENCE - Duration::from_secs(60);
+
+    session.on_promise(&"b".into(), 1, now, PROMISE_DURATION);
+
+    assert_eq!(session.holds(now), None);
+}
+
+#[test]
+fn one_that_just_started_does_not_claim_what_it_may_have_promised_not_to() {
+    let (_, write) = held();
+    let mut restarted = Session::new(Incarnation(4), "b".into(), at(7_000));
+    restarted.on_read(at(7_001), Some(1), Some(write.record));
+
+    assert!(restarted.next_write(at(13_500), &electors()).is_none());
+    assert!(restarted.next_write(at(17_300), &electors()).is_some());
+}
+
+#[test]
+fn a_released_session_is_free_at_once() {
+    let (mut session, _) = held();
+    let release = session.release(at(100)).expect("a release");
+    let mut other = Session::new(B, "b".into(), at(0));
+    other.on_read(at(200), Some(2), Some(release.record));
+
+    assert_eq!(session.holds(at(100)), None);
+    assert_eq!(other.next_write(at(200), &electors()).expect("a claim").record.epoch, 2);
+}
+
+/// A table in which `a` and `b` have slots 0 and 1.
+fn table() -> SlotTable {
+    let mut table = SlotTable::default();
+    table.grow(3);
+    table.claim(A, &"a".into()).expect("a slot");
+    table.claim(B, &"b".into()).expect("a slot");
+    table
+}
+
+#[test]
+fn the_slot_of_one_that_is_gone_comes_back_after_the_fence_time() {
+    let mut table = table();
+    let mut reclaimer = Reclaimer::default();
+    let mut step = |table: &mut SlotTable, now| {
+        reclaimer.step(table, now, |name| name == "a", |_| Some(at(500)))
+    };
+
+    assert!(step(&mut table, at(0)), "it is marked");
+    assert!(!step(&mut table, at(1_000)));
+    assert!(!step(&mut table, at(1_000) + FENCE));
+    let free = at(1_000) + (FENCE + Duration::from_secs(1)) * 51 / 50;
+    assert!(step(&mut table, free));
+
+    assert_eq!(table.of(B), None);
+    assert_eq!(table.claim(Incarnation(5), &"e".into()).expect("a slot").number, 1);
+}
+
+#[test]
+fn contact_with_the_holder_puts_the_fence_time_off() {
+    let mut table = table();
+    let mut reclaimer = Reclaimer::default();
+    let contact = at(1_000) + FENCE;
+    for now in [at(0), at(1_000), contact + Duration::from_secs(200)] {
+        reclaimer.step(&mut table, now, |name| name == "a", |_| Some(contact));
+    }
+
+    assert_eq!(table.of(B), Some((1, true)));
+}
+
+#[test]
+fn one_that_is_listed_again_keeps_its_slot() {
+    let mut table = table();
+    let mut reclaimer = Reclaimer::default();
+    reclaimer.step(&mut table, at(0), |name| name == "a", |_| None);
+
+    assert!(reclaimer.step(&mut table, at(1_000), |_| true, |_| None));
+
+    assert_eq!(table.of(B), Some((1, false)));
+}
+
+#[test]
+fn a_process_that_restarts_takes_over_its_slot_after_one_window() {
+    let mut table = table();
+
+    let claim = table.claim(Incarnation(6), &"b".into()).expect("a slot");
+
+    assert_eq!((claim.number, claim.used_before), (1, true));
+    assert!(claim.held(at(0)).usable_from > at(1_000));
+    assert_eq!(table.of(B), None);
+}
