Split the slots of sites between availability zones

Cause: links were capped, but together the zones could fill a site beyond its target. Change: one object a service and site says which part each zone has; the zone's session holder writes and divides it. A part grows into what is free, shrinks once nobody can hold more, and is taken from a zone whose session has been over for long enough. A daemon is ready once it has grants at sites, or after 2 s.

--- a/crates/runpind/src/process/shares/answer.rs
+++ b/crates/runpind/src/process/shares/answer.rs
@@ -22,7 +22,7 @@
         return Reply::Grant(GrantReply::default());
     };
     coordination.contacts.insert(asker, now);
-    let rest = coordination.rest();
+    let rest = coordination.rest(now);
     let allocator = coordination.allocator.as_mut();
     let granted =
         allocator.and_then(|allocator| allocator.grant(asker, &ask_of(request), &rest, now));
--- a/crates/runpind/src/process/shares/coordination.rs
+++ b/crates/runpind/src/process/shares/coordination.rs
@@ -45,7 +45,7 @@
 pub async fn run(process: Arc<Process>) {
     let mut last = LastTimes::default();
     loop {
-        if process.shares.adopt_plan(process.version.load().as_deref()) {
+        if process.shares.adopt_plan(process.version.load().as_deref(), process.clock.now()) {
             step(&process, &mut last).await;
         }
         tokio::time::sleep(TICK).await;
@@ -94,8 +94,9 @@
     format!("runpin/zones/{}/slots", process.settings.availability_zone)
 }
 
-fn session_key(process: &Process) -> String {
-    format!("runpin/zones/{}/session", process.settings.availability_zone)
+/// Returns the key of an availability zone's session.
+pub(super) fn session_key(availability_zone: &str) -> String {
+    format!("runpin/zones/{availability_zone}/session")
 }
 
 /// Reads the slots, and claims, confirms or takes back what is due.
@@ -199,7 +200,7 @@
     write_settled(&*process.store, &slots_key(process), encode(table), expected(version)).await
 }
 
-fn next_write_id(process: &Process) -> WriteId {
+pub(super) fn next_write_id(process: &Process) -> WriteId {
     let mut coordination = process.shares.coordination.lock();
     coordination.writes += 1;
     WriteId { writer: process.incarnation.0, number: coordination.writes }
@@ -221,7 +222,8 @@
 }
 
 async fn read_session(process: &Process) -> Result<(), StoreError> {
-    let (version, record) = read::<SessionRecord>(process, &session_key(process)).await?;
+    let (version, record) =
+        read::<SessionRecord>(process, &session_key(&process.settings.availability_zone)).await?;
     let now = process.clock.now();
     let mut coordination = process.shares.coordination.lock();
     coordination.session.on_read(now, version.map(|version| version.0), record);
@@ -234,16 +236,18 @@
     let Coordination { session, table, .. } = &mut *coordination;
     let (_, table) = table.as_ref()?;
     let electors: BTreeSet<Arc<str>> = table.owners().map(|(_, name)| name.clone()).collect();
-    // Whoever has no slot may not hold the session.
-    if process.is_draining() || table.of(process.incarnation).is_none() {
+    let now = process.clock.now();
+    // Whoever has no slot, or is stopping, may not claim the session; one that holds it goes on.
+    let may_claim = !process.is_draining() && table.of(process.incarnation).is_some();
+    if !may_claim && session.holds(now).is_none() {
         return None;
     }
-    session.next_write(process.clock.now(), &electors)
+    session.next_write(now, &electors)
 }
 
 /// Sends a write of the session; true if it took effect.
 async fn write_session(process: &Process, write: SessionWrite) -> bool {
-    let key = session_key(process);
+    let key = session_key(&process.settings.availability_zone);
     let value = encode(&write.record);
     let written = process.store.put(&key, value, expected(write.expected.map(Version))).await;
     let now = process.clock.now();
@@ -310,11 +314,11 @@
     Ok((Some(object.version), Some(value)))
 }
 
-fn encode<T: Serialize>(value: &T) -> Bytes {
+pub(super) fn encode<T: Serialize>(value: &T) -> Bytes {
     // These types have no maps with other keys than text, so they always have a JSON form.
     serde_json::to_vec(value).unwrap_or_default().into()
 }
 
-fn expected(version: Option<Version>) -> Expected {
+pub(super) fn expected(version: Option<Version>) -> Expected {
     version.map_or(Expected::Absent, Expected::Version)
 }
--- a/crates/runpind/src/process/shares/grants.rs
+++ b/crates/runpind/src/process/shares/grants.rs
@@ -19,7 +19,7 @@
 /// Asks for grants until the task is dropped.
 pub async fn run(process: Arc<Process>) {
     loop {
-        if process.shares.adopt_plan(process.version.load().as_deref()) {
+        if process.shares.adopt_plan(process.version.load().as_deref(), process.clock.now()) {
             ask(&process).await;
             ask_for_promises(&process).await;
         }
@@ -50,7 +50,7 @@
     if coordination.holds(now).is_none() {
         return false;
     }
-    let rest = coordination.rest();
+    let rest = coordination.rest(now);
     let mut shares = process.shares.shares.lock();
     let ask = shares.ask(now);
     let Some(allocator) = &mut coordination.allocator else { return false };
@@ -59,6 +59,8 @@
     if let Some(grant) = grant {
         process.shares.count_grant(shares.on_grant(&grant, now, now).is_ok());
     }
+    drop((coordination, shares));
+    call_waiting(process);
     true
 }
 
@@ -72,7 +74,16 @@
         return;
     }
     let accepted = accept(&mut shares, &grant, sent_at, now);
+    drop(shares);
     process.shares.count_grant(accepted);
+    call_waiting(process);
+}
+
+/// Calls the requests that wait for room, as grants may have made some.
+fn call_waiting(process: &Process) {
+    if let Some(version) = &*process.version.load() {
+        version.configuration.services.iter().for_each(|s| process.room_came_free(&s.name));
+    }
 }
 
 fn accept(shares: &mut steering::shares::Shares, grant: &Grant, sent_at: Time, now: Time) -> bool {
--- a/crates/runpind/src/process/shares/mod.rs
+++ b/crates/runpind/src/process/shares/mod.rs
@@ -1,7 +1,7 @@
 //! The shares of this instance and, where it holds the session, those of its availability zone.
 //!
-//! Two loops run: [`coordination`] talks to the platform, [`grants`] to other instances, so that a
-//! slow platform does not delay grants.  [`ShareState::spend`] is on the path of every request and
+//! Three loops run: [`coordination`] and [`sites`] talk to the platform, [`grants`] to other
+//! instances, so that a slow platform does not delay grants.  [`ShareState::spend`] is on the path of every request and
 //! touches neither.
 
 mod answer;
@@ -9,6 +9,7 @@
 mod coordination;
 mod grants;
 mod metrics;
+mod sites;
 mod status;
 
 pub use answer::{answer_grant, answer_promise, answer_release};
@@ -20,13 +21,18 @@
 use crate::version::Version;
 use metrics::ShareMetrics;
 use parking_lot::Mutex;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 use steering::shares::{
-    Allocator, Amounts, Plan, Reclaimer, Session, ShareRefusal, Shares, SlotTable, Spent,
+    Allocator, Amounts, Cap, Plan, Reclaimer, Resource, Session, ShareRefusal, Shares, SiteShare,
+    SlotTable, Spent,
 };
 use steering::{Incarnation, Time};
 
+/// How long a daemon that starts waits for grants before it goes by its floors.
+const GRANT_WAIT: Duration = Duration::from_secs(2);
+
 /// Shares of one daemon.
 pub struct ShareState {
     shares: Mutex<Shares>,
@@ -42,7 +48,11 @@
     /// When each instance last asked this one, as the session holder.
     contacts: HashMap<Incarnation, Time>,
     table: Option<(platform::Version, SlotTable)>,
+    /// The zone's part of each site.
+    sites: BTreeMap<Resource, SiteShare>,
     plan: Arc<Plan>,
+    /// When the first configuration was adopted.
+    started_at: Option<Time>,
     /// Version of the configuration that `plan` was made from.
     plan_number: u64,
     writes: u64,
@@ -64,7 +74,9 @@
                 reclaimer: Reclaimer::default(),
                 contacts: HashMap::new(),
                 table: None,
+                sites: BTreeMap::new(),
                 plan: Arc::default(),
+                started_at: None,
                 plan_number: 0,
                 writes: 0,
             }),
@@ -87,19 +99,28 @@
         spent
     }
 
+    /// Counts a refused attempt as demand.
+    pub fn miss(&self, to: &Arc<str>, service: &Arc<str>, now: Time) {
+        self.shares.lock().miss(to, service, now);
+    }
+
     /// Gives back what an exchange occupied until its end.
     pub fn give_back(&self, spent: &Spent) {
         self.shares.lock().give_back(spent);
     }
 
-    /// Tells whether this instance has a numbered slot or holds grants.
+    /// Tells whether this instance has shares to spend: grants at sites or, where these have not
+    /// come for a while, a numbered slot.
     pub fn is_ready(&self, now: Time) -> bool {
+        let started_at = self.coordination.lock().started_at;
         let shares = self.shares.lock();
-        shares.slot().is_some_and(|slot| now >= slot.usable_from) || shares.has_grants(now)
+        let has_slot = shares.slot().is_some_and(|slot| now >= slot.usable_from);
+        let waited = started_at.is_some_and(|started_at| now >= started_at + GRANT_WAIT);
+        shares.has_site_grants(now) || (has_slot && waited)
     }
 
     /// Adopts the caps of the version in force; false while none is.
-    fn adopt_plan(&self, version: Option<&Version>) -> bool {
+    fn adopt_plan(&self, version: Option<&Version>, now: Time) -> bool {
         let Some(version) = version else { return false };
         let Some(own) = version.own_zone else { return false };
         let mut coordination = self.coordination.lock();
@@ -108,6 +129,7 @@
             self.shares.lock().set_plan(&plan);
             coordination.plan = plan;
             coordination.plan_number = version.number;
+            coordination.started_at.get_or_insert(now);
         }
         true
     }
@@ -124,13 +146,23 @@
         Some(epoch)
     }
 
-    /// Returns what the session holder divides.
-    fn rest(&self) -> Amounts {
-        self.plan.caps.iter().map(|(resource, cap)| (resource.clone(), cap.rest())).collect()
+    /// Returns what the session holder divides: of links what is beside the floors, of sites what
+    /// the zone has of that, while the platform has renewed its lease.
+    fn rest(&self, now: Time) -> Amounts {
+        let run = self.session.lease_run(now);
+        let part = |resource: &Resource| match (run, self.sites.get(resource)) {
+            (Some(run), Some(site)) => site.usable(run),
+            _ => 0,
+        };
+        let rest = |(resource, cap): (&Resource, &Cap)| match resource.is_link() {
+            true => (resource.clone(), cap.rest()),
+            false => (resource.clone(), part(resource).min(cap.rest())),
+        };
+        self.plan.caps.iter().map(rest).collect()
     }
 }
 
 /// Keeps the shares of a daemon up to date, for ever.
 pub async fn run(process: Arc<Process>) {
-    tokio::join!(coordinate(process.clone()), ask_for_grants(process));
+    tokio::join!(coordinate(process.clone()), sites::run(process.clone()), ask_for_grants(process));
 }
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -153,8 +153,8 @@
 
     /// Takes what one attempt needs, at the best site that has it.
     fn pick(&self, route: &Route) -> Option<(SiteIndex, Slot, Endpoint)> {
-        route.sites.iter().find_map(|site| {
-            let reservation = reserve::take(self, *site).ok()?;
+        route.sites.iter().enumerate().find_map(|(position, site)| {
+            let reservation = reserve::take(self, *site, position).ok()?;
             let (slot, endpoint) = attempt::pick(self, *site, reservation)?;
             Some((*site, slot, endpoint))
         })
--- a/crates/runpind/src/request/reserve.rs
+++ b/crates/runpind/src/request/reserve.rs
@@ -12,13 +12,27 @@
     spent: Spent,
 }
 
+/// Number of a request's sites, best first, at which a refusal counts as demand.
+const WANTED_SITES: usize = 2;
+
 /// Spends what an attempt at a site needs; the refusal says when to come back.
-pub(super) fn take(exchange: &Exchange, site: SiteIndex) -> Result<Reservation, ShareRefusal> {
+///
+/// `position` is that of the site on the request's route.
+pub(super) fn take(
+    exchange: &Exchange,
+    site: SiteIndex,
+    position: usize,
+) -> Result<Reservation, ShareRefusal> {
     let process = &exchange.process;
     let service = exchange.service();
     let zone = service.sites[site.get()].availability_zone;
     let to = &exchange.version.configuration.availability_zones[zone.get()].name;
-    let spent = process.shares.spend(to, &service.name, process.clock.now())?;
+    let now = process.clock.now();
+    let spent = process.shares.spend(to, &service.name, now).inspect_err(|_| {
+        if position < WANTED_SITES {
+            process.shares.miss(to, &service.name, now);
+        }
+    })?;
     Ok(Reservation { process: process.clone(), spent })
 }
 
--- a/crates/steering/src/shares/allocator.rs
+++ b/crates/steering/src/shares/allocator.rs
@@ -87,7 +87,7 @@
         }
         let amounts: Amounts = rest
             .iter()
-            .filter(|(resource, _)| resource.is_link() || now >= self.sites_open_at)
+            .filter(|(resource, _)| resource.is_link() || self.sites_open(now))
             .map(|(resource, rest)| {
                 let fair = self.fair_part(asker, resource, *rest, now);
                 let free = rest.saturating_sub(self.held_by_others(asker, resource, now));
@@ -124,15 +124,31 @@
 
     /// Returns the instance's part by demand; what nobody wants is divided evenly.
     fn fair_part(&self, asker: Incarnation, resource: &Resource, rest: u64, now: Time) -> u64 {
-        let heard = || self.askers.values().filter(|asker| asker.is_heard(now));
-        let wanted: u64 = heard().map(|asker| asker.wants(resource)).sum();
+        let wanted = self.wanted(resource, now);
+        let heard = self.askers.values().filter(|asker| asker.is_heard(now)).count();
         let own = self.askers.get(&asker).map_or(0, |asker| asker.wants(resource));
         match rest.checked_sub(wanted) {
-            Some(spare) => own + spare / (heard().count().max(1) as u64),
+            Some(spare) => own + spare.div_ceil(heard.max(1) as u64),
             None => (u128::from(rest) * u128::from(own) / u128::from(wanted)) as u64,
         }
     }
 
+    /// Returns what all instances would use beside their floors.
+    pub fn wanted(&self, resource: &Resource, now: Time) -> u64 {
+        let heard = self.askers.values().filter(|asker| asker.is_heard(now));
+        heard.map(|asker| asker.wants(resource)).sum()
+    }
+
+    /// Returns the most that all instances could have in use beside their floors.
+    pub fn held(&self, resource: &Resource, now: Time) -> u64 {
+        self.askers.values().map(|asker| asker.held(resource, now)).sum()
+    }
+
+    /// Tells whether what is in use at sites is known, and sites are granted.
+    pub fn sites_open(&self, now: Time) -> bool {
+        now >= self.sites_open_at
+    }
+
     fn held_by_others(&self, asker: Incarnation, resource: &Resource, now: Time) -> u64 {
         let others = self.askers.iter().filter(|(other, _)| **other != asker);
         others.map(|(_, other)| other.held(resource, now)).sum()
--- a/crates/steering/src/shares/instance.rs
+++ b/crates/steering/src/shares/instance.rs
@@ -11,9 +11,15 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Part by which more is asked for than was attempted, so that growth finds room.
+/// Part by which more is asked for on links than was attempted, so that growth finds room.
 const HEADROOM: f64 = 1.25;
 
+/// Level of use of a site below which nothing is asked for.
+const NO_USE: f64 = 0.25;
+
+/// Slots asked for beyond the level of use, per root of that level: bursts grow with the root.
+const BURST_FACTOR: f64 = 2.0;
+
 /// The shares of one instance.
 #[derive(Debug, Default)]
 pub struct Shares {
@@ -136,6 +142,18 @@
         }
     }
 
+    /// Counts an attempt that was refused as demand, where the route would rather have had it run.
+    pub fn miss(&mut self, to: &Arc<str>, service: &Arc<str>, now: Time) {
+        let site = Resource::Site { service: service.clone(), availability_zone: to.clone() };
+        for resource in [site, Resource::Link { to: to.clone() }] {
+            match self.entries.get_mut(&resource).map(|entry| &mut entry.usage) {
+                Some(Usage::Site { in_use, peak }) => peak.record(now, *in_use + 1),
+                Some(Usage::Link { rate, .. }) => rate.record(now),
+                None => {}
+            }
+        }
+    }
+
     /// Gives back the slot of an exchange that ended, whole or cut.
     pub fn give_back(&mut self, spent: &Spent) {
         let entry = spent.site.as_ref().and_then(|site| self.entries.get_mut(site));
@@ -239,9 +257,10 @@
         self.holder_at.map(|at| now.since(at).as_millis() as u64)
     }
 
-    /// Tells whether grants are in use.
-    pub fn has_grants(&self, now: Time) -> bool {
-        now < self.grant_ends
+    /// Tells whether slots at any site are granted now.
+    pub fn has_site_grants(&self, now: Time) -> bool {
+        let mut sites = self.entries.iter().filter(|(resource, _)| !resource.is_link());
+        now < self.grant_ends && sites.any(|(_, entry)| entry.granted > 0)
     }
 
     fn granted(&self, entry: &Entry, now: Time) -> u64 {
@@ -271,9 +290,9 @@
     /// Takes a slot of a site.
     fn occupy(&mut self, allowance: u64, now: Time) -> Result<(), ShareRefusal> {
         let Usage::Site { in_use, peak } = &mut self.usage else { return Ok(()) };
-        peak.record(now, *in_use + 1);
         if *in_use < allowance {
             *in_use += 1;
+            peak.record(now, *in_use);
             return Ok(());
         }
         let cause = if allowance == 0 { RefusalCause::NoShare } else { RefusalCause::Site };
@@ -283,12 +302,13 @@
     /// Counts a request on a link, and spends it where `spend` is set.
     fn count(&mut self, allowance: u64, now: Time, spend: bool) -> Result<(), ShareRefusal> {
         let Usage::Link { window, rate } = &mut self.usage else { return Ok(()) };
-        rate.record(now);
         if !spend {
             return Ok(());
         }
         let cause = if allowance == 0 { RefusalCause::NoShare } else { RefusalCause::Link };
-        window.try_spend(now, 1, allowance).map_err(|earliest| ShareRefusal { cause, earliest })
+        window.try_spend(now, 1, allowance).map_err(|earliest| ShareRefusal { cause, earliest })?;
+        rate.record(now);
+        Ok(())
     }
 
     /// Returns what the instance would use, and what is in use of a site.
@@ -296,8 +316,9 @@
         match &self.usage {
             Usage::Link { rate, .. } => ((rate.per_s(now) * HEADROOM).ceil() as u64, 0),
             Usage::Site { in_use, peak } => {
-                let peak = (peak.level(now) * HEADROOM).ceil() as u64;
-                (peak.max(*in_use), *in_use)
+                let level = Some(peak.level(now)).filter(|level| *level > NO_USE).unwrap_or(0.0);
+                let wanted = (level + BURST_FACTOR * level.sqrt()).ceil() as u64;
+                (wanted.max(*in_use), *in_use)
             }
         }
     }
--- a/crates/steering/src/shares/resource.rs
+++ b/crates/steering/src/shares/resource.rs
@@ -39,6 +39,8 @@
     pub floor_total: u64,
     /// Numbered slots among which the floor is divided.
     pub instance_slots: u32,
+    /// Whether the site is in the own availability zone; true for every link.
+    pub is_own: bool,
 }
 
 impl Cap {
@@ -75,16 +77,32 @@
         let name = |zone: ZoneIndex| configuration.availability_zones[zone.get()].name.clone();
         let links = configuration.links.iter().filter(|link| link.from == own);
         let instance_slots = links.clone().map(|link| link.instance_slots).max().unwrap_or(0);
-        let caps = links
-            .map(|link| {
-                let cap = Cap {
-                    total: link.cap_requests_per_s,
-                    floor_total: part_of(link.cap_requests_per_s, link.floor_share),
-                    instance_slots: link.instance_slots,
-                };
-                (Resource::Link { to: name(link.to) }, cap)
+        let caps = links.map(|link| {
+            let cap = Cap {
+                total: link.cap_requests_per_s,
+                floor_total: part_of(link.cap_requests_per_s, link.floor_share),
+                instance_slots: link.instance_slots,
+                is_own: true,
+            };
+            (Resource::Link { to: name(link.to) }, cap)
+        });
+        let sites = configuration.services.iter().flat_map(|service| {
+            service.sites.iter().map(|site| {
+                let home = site.availability_zone;
+                let home_link = &configuration.links[configuration.link(home, home).get()];
+                let capacity = u64::from(site.capacity_slots);
+                let floor = part_of(capacity, home_link.floor_share);
+                let is_own = home == own;
+                // Of another zone's site, the floor is not to be had.
+                let (total, floor_total) =
+                    if is_own { (capacity, floor) } else { (capacity - floor, 0) };
+                let cap =
+                    Cap { total, floor_total, instance_slots: home_link.instance_slots, is_own };
+                let availability_zone = name(site.availability_zone);
+                (Resource::Site { service: service.name.clone(), availability_zone }, cap)
             })
-            .collect();
+        });
+        let caps = caps.chain(sites).collect();
         Self { caps, instance_slots }
     }
 }
--- a/crates/steering/src/shares/session.rs
+++ b/crates/steering/src/shares/session.rs
@@ -59,6 +59,8 @@
     lease_ends: Time,
     /// Everybody who may claim it, now or by a write whose answer was lost.
     electors: BTreeSet<Arc<str>>,
+    /// Number of the write with which the lease began that has had no gap since.
+    run: u64,
     /// Until when each elector promised not to.
     promised_until: BTreeMap<Arc<str>, Time>,
 }
@@ -115,6 +117,13 @@
         self.held.as_ref().map_or(Duration::ZERO, |held| self.held_until(held).since(now))
     }
 
+    /// Returns the run of the lease: a number that changes with every gap in it.
+    ///
+    /// `None` while only promises, and not the platform, let the session go on.
+    pub fn lease_run(&self, now: Time) -> Option<u64> {
+        self.held.as_ref().filter(|held| now < held.lease_ends).map(|held| held.run)
+    }
+
     /// Returns the highest epoch known.
     pub fn known_epoch(&self) -> u64 {
         self.known_epoch
@@ -305,11 +314,14 @@
             return;
         }
         let lasts = Duration::from_millis(write.record.lasts_ms);
+        let before = self.held.as_ref().filter(|held| write.sent_at < held.lease_ends);
+        let run = before.map_or(write.record.write.number, |held| held.run);
         self.held = Some(Held {
             epoch: write.record.epoch,
             confirmed_sent_at: write.sent_at,
             lease_ends: write.sent_at + less_drift(lasts),
             electors: write.record.electors.clone(),
+            run,
             promised_until: BTreeMap::new(),
         });
     }
