--- a/crates/runpin/tests/common/mod.rs
+++ b/crates/runpin/tests/common/mod.rs
@@ -107,6 +107,7 @@
             let members = process.members.load_full();
             process.version.load().as_ref().is_some_and(|version| version.number >= number)
                 && members.is_some_and(|members| members.members.len() == 2)
+                && process.shares.is_ready(process.clock.now())
         };
         while !self.daemons.iter().all(is_ready) {
             tokio::time::sleep(POLL).await;
--- a/crates/steering/tests/shares_zone.rs
+++ b/crates/steering/tests/shares_zone.rs
@@ -4,6 +4,8 @@
 //! At every step the sum of what all instances could spend stays within the cap, and so does what
 //! they did spend in the last second.
 
+#[path = "shares_zone/node.rs"]
+mod node;
 #[path = "shares_zone/world.rs"]
 mod world;
 
--- a/crates/steering/tests/shares_zone/world.rs
+++ b/crates/steering/tests/shares_zone/world.rs
@@ -1,16 +1,16 @@
-//! An availability zone's instances, the platform's objects and the messages between them.
+//! An availability zone: the platform's objects, messages on their way, and what goes wrong.
 
+use super::node::{Message, Node, local};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
-use steering::shares::timing::{PROMISE_DURATION, SLOT_HOLD};
+use steering::Incarnation;
+use steering::shares::timing::SLOT_HOLD;
 use steering::shares::{
-    Allocator, Ask, Cap, Claim, Grant, Plan, Reclaimer, Resource, Session, SessionRecord,
-    SessionWrite, Shares, SlotTable, Spent, WriteId,
+    Cap, Plan, Reclaimer, Resource, Session, SessionRecord, Shares, SlotTable, Spent,
 };
-use steering::{Incarnation, Time};
 
 const LINK_CAP: u64 = 40;
 const SITE_CAP: u64 = 10;
@@ -27,96 +27,6 @@
 }
 
 /// Something on its way; `to` and `from` are incarnations.
-#[derive(Clone, Debug)]
-enum Message {
-    ReadSlots {
-        from: u64,
-        sent_at: Time,
-    },
-    Slots {
-        to: u64,
-        sent_at: Time,
-        version: Option<u64>,
-        table: SlotTable,
-    },
-    WriteSlots {
-        from: u64,
-        sent_at: Time,
-        table: SlotTable,
-        expected: Option<u64>,
-        claim: Option<Claim>,
-    },
-    SlotsWritten {
-        to: u64,
-        sent_at: Time,
-        table: SlotTable,
-        claim: Option<Claim>,
-    },
-    ReadSession {
-        from: u64,
-    },
-    SessionRead {
-        to: u64,
-        version: Option<u64>,
-        record: Option<SessionRecord>,
-    },
-    WriteSession {
-        from: u64,
-        write: SessionWrite,
-    },
-    SessionWritten {
-        to: u64,
-        write: SessionWrite,
-        result: Result<u64, ()>,
-    },
-    Ask {
-        from: u64,
-        to: u64,
-        sent_at: Time,
-        ask: Ask,
-    },
-    Grant {
-        to: u64,
-        sent_at: Time,
-        epoch: u64,
-        grant: Option<Grant>,
-    },
-    Release {
-        from: u64,
-        to: u64,
-        epoch: u64,
-        number: u64,
-    },
-    Promise {
-        from: u64,
-        to: u64,
-        sent_at: Time,
-        epoch: u64,
-    },
-    Promised {
-        to: u64,
-        by: Arc<str>,
-        sent_at: Time,
-        epoch: u64,
-    },
-}
-
-struct Node {
-    me: Incarnation,
-    name: Arc<str>,
-    /// What this clock shows at the start of the world, and its rate in parts per 1,000.
-    clock: (u64, u64),
-    shares: Shares,
-    session: Session,
-    allocator: Option<Allocator>,
-    reclaimer: Reclaimer,
-    contacts: HashMap<Incarnation, Time>,
-    table: Option<SlotTable>,
-    exchanges: Vec<(u64, Spent)>,
-    writes: u64,
-    paused: bool,
-}
-
 pub(crate) struct World {
     options: Options,
     random: SmallRng,
@@ -469,154 +379,3 @@
         self.messages.extend(answer);
     }
 }
-
-impl Node {
-    fn now(&self, now_ns: u64) -> Time {
-        local(self.clock, now_ns)
-    }
-
-    fn take_in(
-        &mut self,
-        message: Message,
-        now: Time,
-        plan: &Plan,
-        listed: &BTreeSet<Arc<str>>,
-    ) -> Option<Message> {
-        match message {
-            Message::Slots { sent_at, version, table, .. } => {
-                self.read_slots(sent_at, version, table, now, listed)
-            }
-            Message::SlotsWritten { sent_at, table, claim, .. } => {
-                if let Some(claim) = claim {
-                    self.shares.set_slot(Some(claim.held(now)));
-                }
-                self.shares.on_contact(sent_at);
-                self.table = Some(table);
-                None
-            }
-            Message::SessionRead { version, record, .. } => {
-                self.session.on_read(now, version, record);
-                self.shares.on_epoch(self.session.known_epoch());
-                None
-            }
-            Message::SessionWritten { write, result, .. } => {
-                self.session_written(&write, result, now);
-                None
-            }
-            Message::Ask { from, sent_at, ask, .. } => {
-                self.session.on_epoch(ask.known_epoch);
-                let epoch = self.hold(now)?;
-                self.contacts.insert(Incarnation(from), now);
-                let rest = rest(plan);
-                let grant = self.allocator.as_mut()?.grant(Incarnation(from), &ask, &rest, now);
-                Some(Message::Grant { to: from, sent_at, epoch, grant })
-            }
-            Message::Grant { sent_at, epoch, grant, .. } => {
-                self.session.on_epoch(epoch);
-                match grant {
-                    // A refused grant is one of the things that must not matter.
-                    Some(grant) => {
-                        let _ = self.shares.on_grant(&grant, sent_at, now);
-                    }
-                    None => self.shares.on_holder(epoch, sent_at),
-                }
-                None
-            }
-            Message::Release { from, epoch, number, .. } => {
-                self.allocator.as_mut()?.release(Incarnation(from), epoch, number, now);
-                None
-            }
-            Message::Promise { from, sent_at, epoch, .. } => self
-                .session
-                .promise(now, epoch, PROMISE_DURATION)
-                .then(|| Message::Promised { to: from, by: self.name.clone(), sent_at, epoch }),
-            Message::Promised { by, sent_at, epoch, .. } => {
-                self.session.on_promise(&by, epoch, sent_at, PROMISE_DURATION);
-                None
-            }
-            _ => None,
-        }
-    }
-
-    fn read_slots(
-        &mut self,
-        sent_at: Time,
-        version: Option<u64>,
-        mut table: SlotTable,
-        now: Time,
-        listed: &BTreeSet<Arc<str>>,
-    ) -> Option<Message> {
-        table.grow(4);
-        let mut claim = None;
-        let changed = match table.of(self.me) {
-            Some((number, false)) => {
-                self.shares.on_contact(sent_at);
-                if self.shares.slot().is_none_or(|slot| slot.number != number) {
-                    self.shares.set_slot(Some(Claim { number, used_before: true }.held(now)));
-                }
-                let Node { reclaimer, contacts, .. } = self;
-                self.session.holds(now).is_some()
-                    && reclaimer.step(
-                        &mut table,
-                        now,
-                        |name| listed.contains(name),
-                        |owner| contacts.get(&owner).copied(),
-                    )
-            }
-            Some((_, true)) => table.set_revoking(self.me, false),
-            None => {
-                self.shares.set_slot(None);
-                claim = table.claim(self.me, &self.name);
-                claim.is_some()
-            }
-        };
-        if !changed {
-            self.table = Some(table);
-            return None;
-        }
-        self.writes += 1;
-        table.write = WriteId { writer: self.me.0, number: self.writes };
-        Some(Message::WriteSlots { from: self.me.0, sent_at, table, expected: version, claim })
-    }
-
-    fn session_written(&mut self, write: &SessionWrite, result: Result<u64, ()>, now: Time) {
-        match result {
-            // An answer to an older write is as good as lost: only the last one is waited for.
-            _ if !self.session.is_pending(write) => {}
-            Ok(version) => self.session.on_written(now, version),
-            Err(()) => {}
-        }
-        self.shares.on_epoch(self.session.known_epoch());
-    }
-
-    /// Returns the epoch that this instance may grant under, with an allocator for it.
-    fn hold(&mut self, now: Time) -> Option<u64> {
-        let epoch = self.session.holds(now)?;
-        if self.allocator.as_ref().is_none_or(|allocator| allocator.epoch() != epoch) {
-            self.allocator = Some(Allocator::new(epoch, now, self.session.is_first_epoch()));
-            self.contacts.clear();
-        }
-        Some(epoch)
-    }
-
-    fn grant_self(&mut self, now: Time, plan: &Plan) -> bool {
-        if self.hold(now).is_none() {
-            return false;
-        }
-        let ask = self.shares.ask(now);
-        let allocator = self.allocator.as_mut();
-        self.shares.on_contact(now);
-        if let Some(grant) = allocator.and_then(|all| all.grant(self.me, &ask, &rest(plan), now)) {
-            let _ = self.shares.on_grant(&grant, now, now);
-        }
-        true
-    }
-}
-
-fn rest(plan: &Plan) -> BTreeMap<Resource, u64> {
-    plan.caps.iter().map(|(resource, cap)| (resource.clone(), cap.rest())).collect()
-}
-
-fn local((offset, rate): (u64, u64), now_ns: u64) -> Time {
-    Time::from_ns(offset + now_ns / 1_000 * rate)
-}
