Exchange what instances know and keep the dead out of look-ups

Cause: look-ups named what the platform listed, dead or not. Change: instances exchange descriptions, suspicions and pages; the members that look-ups name come from the membership; a planned stop is told to others before the listener closes; versions heard of go to the configuration; metrics of members and exchanges; a status for operators. Tests: three with real daemons: a killed instance leaves the look-ups while the platform lists it, a stopped one before its listener closes, a restarted one is known by its new incarnation. The fixture of runpin's tests, and the laboratory, wait at the start until every instance was told by the others that they serve: before, the platform's list alone made them usable, and the first look-up could come before an exchange. Conclusion: membership is in force. Findings on backend servers are exchanged; figures for sites are carried, but no part gives any yet.

--- a/crates/lab/src/laboratory.rs
+++ b/crates/lab/src/laboratory.rs
@@ -132,7 +132,7 @@
             }
         }
         let ready = async {
-            while !self.instances.lock().iter().all(|instance| is_ready(&instance.daemon)) {
+            while !self.are_ready() {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
@@ -141,6 +141,12 @@
             .map_err(|_| LabError::NotReady(READY_TIMEOUT_S))
     }
 
+    /// Tells whether every instance has a configuration and sees every other one serve.
+    fn are_ready(&self) -> bool {
+        let instances = self.instances.lock();
+        instances.iter().all(|instance| is_ready(&instance.daemon, instances.len()))
+    }
+
     /// Starts an instance and returns its entry for the platform's list.
     pub(crate) async fn start_instance(&self, zone: &Arc<str>) -> Result<InstanceEntry, LabError> {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
@@ -222,11 +228,13 @@
     }
 }
 
-fn is_ready(daemon: &Daemon) -> bool {
+fn is_ready(daemon: &Daemon, instances: usize) -> bool {
     let process = daemon.process();
+    let members = process.members.load();
+    let usable = members.as_ref().map_or(0, |members| members.usable().count());
     process.version.load().is_some()
         && process.shares.is_ready(process.clock.now())
-        && process.members.load().as_ref().is_some_and(|members| !members.members.is_empty())
+        && usable == instances
 }
 
 fn settings(name: &Arc<str>, zone: &Arc<str>) -> Result<Settings, LabError> {
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -65,6 +65,14 @@
   instances @0 :List(InstanceDigest);
   configurationNumber @1 :UInt64;
   suspicions @2 :List(Suspicion);
+  unreachableZones @3 :List(Text);
+  sync @4 :SyncPosition;
+  moreAfter @5 :Text;
+}
+
+struct SyncPosition {
+  availabilityZone @0 :Text;
+  after @1 :Text;
 }
 
 struct Suspicion {
--- a/crates/peer/src/codec/digest.rs
+++ b/crates/peer/src/codec/digest.rs
@@ -1,8 +1,13 @@
 //! Digests.
 
 use super::{CodecError, list_len, text};
-use crate::message::{Digest, InstanceDigest, InstanceStatus, ServerFigure, SiteFigure, Suspicion};
-use crate::peer_capnp::{self, digest, instance_digest, server_figure, site_figure, suspicion};
+use crate::message::{
+    Digest, InstanceDigest, InstanceStatus, ServerFigure, SiteFigure, Suspicion, SyncPosition,
+};
+use crate::peer_capnp::{
+    self, digest, instance_digest, server_figure, site_figure, suspicion, sync_position,
+};
+use std::sync::Arc;
 
 pub(super) fn write(mut builder: digest::Builder<'_>, digest: &Digest) {
     builder.set_configuration_number(digest.configuration_number);
@@ -10,6 +15,18 @@
     for (position, instance) in (0..).zip(&digest.instances) {
         write_instance(instances.reborrow().get(position), instance);
     }
+    let mut zones = builder.reborrow().init_unreachable_zones(list_len(&digest.unreachable_zones));
+    for (position, zone) in (0..).zip(&digest.unreachable_zones) {
+        zones.set(position, &**zone);
+    }
+    if let Some(sync) = &digest.sync {
+        let mut builder = builder.reborrow().init_sync();
+        builder.set_availability_zone(&*sync.availability_zone);
+        builder.set_after(sync.after.as_deref().unwrap_or_default());
+    }
+    if let Some(more_after) = &digest.more_after {
+        builder.set_more_after(&**more_after);
+    }
     let mut suspicions = builder.init_suspicions(list_len(&digest.suspicions));
     for (position, suspicion) in (0..).zip(&digest.suspicions) {
         let mut builder = suspicions.reborrow().get(position);
@@ -28,9 +45,28 @@
             .iter()
             .map(read_suspicion)
             .collect::<Result<_, _>>()?,
+        unreachable_zones: reader
+            .get_unreachable_zones()?
+            .iter()
+            .map(|zone| text::name(zone?))
+            .collect::<Result<_, _>>()?,
+        sync: if reader.has_sync() { Some(read_sync(reader.get_sync()?)?) } else { None },
+        more_after: optional(reader.get_more_after()?)?,
     })
 }
 
+fn read_sync(reader: sync_position::Reader<'_>) -> Result<SyncPosition, CodecError> {
+    Ok(SyncPosition {
+        availability_zone: text::name(reader.get_availability_zone()?)?,
+        after: optional(reader.get_after()?)?,
+    })
+}
+
+/// Reads a name that may be absent, which is empty then.
+fn optional(text: capnp::text::Reader<'_>) -> Result<Option<Arc<str>>, CodecError> {
+    Ok(Some(text::name(text)?).filter(|name| !name.is_empty()))
+}
+
 fn read_suspicion(reader: suspicion::Reader<'_>) -> Result<Suspicion, CodecError> {
     Ok(Suspicion {
         name: text::name(reader.get_name()?)?,
--- a/crates/peer/src/message/digest.rs
+++ b/crates/peer/src/message/digest.rs
@@ -12,6 +12,21 @@
     pub configuration_number: u64,
     /// Instances that someone could not reach and nobody has heard from since.
     pub suspicions: Vec<Suspicion>,
+    /// Availability zones that the sender can't reach; told inside its own one only.
+    pub unreachable_zones: Vec<Arc<str>>,
+    /// In a request: asks for a page of an availability zone's instances.
+    pub sync: Option<SyncPosition>,
+    /// In a reply: the last name of the page, if there are more.
+    pub more_after: Option<Arc<str>>,
+}
+
+/// Where the next page of an availability zone's instances begins.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct SyncPosition {
+    /// The availability zone.
+    pub availability_zone: Arc<str>,
+    /// The last name that is known already.
+    pub after: Option<Arc<str>>,
 }
 
 /// An instance that could not be reached; a later description of its own refutes it.
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -9,7 +9,9 @@
 mod hand_over;
 
 pub use configuration::{ChunkRequest, ManifestRequest, Part};
-pub use digest::{Digest, InstanceDigest, InstanceStatus, ServerFigure, SiteFigure, Suspicion};
+pub use digest::{
+    Digest, InstanceDigest, InstanceStatus, ServerFigure, SiteFigure, Suspicion, SyncPosition,
+};
 pub use grant::{
     GrantReply, GrantRequest, LinkAmount, PromiseReply, PromiseRequest, ReleaseRequest, SiteAmount,
 };
--- a/crates/runpin/tests/common/mod.rs
+++ b/crates/runpin/tests/common/mod.rs
@@ -41,9 +41,21 @@
         let deployment = Self::start_without_configuration().await;
         deployment.accept(&deployment.configuration_text()).await;
         deployment.wait_for_version(1).await;
+        deployment.wait_for_members().await;
         deployment
     }
 
+    /// Waits until each daemon was told by the others that they serve.
+    async fn wait_for_members(&self) {
+        let sees_all = |daemon: &Daemon| {
+            let members = daemon.process().members.load();
+            members.as_ref().map_or(0, |members| members.usable().count()) == self.daemons.len()
+        };
+        while !self.daemons.iter().all(sees_all) {
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+    }
+
     pub(crate) async fn start_without_configuration() -> Self {
         let mut backends = Vec::new();
         for seed in 0..2 {
--- a/crates/runpind/src/process/configuration/mod.rs
+++ b/crates/runpind/src/process/configuration/mod.rs
@@ -95,6 +95,7 @@
         log::info!("configuration version {number} is in force");
         self.process.metrics.configuration_version.set(number as i64);
         self.process.version.store(Some(version));
+        self.process.describe_anew();
         tokio::spawn(announce(self.process.clone(), self.fetcher.metrics.clone(), number));
     }
 
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -7,7 +7,7 @@
 use super::peer_metrics::PeerMetrics;
 use super::peers::{self, Answerer};
 use super::platform_budget::{self, Budget};
-use super::{Process, membership, planned_stop, routing, shares};
+use super::{Process, exchange, planned_stop, routing, shares};
 use crate::connection::dialer::{Dialer, TcpDialer};
 use crate::connection::listener::{self, Listener};
 use crate::error::DaemonError;
@@ -88,7 +88,8 @@
             starter.start(peers.into_std()?, Arc::new(Answerer::new(process.clone())))?;
         let mut background = JoinSet::new();
         background.spawn(configuration::watch::run(process.clone(), configuration_metrics));
-        background.spawn(membership::refresh(process.clone(), budget.ordinary.clone()));
+        background.spawn(exchange::read_list(process.clone(), budget.ordinary.clone()));
+        background.spawn(exchange::run(process.clone()));
         background.spawn(platform_budget::keep_rate(process.clone(), budget.ordinary));
         background.spawn(routing::run(process.clone()));
         background.spawn(shares::run(process.clone()));
--- a/crates/runpind/src/process/membership.rs
+++ b/crates/runpind/src/process/membership.rs
@@ -1,18 +1,21 @@
-//! The entry instances and leaving backend servers, as the platform lists them.
+//! The entry instances that this instance knows, and the exchanges that keep them known.
 
 use super::Process;
+use super::digest;
+use super::membership_metrics::MembershipMetrics;
+use crate::settings::Settings;
+use parking_lot::Mutex;
 use peer::PeerEndpoint;
-use platform::{InstanceDirectory, InstanceEntry, InstanceState};
+use peer::message::InstanceDigest;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use steering::Incarnation;
-
-/// Time between two reads of the list.
-const REFRESH_PERIOD: Duration = Duration::from_secs(1);
+use steering::membership::{MemberView, Membership, MembershipStatus, Own};
 
 /// Entry instances known to this instance, our own included.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Members {
     /// All of them, in the order of their names.
     pub members: Vec<Member>,
@@ -66,44 +69,94 @@
     }
 }
 
-impl From<InstanceEntry> for Member {
-    fn from(entry: InstanceEntry) -> Self {
+impl From<MemberView<InstanceDigest>> for Member {
+    fn from(view: MemberView<InstanceDigest>) -> Self {
+        let description = view.description.as_deref();
+        let successor_of = description.map(|known| known.payload.successor_of.as_slice());
         Self {
-            name: entry.name,
-            availability_zone: entry.availability_zone,
-            caller_address: entry.caller_address,
-            peer_address: entry.peer_address,
-            incarnation: None,
-            successor_of: Vec::new(),
-            usable: entry.state == InstanceState::Live,
+            name: view.name,
+            availability_zone: view.availability_zone,
+            caller_address: view.caller_address,
+            peer_address: view.peer_address,
+            incarnation: description.map(|known| known.incarnation),
+            successor_of: successor_of
+                .unwrap_or_default()
+                .iter()
+                .copied()
+                .map(Incarnation)
+                .collect(),
+            usable: view.state.is_usable(),
         }
     }
 }
 
-/// Keeps what instances told of themselves while their addresses stay the same.
-fn keep_what_was_heard(process: &Process, members: &mut [Member]) {
-    let Some(before) = process.members.load_full() else { return };
-    for member in members {
-        let same = |old: &&Member| old.peer_address == member.peer_address;
-        if let Some(old) = before.members.iter().find(same) {
-            member.incarnation = old.incarnation;
-            member.successor_of.clone_from(&old.successor_of);
-        }
+/// The membership of one daemon.
+pub struct MembershipState {
+    pub(super) table: Mutex<Membership<InstanceDigest>>,
+    pub(super) metrics: MembershipMetrics,
+    /// Set once exchanges or the platform's list keep the table up to date.
+    kept: AtomicBool,
+}
+
+impl MembershipState {
+    /// Makes the membership of a daemon that knows only itself.
+    pub fn new(settings: &Settings, incarnation: Incarnation, metrics: MembershipMetrics) -> Self {
+        let own = Own {
+            name: settings.name.clone(),
+            availability_zone: settings.availability_zone.clone(),
+            incarnation,
+            generation: first_generation(),
+            caller_address: settings.caller_address,
+            peer_address: settings.peer_address,
+        };
+        Self { table: Mutex::new(Membership::new(own)), metrics, kept: AtomicBool::new(false) }
     }
 }
 
-/// Reads the list again and again; a failed read leaves the last one in use.
-pub async fn refresh(process: Arc<Process>, directory: Arc<dyn InstanceDirectory>) {
-    loop {
-        if let Ok(entries) = directory.entry_instances().await {
-            let mut members: Vec<Member> = entries.into_iter().map(Member::from).collect();
-            members.sort_by(|a, b| a.name.cmp(&b.name));
-            keep_what_was_heard(&process, &mut members);
-            process.members.store(Some(Arc::new(Members { members })));
+impl Process {
+    /// Returns the membership as operators see it.
+    pub fn membership_status(&self) -> MembershipStatus {
+        self.membership.table.lock().status(self.clock.now())
+    }
+
+    /// Describes this instance anew for the other ones and for itself.
+    pub(super) fn describe_anew(&self) {
+        self.describe_self();
+        self.publish_members();
+    }
+
+    fn describe_self(&self) {
+        let payload = digest::own(self);
+        let status = digest::status(payload.status);
+        let mut table = self.membership.table.lock();
+        let told = table.own_description().map(|told| &told.payload);
+        let urgent = told.is_none_or(|told| digest::differs_urgently(told, &payload));
+        table.describe(status, payload, urgent);
+    }
+
+    /// Has the members shown to the rest of the process come from the membership from now on.
+    pub(super) fn keep_members(&self) {
+        self.membership.kept.store(true, Ordering::SeqCst);
+    }
+
+    /// Shows the rest of the process the members as they are now, if they are kept.
+    pub(super) fn publish_members(&self) {
+        if !self.membership.kept.load(Ordering::SeqCst) {
+            return;
         }
-        if let Ok(leaving) = directory.leaving_backend_servers().await {
-            process.set_leaving_servers(&leaving);
+        let view = self.membership.table.lock().view(self.clock.now());
+        self.membership.metrics.set_members(view.iter().map(|member| member.state));
+        let members = Members { members: view.into_iter().map(Member::from).collect() };
+        if self.members.load().as_deref() != Some(&members) {
+            self.members.store(Some(Arc::new(members)));
         }
-        tokio::time::sleep(REFRESH_PERIOD).await;
     }
 }
+
+/// Returns the generation of a new life: later lives of a name get higher ones as long as the wall
+/// clock does not go back between them; if it does, the membership raises the generation once it
+/// hears of the earlier life.
+fn first_generation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    u64::try_from(since_epoch.as_millis()).unwrap_or(0)
+}
--- a/crates/runpind/src/process/metrics.rs
+++ b/crates/runpind/src/process/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of the daemon, in the form of Prometheus.
 
 use super::ledger::LedgerMetrics;
+use super::membership_metrics::MembershipMetrics;
 use super::overload_metrics::OverloadMetrics;
 use configuration::Class;
 use prometheus::{
@@ -33,6 +34,8 @@
     pub ledger: LedgerMetrics,
     /// Queues, refusals, retries and backend servers.
     pub overload: OverloadMetrics,
+    /// Entry instances.
+    pub membership: MembershipMetrics,
 }
 
 impl Metrics {
@@ -81,6 +84,7 @@
         registry.register(Box::new(configuration_version.clone()))?;
         let ledger = LedgerMetrics::register(&registry)?;
         let overload = OverloadMetrics::register(&registry)?;
+        let membership = MembershipMetrics::new(&registry)?;
         Ok(Self {
             registry,
             requests,
@@ -91,6 +95,7 @@
             policy_failures,
             configuration_version,
             ledger,
+            membership,
             overload,
         })
     }
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -5,10 +5,13 @@
 pub mod clock;
 pub mod configuration;
 pub mod daemon;
+pub mod digest;
+pub mod exchange;
 pub mod history;
 pub mod ledger;
 pub mod logging;
 pub mod membership;
+pub mod membership_metrics;
 pub mod metrics;
 pub mod overload_metrics;
 pub mod peer_metrics;
@@ -28,7 +31,7 @@
 use backend_servers::BackendServers;
 use clock::Clock;
 use ledger::LedgerState;
-use membership::Members;
+use membership::{Members, MembershipState};
 use metrics::Metrics;
 use peer::PeerClient;
 use platform::ObjectStore;
@@ -64,6 +67,8 @@
     pub backend_servers: BackendServers,
     /// Requests that wait for room.
     pub waiting: Waiting,
+    /// What is known of the entry instances.
+    pub membership: MembershipState,
     /// Connections to backend servers.
     pub pools: Pools,
     /// The ledger of idempotency keys.
@@ -98,6 +103,7 @@
     ) -> Result<Self, prometheus::Error> {
         let name = settings.name.clone();
         let shares = ShareState::new(incarnation, name, clock.now(), metrics.registry())?;
+        let membership = MembershipState::new(&settings, incarnation, metrics.membership.clone());
         let ledger = LedgerState::new(incarnation, clock.clone(), metrics.ledger.clone());
         Ok(Self {
             settings,
@@ -111,6 +117,7 @@
             members: ArcSwapOption::empty(),
             backend_servers: BackendServers::new(incarnation),
             waiting: Waiting::default(),
+            membership,
             pools: Pools::default(),
             ledger: Arc::new(ledger),
             routing: Routing::new(incarnation.0),
--- a/crates/runpind/src/process/planned_stop.rs
+++ b/crates/runpind/src/process/planned_stop.rs
@@ -1,13 +1,15 @@
 //! The first step of a planned stop: callers are moved to other instances.
 
-use super::Process;
+use super::{Process, exchange};
+use std::sync::Arc;
 use std::time::Duration;
 
-/// Takes this instance out of look-ups and waits until the callers' answers have expired.
+/// Takes this instance out of look-ups, its own and those of others, and waits until the callers' answers have expired.
 ///
 /// Requests that arrive meanwhile are served; over HTTP/1 their connections close after them.
-pub(super) async fn move_callers(process: &Process) {
+pub(super) async fn move_callers(process: &Arc<Process>) {
     process.start_draining();
+    exchange::announce_stop(process).await;
     tokio::time::sleep(notice(process)).await;
 }
 
--- /dev/null
+++ b/crates/runpind/tests/membership.rs
@@ -0,0 +1,103 @@
+//! Real daemons as tasks that see each other, with one killed, one stopped and one with other keys.
+
+mod fleet;
+
+use fleet::Fleet;
+use runpind::Daemon;
+use std::net::SocketAddr;
+use std::time::Duration;
+use steering::membership::MemberState;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const POLL: Duration = Duration::from_millis(10);
+
+/// Waits until each of `daemons` sees the instance in one of `states`.
+async fn wait_state(daemons: &[&Daemon], name: &str, states: &[MemberState]) {
+    for daemon in daemons {
+        while !state_of(daemon, name).is_some_and(|state| states.contains(&state)) {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+fn state_of(daemon: &Daemon, name: &str) -> Option<MemberState> {
+    let status = daemon.process().membership_status();
+    status.members.iter().find(|member| &*member.name == name).map(|member| member.state)
+}
+
+async fn lookup(at: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(at).await.expect("connected");
+    let request = "GET /lookup?service=files HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("read");
+    answer
+}
+
+/// Waits until the members shown to the rest of the process agree with `usable`.
+async fn wait_usable(daemon: &Daemon, name: &str, usable: bool) {
+    let agrees = || {
+        let members = daemon.process().members.load();
+        let members = members.as_ref().map(|members| members.members.as_slice());
+        let member = members.unwrap_or_default().iter().find(|member| &*member.name == name);
+        member.is_some_and(|member| member.usable == usable)
+    };
+    while !agrees() {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_instance_leaves_the_lookups_though_the_platform_lists_it() {
+    let fleet = Fleet::start().await;
+    let (one, two, three) =
+        (fleet.daemon("one").await, fleet.daemon("two").await, fleet.daemon("three").await);
+    for name in ["one", "two", "three"] {
+        wait_state(&[&one, &two, &three], name, &[MemberState::Serving]).await;
+    }
+    let killed = three.caller_address();
+    let incarnation = three.process().incarnation;
+
+    three.kill();
+    wait_usable(&one, "three", false).await;
+    wait_usable(&two, "three", false).await;
+    let answers = [lookup(one.caller_address()).await, lookup(two.caller_address()).await];
+
+    for answer in answers {
+        assert!(answer.contains(&one.caller_address().to_string()), "{answer}");
+        assert!(!answer.contains(&killed.to_string()), "{answer}");
+    }
+    let members = one.process().members.load_full().expect("members");
+    assert_eq!(members.home(incarnation).map(|home| &*home.name), Some("three"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_is_known_before_the_instance_accepts_no_more() {
+    let fleet = Fleet::start().await;
+    let (one, two) = (fleet.daemon("one").await, fleet.daemon("two").await);
+    wait_state(&[&one], "two", &[MemberState::Serving]).await;
+    wait_state(&[&two], "one", &[MemberState::Serving]).await;
+    let stopped = two.caller_address();
+
+    two.stop().await;
+    let answer = lookup(one.caller_address()).await;
+
+    assert!(!answer.contains(&stopped.to_string()), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_instance_is_back_with_its_new_incarnation() {
+    let fleet = Fleet::start().await;
+    let (one, two) = (fleet.daemon("one").await, fleet.daemon("two").await);
+    wait_state(&[&one], "two", &[MemberState::Serving]).await;
+    two.kill();
+    wait_state(&[&one], "two", &[MemberState::Suspected]).await;
+
+    let two = fleet.daemon("two").await;
+    wait_state(&[&one], "two", &[MemberState::Serving, MemberState::Back]).await;
+
+    let members = one.process().members.load_full().expect("members");
+    let home = members.home(two.process().incarnation).expect("known by its new incarnation");
+    assert_eq!((&*home.name, home.caller_address), ("two", two.caller_address()));
+}
