--- a/crates/steering/src/admission/mod.rs
+++ b/crates/steering/src/admission/mod.rs
@@ -16,9 +16,9 @@
 
 /// Longest wait, as a multiple of the mean time that a request holds its slot.
 ///
-/// Answer times are about exponential, so that this much waiting leaves the slowest hundredth of
-/// the answers under twice what they are without a queue.
-pub const WAIT_FACTOR: f64 = 2.0;
+/// Answer times are about exponential: their slowest hundredth takes 4.6 times the mean, so that
+/// this much waiting leaves the slowest answers under twice what they are without a queue.
+pub const WAIT_FACTOR: f64 = 4.0;
 
 /// Shortest longest wait, for services that answer within a moment.
 const MIN_WAIT: Duration = Duration::from_millis(10);
--- a/crates/steering/src/servers/mod.rs
+++ b/crates/steering/src/servers/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::Time;
 use configuration::{BackendServer, Site};
-use picker::{Candidate, LeastInFlight, Picker};
+use picker::{Candidate, LatencyWeighted, Picker};
 use server::{Access, Server};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -56,7 +56,7 @@
 impl Servers {
     /// Makes an empty view whose choice by chance starts from `seed`.
     pub fn new(seed: u64) -> Self {
-        Self::with_picker(Box::new(LeastInFlight::new(seed)))
+        Self::with_picker(Box::new(LatencyWeighted::new(seed)))
     }
 
     /// Makes an empty view with a method of choice.
@@ -165,6 +165,7 @@
             .iter()
             .filter_map(|server| Some((server.address, self.access(now, server, pool.slots)?)))
             .collect();
+        reopen_reported(&mut accesses, pool.slots);
         if accesses.iter().any(|(_, access)| matches!(access, Access::Ejected { .. })) {
             let reopened = self.past_ejection_limit(now, pool);
             for (address, access) in &mut accesses {
@@ -188,7 +189,8 @@
             match self.access(now, server, pool.slots) {
                 Some(Access::Leaving) => continue,
                 Some(Access::Ejected { since }) => ejected.push((since, server.address)),
-                Some(Access::Open { .. } | Access::Probe { .. }) | None => {}
+                Some(Access::Open { .. } | Access::Probe { .. } | Access::Reported { .. })
+                | None => {}
             }
             staying += 1;
         }
@@ -223,6 +225,26 @@
     }
 }
 
+/// Reopens the backend servers of a site that were reported last, past the ejection limit.
+fn reopen_reported(accesses: &mut [(SocketAddr, Access)], slots: u32) {
+    let staying = accesses.iter().filter(|(_, access)| *access != Access::Leaving).count();
+    let in_use = |access: &Access| matches!(access, Access::Open { .. });
+    let open = accesses.iter().filter(|(_, access)| in_use(access)).count();
+    let needed = (staying - staying * MAX_EJECTED_PERCENT / 100).saturating_sub(open);
+    let mut reported: Vec<(Time, usize)> = accesses
+        .iter()
+        .enumerate()
+        .filter_map(|(position, (_, access))| match access {
+            Access::Reported { since } => Some((*since, position)),
+            _ => None,
+        })
+        .collect();
+    reported.sort_unstable();
+    for (_, position) in reported.into_iter().rev().take(needed) {
+        accesses[position].1 = Access::Open { limit: slots };
+    }
+}
+
 /// Returns the backend server that this request is to probe, if one is due.
 fn probe(now: Time, accesses: &[(SocketAddr, Access)], pool: Pool<'_>) -> Option<SocketAddr> {
     let is_open = |(_, access): &(_, Access)| matches!(access, Access::Open { .. });
--- a/crates/steering/src/servers/server.rs
+++ b/crates/steering/src/servers/server.rs
@@ -10,6 +10,14 @@
 /// Failures in a row that eject a backend server.
 const EJECTING_FAILURES: u32 = 3;
 
+/// Wait before a backend server that another instance reported is probed.
+///
+/// Within it the platform's list reaches us too, if that is where the report comes from.
+const REPORT_HOLD: Duration = Duration::from_secs(2);
+
+/// How long reports are passed over after a whole answer contradicted them.
+const CONTRADICTED_FOR: Duration = Duration::from_secs(30);
+
 /// How long a report of another instance counts.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
 
@@ -40,6 +48,8 @@
     listed: bool,
     reported_leaving: Option<Reported>,
     reported_failing: Option<Reported>,
+    /// When a whole answer last contradicted a report.
+    contradicted: Option<Time>,
     last_used: Time,
 }
 
@@ -56,8 +66,10 @@
     Open { limit: u32 },
     /// It may get one request that shows whether it works, since `due`.
     Probe { due: Time },
-    /// It is out of use by measurement or report, as far as the ejection limit allows.
+    /// It is out of use by our measurement, as far as the ejection limit allows.
     Ejected { since: Time },
+    /// It is out of use by another instance's report, as far as that limit allows for its site.
+    Reported { since: Time },
     /// It is leaving, and gets none.
     Leaving,
 }
@@ -73,6 +85,7 @@
             listed: false,
             reported_leaving: None,
             reported_failing: None,
+            contradicted: None,
             last_used: now,
         }
     }
@@ -107,8 +120,11 @@
         match (self.phase, reported) {
             (Phase::Leaving { until, .. }, _) if now < until => Access::Leaving,
             (Phase::Ejected { since, until, .. }, _) if now < until => Access::Ejected { since },
-            // Others must agree that it came back, as far as the ejection limit allows.
-            (_, Some(since)) => Access::Ejected { since },
+            // Others must agree that it came back, until a probe of our own says so.
+            (_, Some(since)) if now.since(since) >= REPORT_HOLD => {
+                self.probe(since + REPORT_HOLD, Access::Reported { since })
+            }
+            (_, Some(since)) => Access::Reported { since },
             (Phase::Leaving { until, .. }, None) => self.probe(until, Access::Leaving),
             (Phase::Ejected { since, until, .. }, None) => {
                 self.probe(until, Access::Ejected { since })
@@ -137,7 +153,7 @@
             self.phase = self.phase.leaving(now, Sign::ConnectionClose);
         }
         match report.ending {
-            Ending::Whole => self.succeed(report),
+            Ending::Whole => self.succeed(now, report),
             Ending::Shed => self.back_off(),
             Ending::Refused => self.phase = self.phase.leaving(now, Sign::Refused),
             Ending::Failed => self.fail(now, report.started),
@@ -148,11 +164,15 @@
         }
     }
 
-    fn succeed(&mut self, report: Report) {
+    fn succeed(&mut self, now: Time, report: Report) {
         self.failures = 0;
         if report.closing {
             return;
         }
+        let asked_since = |reported: &mut Reported| report.started >= reported.since + REPORT_HOLD;
+        if self.reported_leaving.take_if(asked_since).is_some() {
+            self.contradicted = Some(now);
+        }
         let proven = match self.phase {
             Phase::Ejected { since, .. } => report.started >= since,
             Phase::Leaving { until, .. } => report.started >= until,
@@ -246,6 +266,10 @@
 
     /// Records what another instance found.
     pub(super) fn absorb(&mut self, now: Time, leaving: bool) {
+        let contradicted = |at: Time| now.since(at) < CONTRADICTED_FOR;
+        if leaving && self.contradicted.is_some_and(contradicted) {
+            return;
+        }
         let reported =
             if leaving { &mut self.reported_leaving } else { &mut self.reported_failing };
         let since = reported.filter(|old| now < old.until).map_or(now, |old| old.since);
