Compare arms on live traffic, with a verdict that chance seldom gives

Cause: nothing told whether a policy is better than another; 14 buckets can't tell a p99 of 60 ms from one of 90 ms.

Change: steering::compare judges two arms by drawing whole periods again; instances count answers in 160 bins and refusals by kind for each arm (/v1/arms, runpin_problems_total); runpin policy compare asks the instances named and shows both arms with intervals, findings and a verdict.

Conclusion: the verdict holds on known better, equal and worse arms of a model; on live arms it is still to be tried.

--- a/crates/runpin/src/command/policy/mod.rs
+++ b/crates/runpin/src/command/policy/mod.rs
@@ -1,6 +1,7 @@
 //! `runpin policy`: the policies and arms of the configuration.
 
 mod apply;
+mod compare;
 pub(crate) mod edit;
 mod list;
 mod rollback;
@@ -30,6 +31,7 @@
 enum PolicyCommand {
     List(list::PolicyList),
     Apply(apply::PolicyApply),
+    Compare(compare::PolicyCompare),
     Rollback(rollback::PolicyRollback),
 }
 
@@ -38,6 +40,7 @@
     match options.command {
         PolicyCommand::List(options) => list::run(&options).await,
         PolicyCommand::Apply(options) => apply::run(options).await,
+        PolicyCommand::Compare(options) => compare::run(&options).await,
         PolicyCommand::Rollback(options) => rollback::run(options).await,
     }
 }
--- a/crates/runpin/src/error.rs
+++ b/crates/runpin/src/error.rs
@@ -56,6 +56,15 @@
     /// A name has characters that names don't have.
     #[error("--{flag}: `{value}` is not a name of letters, digits, `-` and `_`")]
     Name { flag: &'static str, value: String },
+    /// A time to measure for is out of range.
+    #[error("--duration-s: {0} is not from 1 to 86400")]
+    Duration(f64),
+    /// No service had requests of both arms.
+    #[error(
+        "no service had requests of both `{base}` and `{trial}` in this time (arms with requests: \
+         {arms}); see `runpin policy list`, or measure for longer with --duration-s"
+    )]
+    NoRequests { base: String, trial: String, arms: String },
     /// An entry instance is not written as it should be.
     #[error("--entry: `{0}` is not NAME,ZONE,CALLER_ADDRESS,PEER_ADDRESS")]
     Entry(String),
@@ -83,6 +92,7 @@
             | CommandError::MissingInstance
             | CommandError::Instance(_)
             | CommandError::Name { .. }
+            | CommandError::Duration(_)
             | CommandError::Entry(_)
             | CommandError::File { .. } => Exit::WrongUsage,
             CommandError::Conflict { .. } => Exit::Conflict,
@@ -91,6 +101,7 @@
             CommandError::MissingToken(_) => Exit::Denied,
             CommandError::Refused { status, .. } => exit_of_status(*status),
             CommandError::Manifest(_)
+            | CommandError::NoRequests { .. }
             | CommandError::Listen { .. }
             | CommandError::Format(_)
             | CommandError::Io(_) => Exit::Failed,
--- a/crates/runpin/tests/common/mod.rs
+++ b/crates/runpin/tests/common/mod.rs
@@ -3,6 +3,9 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use configuration::{MANIFEST_KEY, Manifest};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use lab::{BackendOptions, BackendStandIn, PlatformStandIn, RunRecord};
 use platform::{Expected, InstanceEntry, InstanceState, ObjectStore};
 use runpind::connection::dialer::TcpDialer;
@@ -230,3 +233,28 @@
 "#
     )
 }
+
+/// Sends requests to each instance, one after another, until dropped.
+pub(crate) struct Traffic(Vec<tokio::task::JoinHandle<()>>);
+
+impl Traffic {
+    pub(crate) fn start(deployment: &Deployment) -> Self {
+        let addresses = deployment.daemons.iter().map(|daemon| daemon.caller_address());
+        Self(addresses.map(|address| tokio::spawn(request_again_and_again(address))).collect())
+    }
+}
+
+impl Drop for Traffic {
+    fn drop(&mut self) {
+        self.0.iter().for_each(|task| task.abort());
+    }
+}
+
+async fn request_again_and_again(address: SocketAddr) {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<bytes::Bytes>>();
+    let uri: hyper::Uri = format!("http://{address}/files/1").parse().expect("a URI");
+    loop {
+        let response = client.get(uri.clone()).await.expect("an answer");
+        response.into_body().collect().await.expect("a whole answer");
+    }
+}
--- /dev/null
+++ b/crates/runpind/src/process/arms.rs
@@ -0,0 +1,105 @@
+//! What each arm did at this instance, fine enough to compare arms.
+//!
+//! The histograms for Prometheus have few buckets, because each one is a series; these have 160 bins
+//! and are read only by `runpin policy compare`.
+
+use configuration::Class;
+use parking_lot::{Mutex, RwLock};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use steering::compare::{BINS, LatencyHistogram};
+
+/// Services, classes and arms that are measured at most; further ones are not.
+const MAX_FLOWS: usize = 4_096;
+
+/// Requests of one service, class and arm.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct FlowName {
+    /// The service.
+    pub service: Arc<str>,
+    /// The class.
+    pub class: Class,
+    /// The arm.
+    pub arm: Arc<str>,
+}
+
+/// Measurements of all flows since the daemon started.
+#[derive(Debug, Default)]
+pub struct ArmMeasurements {
+    flows: RwLock<HashMap<FlowName, Arc<Flow>>>,
+}
+
+#[derive(Debug)]
+struct Flow {
+    latency: Box<[AtomicU64]>,
+    refused: Mutex<BTreeMap<&'static str, u64>>,
+}
+
+/// What one flow did since the daemon started.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct FlowStatus {
+    /// The service.
+    pub service: Arc<str>,
+    /// The class.
+    pub class: &'static str,
+    /// The arm.
+    pub arm: Arc<str>,
+    /// Whole answers by their time, in the bins of [`LatencyHistogram`].
+    pub latency_bins: Vec<u64>,
+    /// Refusals by kind of problem.
+    pub refused: BTreeMap<&'static str, u64>,
+}
+
+impl Default for Flow {
+    fn default() -> Self {
+        Self { latency: (0..BINS).map(|_| AtomicU64::new(0)).collect(), refused: Mutex::default() }
+    }
+}
+
+impl ArmMeasurements {
+    /// Records the time from a request's head to the end of its answer.
+    pub fn answered(&self, name: &FlowName, time: Duration) {
+        let bin = LatencyHistogram::bin(time.as_secs_f64() * 1e6);
+        if let Some(flow) = self.flow(name) {
+            flow.latency[bin].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Records a refusal.
+    pub fn refused(&self, name: &FlowName, kind: &'static str) {
+        if let Some(flow) = self.flow(name) {
+            *flow.refused.lock().entry(kind).or_default() += 1;
+        }
+    }
+
+    /// Returns what every flow did, by service, class and arm.
+    pub fn status(&self) -> Vec<FlowStatus> {
+        let flows = self.flows.read();
+        let mut all: Vec<FlowStatus> = flows
+            .iter()
+            .map(|(name, flow)| FlowStatus {
+                service: name.service.clone(),
+                class: name.class.as_str(),
+                arm: name.arm.clone(),
+                latency_bins: flow.latency.iter().map(|bin| bin.load(Ordering::Relaxed)).collect(),
+                refused: flow.refused.lock().clone(),
+            })
+            .collect();
+        all.sort_by(|a, b| (&a.service, a.class, &a.arm).cmp(&(&b.service, b.class, &b.arm)));
+        all
+    }
+
+    fn flow(&self, name: &FlowName) -> Option<Arc<Flow>> {
+        if let Some(flow) = self.flows.read().get(name) {
+            return Some(flow.clone());
+        }
+        let mut flows = self.flows.write();
+        if flows.len() >= MAX_FLOWS && !flows.contains_key(name) {
+            return None;
+        }
+        Some(flows.entry(name.clone()).or_default().clone())
+    }
+}
--- a/crates/runpind/src/process/metrics.rs
+++ b/crates/runpind/src/process/metrics.rs
@@ -20,6 +20,8 @@
     pub requests: IntCounterVec,
     /// Time from a request's head to the end of its answer, by service, class and arm.
     pub latency: HistogramVec,
+    /// Refusals by service, class, arm and kind of problem.
+    pub refusals: IntCounterVec,
     /// Look-ups by outcome.
     pub lookups: IntCounterVec,
     /// Requests by service, arm and the availability zone of the site that they try first.
@@ -54,6 +56,10 @@
             .buckets(LATENCY_BUCKETS_S.to_vec()),
             &["service", "class", "arm"],
         )?;
+        let refusals = IntCounterVec::new(
+            Opts::new("runpin_problems_total", "Requests that got a problem, by its kind."),
+            &["service", "class", "arm", "kind"],
+        )?;
         let lookups = IntCounterVec::new(
             Opts::new("runpin_lookups_total", "Look-ups by outcome."),
             &["outcome"],
@@ -77,6 +83,7 @@
         )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(lookups.clone()))?;
         registry.register(Box::new(site_choices.clone()))?;
         registry.register(Box::new(shadow_choices.clone()))?;
@@ -89,6 +96,7 @@
             registry,
             requests,
             latency,
+            refusals,
             lookups,
             site_choices,
             shadow_choices,
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the daemon.
 
 pub mod acceptance;
+pub mod arms;
 pub mod backend_servers;
 pub mod clock;
 pub mod configuration;
@@ -28,6 +29,7 @@
 use crate::settings::Settings;
 use crate::version::Version;
 use arc_swap::ArcSwapOption;
+use arms::ArmMeasurements;
 use backend_servers::BackendServers;
 use clock::Clock;
 use ledger::LedgerState;
@@ -77,6 +79,8 @@
     pub routing: Routing,
     /// Shares of links, spent before a request is dispatched.
     pub shares: ShareState,
+    /// What each arm did here.
+    pub arms: ArmMeasurements,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Set once a planned stop began.
@@ -122,6 +126,7 @@
             ledger: Arc::new(ledger),
             routing: Routing::new(incarnation.0),
             shares,
+            arms: ArmMeasurements::default(),
             metrics,
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/runpind/src/request/admin/mod.rs
+++ b/crates/runpind/src/request/admin/mod.rs
@@ -8,6 +8,7 @@
 //! | `GET /v1/configuration` | read | the manifest in force here |
 //! | `GET /v1/configuration?number=N` | read | the manifest of an accepted version |
 //! | `GET /v1/configuration/history?limit=N` | read | [`history::History`] |
+//! | `GET /v1/arms` | read | [`Arms`]: what each arm did here |
 //! | `PUT /v1/configuration`, body = text | change | [`changes::Accepted`] |
 //! | `PUT /v1/configuration/blocks`, body = lines of `BLOCK ZONE` | change | [`changes::Accepted`] |
 //! | `PUT /v1/drains/KIND/NAME` | change | [`changes::Accepted`] |
@@ -28,13 +29,16 @@
 use super::body::Body;
 use super::lookup;
 use crate::process::Process;
+use crate::process::arms::FlowStatus;
 use error::AdminError;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use query::Query;
 use respond::json;
+use serde::Serialize;
 use std::sync::Arc;
 
+const ARMS_PATH: &str = "/v1/arms";
 const STATUS_PATH: &str = "/v1/status";
 const LOOKUP_PATH: &str = "/v1/lookup";
 const CONFIGURATION_PATH: &str = "/v1/configuration";
@@ -42,6 +46,19 @@
 const HISTORY_PATH: &str = "/v1/configuration/history";
 const DRAINS_PREFIX: &str = "/v1/drains/";
 
+/// What each arm did at one instance, since this life of it began.
+#[derive(Debug, Serialize)]
+struct Arms {
+    incarnation: String,
+    flows: Vec<FlowStatus>,
+}
+
+impl Arms {
+    fn of(process: &Process) -> Self {
+        Self { incarnation: process.incarnation.to_string(), flows: process.arms.status() }
+    }
+}
+
 /// Answers a request of an operator or a monitoring system.
 pub(super) async fn answer(process: Arc<Process>, request: Request<Incoming>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
@@ -66,6 +83,7 @@
             json(StatusCode::OK, &history::list(process, query.number("limit")?).await?)
         }
         STATUS_PATH => json(StatusCode::OK, &status::of(process)),
+        ARMS_PATH => json(StatusCode::OK, &Arms::of(process)),
         LOOKUP_PATH => {
             let service = query.required("service")?;
             let caller = query.address("caller")?;
--- a/crates/runpind/src/request/exchange.rs
+++ b/crates/runpind/src/request/exchange.rs
@@ -5,6 +5,7 @@
 use super::headers::closes_connection;
 use super::reserve::Reservation;
 use crate::connection::pool::PooledConnection;
+use crate::process::arms::FlowName;
 use crate::process::backend_servers::Chosen;
 use crate::process::routing::SiteExchange;
 use crate::process::{InFlight, Process};
@@ -150,17 +151,17 @@
 /// What is measured when the exchange ends.
 pub(super) struct Measurement {
     pub(super) process: Arc<Process>,
-    pub(super) service: Arc<str>,
-    pub(super) class: Class,
-    pub(super) arm: Arc<str>,
+    pub(super) flow: FlowName,
     pub(super) started: Instant,
 }
 
 impl Measurement {
     fn record(&self) {
-        let labels = [&*self.service, self.class.as_str(), &*self.arm];
-        let seconds = self.started.elapsed().as_secs_f64();
-        self.process.metrics.latency.with_label_values(&labels).observe(seconds);
+        let FlowName { service, class, arm } = &self.flow;
+        let labels = [&**service, class.as_str(), &**arm];
+        let time = self.started.elapsed();
+        self.process.metrics.latency.with_label_values(&labels).observe(time.as_secs_f64());
+        self.process.arms.answered(&self.flow, time);
     }
 }
 
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -20,6 +20,7 @@
 use super::{deadline, headers, key, lookup, reserve, route};
 use crate::connection::dialer::Endpoint;
 use crate::connection::pool::PooledConnection;
+use crate::process::arms::FlowName;
 use crate::process::ledger::RunningKey;
 use crate::process::{InFlight, Process};
 use crate::version::Version;
@@ -92,25 +93,30 @@
         &self.version.configuration.services[self.service.get()]
     }
 
+    fn flow(&self, arm: Arc<str>) -> FlowName {
+        FlowName { service: self.service().name.clone(), class: self.class, arm }
+    }
+
     /// Refuses the request.
     pub(super) fn refuse(self, problem: Problem) -> Response<Body> {
-        let outcome = problem.outcome().as_str();
-        self.process.metrics.count_request(&self.service().name, self.class, outcome);
+        self.process.count_refusal(&self.flow(route::arm_of(&self)), &problem);
         problem.response()
     }
 
     /// Runs the request, or says why it can't.
     pub(super) async fn run(self, request: Request<Incoming>) -> Response<Body> {
         let process = self.process.clone();
-        let service = self.service().name.clone();
-        let class = self.class;
-        let answered = self.send(request).await;
-        let outcome = match &answered {
-            Ok(_) => "answered",
-            Err(problem) => problem.outcome().as_str(),
-        };
-        process.metrics.count_request(&service, class, outcome);
-        answered.unwrap_or_else(|problem| problem.response())
+        let flow = self.flow(route::arm_of(&self));
+        match self.send(request).await {
+            Ok(response) => {
+                process.metrics.count_request(&flow.service, flow.class, "answered");
+                response
+            }
+            Err(problem) => {
+                process.count_refusal(&flow, &problem);
+                problem.response()
+            }
+        }
     }
 
     /// Offers the request to one backend server after another until one has been sent it.
@@ -196,9 +202,7 @@
         }
         let measurement = Measurement {
             process: self.process.clone(),
-            service: self.service().name.clone(),
-            class: self.class,
-            arm: route.arm.clone(),
+            flow: self.flow(route.arm.clone()),
             started: self.started,
         };
         let connection = ExchangeConnection { connection, reusable };
--- a/crates/runpind/src/request/problem.rs
+++ b/crates/runpind/src/request/problem.rs
@@ -3,6 +3,8 @@
 use super::body::{self, Body};
 use super::key_problem::KeyProblem;
 use super::outcome::{OUTCOME_HEADER, Outcome};
+use crate::process::Process;
+use crate::process::arms::FlowName;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use std::time::Duration;
@@ -148,3 +150,14 @@
         response
     }
 }
+
+impl Process {
+    /// Counts a refusal.
+    pub fn count_refusal(&self, flow: &FlowName, problem: &Problem) {
+        let FlowName { service, class, arm } = flow;
+        self.metrics.count_request(service, *class, problem.outcome().as_str());
+        let labels = [&**service, class.as_str(), &**arm, problem.kind()];
+        self.metrics.refusals.with_label_values(&labels).inc();
+        self.arms.refused(flow, problem.kind());
+    }
+}
--- a/crates/runpind/src/request/route.rs
+++ b/crates/runpind/src/request/route.rs
@@ -33,3 +33,9 @@
     }
     Route { sites, arm: routing.arms.entries()[arm].name.clone() }
 }
+
+/// Returns the arm of a request, which doesn't depend on where it is run.
+pub(super) fn arm_of(exchange: &Exchange) -> Arc<str> {
+    let arms = &exchange.version.routing.arms;
+    arms.entries()[arms.of_caller(address_hash(exchange.caller))].name.clone()
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod adoption;
 pub mod blocks;
 pub mod call_budget;
+pub mod compare;
 pub mod figures;
 pub mod guard;
 pub mod hash;
