Explain answers, check programs on views, and write the operators' page

Cause: nothing showed operators why a caller's requests go where they go; programs could not be tried before they were applied; there was no page to work from.

Change: runpin explain shows the arm, its policy, the weights, the figures with their age and the guard's limits; runpin policy check runs a program on recorded views; docs/OPERATORS.md leads from the first deployment to upgrades, and a test runs each of its commands and compares what is printed.

Conclusion: the page is true as long as the test passes; README's section "By hand" has no such test yet.

--- a/crates/runpin/src/command/lookup.rs
+++ b/crates/runpin/src/command/lookup.rs
@@ -46,20 +46,23 @@
 
 /// Asks an instance and shows its answer.
 pub(super) async fn run(options: Lookup) -> Result<Exit, CommandError> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
-    if options.service.is_empty() || !options.service.chars().all(allowed) {
-        return Err(CommandError::Name { flag: "service", value: options.service });
-    }
-    let mut path = format!("/v1/lookup?service={}", options.service);
-    if let Some(caller) = options.caller {
-        path.push_str(&format!("&caller={caller}"));
-    }
+    let path = format!("/v1/lookup?{}", lookup_query(&options.service, options.caller)?);
     let client = Client::for_reading(&options.instance)?;
     let answer: Answer = client.read(&path).await?;
     options.output.show(&answer, describe(&answer))?;
     Ok(Exit::Done)
 }
 
+/// Returns the query that names a service and a caller.
+pub(super) fn lookup_query(service: &str, caller: Option<IpAddr>) -> Result<String, CommandError> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+    if service.is_empty() || !service.chars().all(allowed) {
+        return Err(CommandError::Name { flag: "service", value: service.to_owned() });
+    }
+    let caller = caller.map(|caller| format!("&caller={caller}")).unwrap_or_default();
+    Ok(format!("service={service}{caller}"))
+}
+
 fn describe(answer: &Answer) -> String {
     let mut instances = Table::new(["INSTANCE", "WEIGHT"]);
     for instance in &answer.instances {
--- a/crates/runpin/src/command/policy/mod.rs
+++ b/crates/runpin/src/command/policy/mod.rs
@@ -1,6 +1,7 @@
 //! `runpin policy`: the policies and arms of the configuration.
 
 mod apply;
+mod check;
 mod compare;
 pub(crate) mod edit;
 mod list;
@@ -30,6 +31,7 @@
 #[argh(subcommand)]
 enum PolicyCommand {
     List(list::PolicyList),
+    Check(check::PolicyCheck),
     Apply(apply::PolicyApply),
     Compare(compare::PolicyCompare),
     Rollback(rollback::PolicyRollback),
@@ -39,6 +41,7 @@
 pub(super) async fn run(options: Policy) -> Result<Exit, CommandError> {
     match options.command {
         PolicyCommand::List(options) => list::run(&options).await,
+        PolicyCommand::Check(options) => check::run(&options),
         PolicyCommand::Apply(options) => apply::run(options).await,
         PolicyCommand::Compare(options) => compare::run(&options).await,
         PolicyCommand::Rollback(options) => rollback::run(options).await,
--- a/crates/runpin/src/error.rs
+++ b/crates/runpin/src/error.rs
@@ -6,6 +6,7 @@
 use lab::LabError;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use steering::policy::PolicyError;
 use thiserror::Error;
 
 /// Why a command failed, and what to do next.
@@ -26,6 +27,12 @@
     /// A configuration file is not valid.
     #[error("{}: {source}", path.display())]
     Configuration { path: PathBuf, source: ConfigurationError },
+    /// A policy's program does not compile or fails on a view.
+    #[error("{}: {source}", path.display())]
+    Program { path: PathBuf, source: PolicyError },
+    /// A file does not hold recorded views.
+    #[error("{}: not a list of recorded views: {source}", path.display())]
+    Views { path: PathBuf, source: serde_json::Error },
     /// What an instance has in force can't be used.
     #[error("the configuration in force can't be read: {0}")]
     Manifest(#[from] ManifestError),
@@ -88,6 +95,8 @@
         match self {
             CommandError::Configuration { .. }
             | CommandError::Policy(_)
+            | CommandError::Program { .. }
+            | CommandError::Views { .. }
             | CommandError::Drain(_)
             | CommandError::MissingInstance
             | CommandError::Instance(_)
--- a/crates/runpin/src/options.rs
+++ b/crates/runpin/src/options.rs
@@ -2,6 +2,7 @@
 
 use crate::command::config::Config;
 use crate::command::drain::{DrainCommand, UndrainCommand};
+use crate::command::explain::Explain;
 use crate::command::lab::Lab;
 use crate::command::lookup::Lookup;
 use crate::command::policy::Policy;
@@ -23,6 +24,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Lookup(Lookup),
+    Explain(Explain),
     Status(StatusCommand),
     Config(Config),
     Policy(Policy),
--- a/crates/runpin/tests/common/mod.rs
+++ b/crates/runpin/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use configuration::{MANIFEST_KEY, Manifest};
 use http_body_util::{BodyExt, Full};
+use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use lab::{BackendOptions, BackendStandIn, PlatformStandIn, RunRecord};
@@ -13,7 +14,7 @@
 use runpind::settings::{RawSettings, Settings};
 use runpind::{Daemon, Dependencies};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,6 +88,11 @@
         path.display().to_string()
     }
 
+    /// Makes a link in the directory that commands run in.
+    pub(crate) fn link(&self, name: &str, target: &Path) {
+        std::os::unix::fs::symlink(target, self.directory.path().join(name)).expect("linked");
+    }
+
     pub(crate) fn admin_addresses(&self) -> String {
         let addresses = self.daemons.iter().map(|daemon| daemon.admin_address().to_string());
         addresses.collect::<Vec<_>>().join(",")
@@ -100,7 +106,7 @@
             ("RUNPIN_CHANGE_TOKEN", CHANGE_TOKEN.to_owned()),
             ("USER", "operator".to_owned()),
         ];
-        runpin(arguments, &environment).await
+        run_in(self.directory.path(), arguments, &environment).await
     }
 
     pub(crate) async fn accept(&self, text: &str) {
@@ -138,8 +144,12 @@
 
 /// Runs `runpin` with nothing but `environment`.
 pub(crate) async fn runpin(arguments: &[&str], environment: &[(&str, String)]) -> Ended {
+    run_in(&std::env::temp_dir(), arguments, environment).await
+}
+
+async fn run_in(directory: &Path, arguments: &[&str], environment: &[(&str, String)]) -> Ended {
     let mut command = Command::new(env!("CARGO_BIN_EXE_runpin"));
-    command.args(arguments).env_clear();
+    command.args(arguments).env_clear().current_dir(directory);
     command.envs(environment.iter().map(|(name, value)| (*name, value)));
     let output = tokio::task::spawn_blocking(move || command.output());
     let output = output.await.expect("joined").expect("runpin starts");
@@ -162,6 +172,7 @@
         peer_keys: Some("0123456789abcdef".to_owned()),
         read_token: Some(READ_TOKEN.to_owned()),
         change_token: Some(CHANGE_TOKEN.to_owned()),
+        trust_caller_header: Some("true".to_owned()),
         ..RawSettings::default()
     };
     let dependencies = Dependencies {
@@ -252,9 +263,12 @@
 
 async fn request_again_and_again(address: SocketAddr) {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<bytes::Bytes>>();
-    let uri: hyper::Uri = format!("http://{address}/files/1").parse().expect("a URI");
-    loop {
-        let response = client.get(uri.clone()).await.expect("an answer");
+    for number in (0_u8..100).cycle() {
+        let request = Request::get(format!("http://{address}/files/1"))
+            .header("runpin-caller-address", format!("100.64.0.{}", number))
+            .body(Full::default())
+            .expect("a request");
+        let response = client.request(request).await.expect("an answer");
         response.into_body().collect().await.expect("a whole answer");
     }
 }
--- a/crates/runpin/tests/wrong_input.rs
+++ b/crates/runpin/tests/wrong_input.rs
@@ -41,6 +41,8 @@
         (&["policy", "apply", "--arm", "a=b:100"], 2, "`b` is not a defined policy"),
         (&["policy", "apply", "--expect-version", "7", "--arm", "a=b:100"], 3, "not version 7"),
         (&["policy", "apply", "no-such-file"], 2, "no-such-file"),
+        (&["explain", "--service", "nothing"], 2, "no service matches `nothing`"),
+        (&["policy", "check", &good], 2, "good.toml: "),
         (&["policy", "compare", "a"], 2, "trial"),
         (&["policy", "compare", "--duration-s", "0", "a", "b"], 2, "--duration-s: 0"),
         (&["policy", "rollback", "none"], 2, "version 1 has no policy `none`"),
--- a/crates/runpind/src/request/admin/mod.rs
+++ b/crates/runpind/src/request/admin/mod.rs
@@ -5,6 +5,7 @@
 //! | `GET /healthz`, `/readyz`, `/metrics` | none | text |
 //! | `GET /v1/status` | read | [`status::Status`] |
 //! | `GET /v1/lookup?service=S&caller=IP` | read | what a look-up of this caller answers |
+//! | `GET /v1/explain?service=S&caller=IP` | read | why this caller's requests go where they go |
 //! | `GET /v1/configuration` | read | the manifest in force here |
 //! | `GET /v1/configuration?number=N` | read | the manifest of an accepted version |
 //! | `GET /v1/configuration/history?limit=N` | read | [`history::History`] |
@@ -28,6 +29,7 @@
 
 use super::body::Body;
 use super::lookup;
+use super::problem::Problem;
 use crate::process::Process;
 use crate::process::arms::FlowStatus;
 use error::AdminError;
@@ -40,6 +42,7 @@
 
 const ARMS_PATH: &str = "/v1/arms";
 const STATUS_PATH: &str = "/v1/status";
+const EXPLAIN_PATH: &str = "/v1/explain";
 const LOOKUP_PATH: &str = "/v1/lookup";
 const CONFIGURATION_PATH: &str = "/v1/configuration";
 const BLOCKS_PATH: &str = "/v1/configuration/blocks";
@@ -90,6 +93,15 @@
             let caller = caller.unwrap_or(process.settings.caller_address.ip());
             json(StatusCode::OK, &lookup::answer_for(process, caller, service)?)
         }
+        EXPLAIN_PATH => {
+            let service = query.required("service")?;
+            let caller = query.address("caller")?;
+            let caller = caller.unwrap_or(process.settings.caller_address.ip());
+            let version = process.version.load_full().ok_or(AdminError::NoConfiguration)?;
+            let explanation = process.routing.explain(&version, caller, service);
+            let unknown = || Problem::UnknownService(service.to_owned());
+            json(StatusCode::OK, &explanation.ok_or_else(unknown)?)
+        }
         CONFIGURATION_PATH => match query.number("number")? {
             Some(number) => json(StatusCode::OK, &history::manifest(process, number).await?),
             None => json(StatusCode::OK, &*history::in_force(process)?),
