--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -11,7 +11,7 @@
 use super::attempt::{self, Attempt};
 use super::body::{Body, BodyError};
 use super::exchange::{AnswerBody, ExchangeConnection, Measurement, Slot};
-use super::headers::{TIMEOUT_HEADER, closes_connection, remove_hop_by_hop};
+use super::headers::{ARM_HEADER, TIMEOUT_HEADER, closes_connection, remove_hop_by_hop};
 use super::outcome::{OUTCOME_HEADER, Outcome};
 use super::problem::Problem;
 use super::replay::Shed;
@@ -194,6 +194,9 @@
         parts.version = HttpVersion::default();
         // It is ours to say.
         parts.headers.remove(OUTCOME_HEADER);
+        if let Ok(arm) = HeaderValue::from_str(&route.arm) {
+            parts.headers.insert(ARM_HEADER, arm);
+        }
         if parts.status == StatusCode::SERVICE_UNAVAILABLE && self.service().shed_status_not_run {
             let not_run = Outcome::NotRun;
             parts.headers.insert(OUTCOME_HEADER, HeaderValue::from_static(not_run.as_str()));
--- a/crates/runpind/src/request/headers.rs
+++ b/crates/runpind/src/request/headers.rs
@@ -19,6 +19,9 @@
 /// The only value of `TE` that is passed on.
 const TRAILERS: &str = "trailers";
 
+/// Arm that steered a request, told with its answer, so that callers can compare arms too.
+pub(super) const ARM_HEADER: &str = "runpin-arm";
+
 /// Headers that end at this connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
