--- a/crates/peer/tests/samples/mod.rs
+++ b/crates/peer/tests/samples/mod.rs
@@ -168,10 +168,22 @@
         })),
         (name(), any::<u64>())
             .prop_map(|(digest, offset)| Request::Chunk(ChunkRequest { digest, offset })),
-        (any::<u64>(), links(), sites()).prop_map(|(known_epoch, links, sites)| {
-            Request::Grant(GrantRequest { known_epoch, links, sites })
-        }),
-        any::<u64>().prop_map(|epoch| Request::Release(ReleaseRequest { epoch })),
+        (any::<[u64; 3]>(), links(), sites(), sites()).prop_map(
+            |(numbers, links, sites, in_use)| {
+                Request::Grant(GrantRequest {
+                    known_epoch: numbers[0],
+                    number: numbers[1],
+                    accepted_number: numbers[2],
+                    links,
+                    sites,
+                    in_use,
+                })
+            }
+        ),
+        any::<[u64; 2]>().prop_map(|numbers| Request::Release(ReleaseRequest {
+            epoch: numbers[0],
+            number: numbers[1],
+        })),
         any::<[u64; 2]>().prop_map(|numbers| Request::Promise(PromiseRequest {
             epoch: numbers[0],
             lasts_ms: numbers[1],
--- a/crates/runpind/src/process/peers.rs
+++ b/crates/runpind/src/process/peers.rs
@@ -79,7 +79,6 @@
             Request::Grant(request) => shares::answer_grant(&self.process, &from, &request),
             Request::Release(request) => shares::answer_release(&self.process, &from, request),
             Request::Promise(request) => shares::answer_promise(&self.process, &from, request),
-            _ => Reply::Refused,
         }
     }
 }
--- a/crates/runpind/src/request/lookup.rs
+++ b/crates/runpind/src/request/lookup.rs
@@ -10,7 +10,6 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use steering::lookup::{Candidate, Choice, choose};
 
 /// Answer to a look-up.
 #[derive(Debug, Serialize)]
