Show shares, membership, routing, keys and backend servers in status

Cause: `runpin status` showed versions, look-ups, drains and sites only; what an instance knows of its shares, its session, other instances, arms, keys and where its version came from was seen in metrics or not at all.

Change: /v1/status has the shares, the routing table's explanation, the membership, the ledger and the adoption of the configuration; the text has a line or a short table of each, and of backend servers only those that get less than they could. In the test of the operators' page a value is no longer assigned that nobody reads; what it asserts is the same.

--- a/crates/runpin/src/command/status.rs
+++ b/crates/runpin/src/command/status/mod.rs
@@ -1,11 +1,16 @@
 //! `runpin status`.
 
+mod knowledge;
+mod routing;
+
 use crate::client::Client;
 use crate::error::CommandError;
 use crate::exit::Exit;
 use crate::output::Output;
 use crate::table::Table;
 use argh::FromArgs;
+use knowledge::{Adoption, Ledger, Membership, Shares};
+use routing::{BackendServer, Routing};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::fmt::Write;
@@ -14,7 +19,10 @@
 /// Page of an instance's status.
 pub(super) const STATUS_PATH: &str = "/v1/status";
 
-/// show what instances know: versions, look-ups, drains, sites and what is in flight
+/// Stands for a figure that the instance doesn't have.
+const UNKNOWN: &str = "unknown";
+
+/// show what instances know: versions, look-ups, drains, sites, shares, arms and what is in flight
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
 pub(crate) struct StatusCommand {
@@ -37,6 +45,13 @@
     pub(super) drains: Vec<DrainStatus>,
     #[serde(default)]
     sites: Vec<SiteStatus>,
+    #[serde(default)]
+    backend_servers: Vec<BackendServer>,
+    adoption: Option<Adoption>,
+    shares: Option<Shares>,
+    routing: Option<Routing>,
+    membership: Option<Membership>,
+    ledger: Option<Ledger>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -137,28 +152,60 @@
         )),
         None => text.push_str("no configuration is known\n"),
     }
-    let tables = [entry_instances(status), drains(status), sites(status)];
-    for table in tables.iter().filter(|table| !table.is_empty()) {
+    for line in lines(status) {
+        text.push_str(&format!("{line}\n"));
+    }
+    let tables = [
+        Some(entry_instances(status)),
+        Some(drains(status)),
+        Some(sites(status)),
+        status.shares.as_ref().map(Shares::table),
+        status.routing.as_ref().map(Routing::arms),
+        Some(routing::unwell(&status.backend_servers)),
+    ];
+    for table in tables.iter().flatten().filter(|table| !table.is_empty()) {
         text.push_str(&format!("\n{table}\n"));
     }
+    for failure in status.routing.iter().flat_map(Routing::failures) {
+        text.push_str(&format!("\n{failure}\n"));
+    }
     text.push('\n');
     text
 }
 
+/// Returns what stands in one line each.
+fn lines(status: &Status) -> Vec<String> {
+    let adoption = status.adoption.iter().flat_map(Adoption::lines);
+    let shares = status.shares.iter().map(Shares::line);
+    let membership = status.membership.iter().flat_map(Membership::lines);
+    let servers = [routing::by_state(&status.backend_servers)];
+    let ledger = status.ledger.iter().map(Ledger::line);
+    adoption.chain(shares).chain(membership).chain(servers).chain(ledger).collect()
+}
+
 fn entry_instances(status: &Status) -> Table {
-    let mut table =
-        Table::new(["ENTRY INSTANCE", "AVAILABILITY ZONE", "FOR CALLERS", "IN LOOK-UPS"]);
+    let mut table = Table::new([
+        "ENTRY INSTANCE",
+        "AVAILABILITY ZONE",
+        "FOR CALLERS",
+        "IN LOOK-UPS",
+        "STATE",
+        "HEARD",
+    ]);
     for member in &status.entry_instances {
         let in_lookups = match (member.usable, member.drained) {
             (_, true) => "no, drained",
             (true, false) => "yes",
             (false, false) => "no",
         };
+        let known = status.membership.as_ref().and_then(|all| all.member(&member.name));
         table.row([
             member.name.clone(),
             member.availability_zone.clone(),
             member.caller_address.to_string(),
             in_lookups.to_owned(),
+            known.map(|known| known.state.clone()).unwrap_or_default(),
+            age(known.and_then(|known| known.age_ms)),
         ]);
     }
     table
@@ -175,16 +222,33 @@
 }
 
 fn sites(status: &Status) -> Table {
-    let mut table =
-        Table::new(["SERVICE", "AVAILABILITY ZONE", "BACKEND SERVERS", "SLOTS", "IN FLIGHT HERE"]);
+    let mut table = Table::new([
+        "SERVICE",
+        "AVAILABILITY ZONE",
+        "BACKEND SERVERS",
+        "SLOTS",
+        "IN FLIGHT HERE",
+        "FREE SLOTS",
+        "AGE OF FIGURES",
+    ]);
     for site in &status.sites {
+        let routing = status.routing.as_ref();
+        let figures = routing.and_then(|all| all.figures(&site.service, &site.availability_zone));
+        let free = figures.and_then(|figures| figures.headroom_slots);
         table.row([
             site.service.clone(),
             site.availability_zone.clone(),
             site.backend_servers.to_string(),
             site.capacity_slots.to_string(),
             site.requests_in_flight.to_string(),
+            free.map_or_else(|| UNKNOWN.to_owned(), |slots| format!("{slots:.1}")),
+            age(figures.and_then(|figures| figures.age_ms.map(|age_ms| age_ms as u64))),
         ]);
     }
     table
 }
+
+/// Shows how long ago something was.
+fn age(age_ms: Option<u64>) -> String {
+    age_ms.map_or_else(|| UNKNOWN.to_owned(), |age_ms| format!("{age_ms} ms"))
+}
--- a/crates/runpin/tests/commands.rs
+++ b/crates/runpin/tests/commands.rs
@@ -44,6 +44,54 @@
     assert_eq!(json[0]["status"]["sites"][0]["capacity_slots"], 4);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_shares_arms_members_keys_and_backend_servers() {
+    let deployment = Deployment::start().await;
+    deployment.wait_for_sessions().await;
+
+    let text = deployment.runpin(&["status"]).await.stdout;
+    let json = deployment.runpin(&["status", "--output", "json"]).await;
+
+    for line in [
+        "; the highest heard of is 1\n",
+        "entry instances: 2 serving",
+        "idempotency keys: 0 of ",
+        "session epoch 1 held here for ",
+    ] {
+        assert!(text.contains(line), "{line}\n{text}");
+    }
+    for (start, cell) in [("link to s1 ", " 1000/s "), ("files ", " 100 % "), ("two ", " serving ")]
+    {
+        let mut rows = text.lines().filter(|row| row.starts_with(start));
+        assert!(rows.any(|row| row.contains(cell)), "{start}{cell}\n{text}");
+    }
+    let json: Value = serde_json::from_str(&json.stdout).expect("JSON");
+    let one = &json[0]["status"];
+    let link = &one["shares"]["shares"][0];
+    assert_eq!(link["cap"], 1000);
+    assert!(link["floor"].as_u64().is_some_and(|floor| floor <= 1000), "{link}");
+    assert_eq!(one["shares"]["slot"].as_u64().map(|slot| slot < 4), Some(true));
+    let source = one["adoption"]["source"].as_str().expect("a source");
+    assert!(["platform", "two"].contains(&source), "{source}");
+    assert_eq!(one["shares"]["session"]["held"], true);
+    assert_eq!(one["adoption"]["highest_heard"], 1);
+    assert_eq!(one["membership"]["by_state"]["serving"], 2);
+    assert_eq!(one["ledger"]["keys"], 0);
+    assert_eq!(one["routing"]["flows"][0]["service"], "files");
+    assert_eq!(one["routing"]["flows"][0]["sites"][0]["availability_zone"], "n1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_an_instance_without_configuration() {
+    let deployment = Deployment::start_without_configuration().await;
+
+    let status = deployment.runpin(&["status"]).await;
+
+    assert_eq!(status.code, 0, "{status:?}");
+    assert!(status.stdout.contains("no configuration is known\nno version yet"), "{status:?}");
+    assert!(status.stdout.contains("backend servers: none is tracked yet"), "{status:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn look_up_answers_for_a_caller() {
     let deployment = Deployment::start().await;
--- a/crates/runpin/tests/common/mod.rs
+++ b/crates/runpin/tests/common/mod.rs
@@ -135,6 +135,18 @@
         }
     }
 
+    /// Waits until each daemon holds the session of its availability zone, and a slot.
+    pub(crate) async fn wait_for_sessions(&self) {
+        let holds = |daemon: &Daemon| {
+            let process = daemon.process();
+            let status = process.shares.status(process.clock.now());
+            status.session.held && status.slot.is_some()
+        };
+        while !self.daemons.iter().all(holds) {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     /// Returns the number of the version in the platform; 0 when there is none.
     pub(crate) async fn accepted_number(&self) -> u64 {
         let object = self.platform.get(MANIFEST_KEY).await.expect("the platform answers");
--- a/crates/runpin/tests/documentation.rs
+++ b/crates/runpin/tests/documentation.rs
@@ -81,15 +81,13 @@
     deployment.file("next.toml", &next);
     deployment.link("examples", &root.join("examples"));
     let server = deployment.backends[0].address.to_string();
-    let mut traffic = None;
 
     let examples = examples(&page);
     for Example { command, expected } in &examples {
         let command = command.replace("\"$SERVER\"", &server);
         let arguments: Vec<&str> = command.split_whitespace().collect();
-        if arguments.starts_with(&["policy", "compare"]) {
-            traffic = Some(Traffic::start(&deployment));
-        }
+        let compares = arguments.starts_with(&["policy", "compare"]);
+        let traffic = compares.then(|| Traffic::start(&deployment));
         let ended = deployment.runpin(&arguments).await;
 
         let lines: Vec<&str> = ended.stdout.lines().collect();
@@ -100,9 +98,8 @@
         }) {
             deployment.wait_for_version(number).await;
         }
-        traffic = None;
+        drop(traffic);
     }
 
-    drop(traffic);
     assert!(examples.len() > 20, "{}", examples.len());
 }
--- a/crates/runpind/src/request/admin/status.rs
+++ b/crates/runpind/src/request/admin/status.rs
@@ -1,11 +1,16 @@
 //! What one instance knows of itself and of the deployment.
 
 use crate::process::Process;
+use crate::process::shares::SharesStatus;
 use crate::version::Version;
 use configuration::Drain;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use steering::adoption::{NotServing, Source};
+use steering::ledger::LedgerStatus;
+use steering::membership::MembershipStatus;
+use steering::routing;
 use steering::servers::ServerStatus;
 
 /// Everything that `runpin status` shows of one instance.
@@ -13,10 +18,15 @@
 pub(super) struct Status {
     instance: InstanceStatus,
     configuration: Option<ConfigurationStatus>,
+    adoption: AdoptionStatus,
     entry_instances: Vec<MemberStatus>,
     drains: Vec<DrainStatus>,
     sites: Vec<SiteStatus>,
     backend_servers: Vec<ServerStatus>,
+    shares: SharesStatus,
+    routing: Arc<routing::Status>,
+    membership: MembershipStatus,
+    ledger: LedgerStatus,
 }
 
 /// The instance that answers.
@@ -58,6 +68,28 @@
     applied_at_s: u64,
 }
 
+/// How the instance comes by its configuration.
+#[derive(Debug, Serialize)]
+struct AdoptionStatus {
+    /// Why nothing is in force, if so.
+    not_serving: Option<&'static str>,
+    /// Highest number heard of, in force or not.
+    highest_heard: u64,
+    /// Where the version in force came from: `platform`, or the name of an instance.
+    source: Option<Arc<str>>,
+    /// The last version or source that failed.
+    last_failure: Option<AdoptionFailure>,
+}
+
+/// A failure to adopt a version.
+#[derive(Debug, Serialize)]
+struct AdoptionFailure {
+    kind: &'static str,
+    number: Option<u64>,
+    message: Arc<str>,
+    age_ms: u64,
+}
+
 /// An entry instance, as the one that answers sees it.
 #[derive(Debug, Serialize)]
 struct MemberStatus {
@@ -107,10 +139,38 @@
             author: version.manifest.author.clone(),
             applied_at_s: version.manifest.applied_at_s,
         }),
+        adoption: adoption(process),
         entry_instances: entry_instances(process, version),
         drains: version.map(|version| drains(process, version)).unwrap_or_default(),
         sites: version.map(|version| sites(process, version)).unwrap_or_default(),
         backend_servers: process.server_status(),
+        shares: process.shares.status(process.clock.now()),
+        routing: process.routing.status(),
+        membership: process.membership_status(),
+        ledger: process.ledger.status(),
+    }
+}
+
+fn adoption(process: &Process) -> AdoptionStatus {
+    let status = process.configuration.status();
+    AdoptionStatus {
+        not_serving: status.not_serving.map(|reason| match reason {
+            NotServing::Waiting => "waiting",
+            NotServing::NothingAccepted => "nothing-accepted",
+            NotServing::NobodyInReach => "nobody-in-reach",
+            NotServing::DoesNotLoad => "does-not-load",
+        }),
+        highest_heard: status.highest_heard,
+        source: status.source.map(|source| match source {
+            Source::Platform => "platform".into(),
+            Source::Peer(name) => name,
+        }),
+        last_failure: status.last_failure.map(|failure| AdoptionFailure {
+            kind: failure.kind,
+            number: failure.number,
+            message: failure.message,
+            age_ms: process.clock.now().since(failure.at).as_millis() as u64,
+        }),
     }
 }
 
