Tell other instances the figures for sites, and take theirs over

Cause: a description of an instance carried no site, and sites in a description received were dropped. Headroom knew own work only, and the slots granted to an instance were never put into its figures.

Change: a description carries the instance's figures, the busiest first: 32 sites inside the availability zone, 8 to another one. Those received are taken over with their age; a description without sites says that the instance has no work. They are put in when a description is made, not at each look whether one is due.

The bytes a second that they add were not measured; the fan-out between availability zones is left as it is.

--- a/crates/runpind/src/process/digest.rs
+++ b/crates/runpind/src/process/digest.rs
@@ -2,7 +2,8 @@
 //! descriptions of others.
 
 use super::Process;
-use peer::message::{InstanceDigest, InstanceStatus};
+use peer::message::{InstanceDigest, InstanceStatus, SiteFigure};
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 use steering::Incarnation;
@@ -11,6 +12,9 @@
 /// Most figures for sites in a description.
 pub const MAX_SITES: usize = 32;
 
+/// Most figures for sites in a description that goes to another availability zone.
+pub const MAX_SITES_BETWEEN: usize = 8;
+
 /// Most backend servers in a description.
 pub const MAX_SERVERS: usize = 32;
 
@@ -20,7 +24,8 @@
 /// Longest name, in bytes.
 const MAX_NAME_BYTES: usize = 128;
 
-/// Puts our own description together; the membership gives it its version.
+/// Puts our own description together, but for the figures for sites; the membership gives it its
+/// version.
 pub(super) fn own(process: &Process) -> InstanceDigest {
     let version = process.version.load();
     let status = match &*version {
@@ -51,6 +56,17 @@
     }
 }
 
+/// Returns our figures for sites, the busiest first.
+///
+/// A site without work or answers is left out: its slots alone change nothing at others.
+pub(super) fn own_sites(process: &Process) -> Vec<SiteFigure> {
+    let mut sites = process.own_sites();
+    sites.retain(|site| site.in_flight > 0 || site.latency_us > 0);
+    sites.sort_by_key(|site| Reverse(site.in_flight));
+    sites.truncate(MAX_SITES);
+    sites
+}
+
 /// Tells whether a change of our description is worth a round of its own.
 pub(super) fn differs_urgently(told: &InstanceDigest, own: &InstanceDigest) -> bool {
     told.status != own.status
@@ -61,16 +77,18 @@
 
 /// Hands descriptions that were news on to the parts of the process that use them.
 pub(super) fn deliver(process: &Process, news: &[Aged<InstanceDigest>]) {
-    for Aged { description, .. } in news {
+    for Aged { description, age } in news {
         let digest = &description.payload;
         process.configuration.heard(&description.name, digest.configuration_number);
+        // Without any site, it says that the instance has no work.
+        process.absorb_sites(&description.name, &digest.sites, *age);
         if !digest.servers.is_empty() {
             process.absorb_servers(&digest.servers);
         }
     }
 }
 
-/// Puts a description into the form of messages; figures for sites stay inside the availability
+/// Puts a description into the form of messages; only the busiest sites go to another availability
 /// zone.
 pub(super) fn to_message(aged: &Aged<InstanceDigest>, inside: bool) -> InstanceDigest {
     let Aged { description, age } = aged;
@@ -79,7 +97,7 @@
         generation: description.version.generation,
         sequence: description.version.sequence,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        sites: if inside { payload.sites.clone() } else { Vec::new() },
+        sites: told_sites(payload, inside).to_vec(),
         ..payload.clone()
     }
 }
@@ -116,17 +134,23 @@
     const SERVER_BYTES: usize = 16;
     const SUCCESSOR_BYTES: usize = 9;
     let payload = &description.payload;
-    let site_names =
-        payload.sites.iter().map(|site| site.service.len() + site.availability_zone.len());
+    let told = told_sites(payload, inside).iter();
+    let site_names = told.map(|site| site.service.len() + site.availability_zone.len());
     let sites = site_names.map(|names| names + SITE_BYTES).sum::<usize>();
     FIXED_BYTES
         + description.name.len()
         + description.availability_zone.len()
-        + if inside { sites } else { 0 }
+        + sites
         + payload.servers.len() * SERVER_BYTES
         + payload.successor_of.len() * SUCCESSOR_BYTES
 }
 
+/// Returns the figures for sites that a description carries.
+fn told_sites(payload: &InstanceDigest, inside: bool) -> &[SiteFigure] {
+    let most = if inside { MAX_SITES } else { MAX_SITES_BETWEEN };
+    &payload.sites[..payload.sites.len().min(most)]
+}
+
 /// Returns the membership's name of a status.
 pub(super) fn status(status: InstanceStatus) -> Status {
     match status {
--- a/crates/runpind/src/process/membership.rs
+++ b/crates/runpind/src/process/membership.rs
@@ -126,7 +126,8 @@
     }
 
     fn describe_self(&self) {
-        let payload = digest::own(self);
+        let sites = digest::own_sites(self);
+        let payload = InstanceDigest { sites, ..digest::own(self) };
         let status = digest::status(payload.status);
         let mut table = self.membership.table.lock();
         let told = table.own_description().map(|told| &told.payload);
--- a/crates/runpind/src/process/shares/grants.rs
+++ b/crates/runpind/src/process/shares/grants.rs
@@ -23,6 +23,8 @@
             ask(&process).await;
             ask_for_promises(&process).await;
         }
+        let granted = process.shares.site_slots(process.clock.now());
+        process.routing.figures.lock().set_all_granted(&granted);
         process.shares.set_gauges(process.clock.now());
         tokio::time::sleep(ASK_PERIOD).await;
     }
--- a/crates/runpind/src/process/shares/mod.rs
+++ b/crates/runpind/src/process/shares/mod.rs
@@ -24,6 +24,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
+use steering::figures::SiteName;
 use steering::shares::{
     Allocator, Amounts, Cap, Plan, Reclaimer, Resource, Session, ShareRefusal, Shares, SiteShare,
     SlotTable, Spent,
@@ -119,6 +120,21 @@
         shares.has_site_grants(now) || (has_slot && waited)
     }
 
+    /// Returns how many slots of each site this instance may use now.
+    fn site_slots(&self, now: Time) -> Vec<(SiteName, u32)> {
+        let plan = self.coordination.lock().plan.clone();
+        let shares = self.shares.lock();
+        let slots = |resource: &Resource| match resource {
+            Resource::Link { .. } => None,
+            Resource::Site { service, availability_zone } => {
+                let (service, availability_zone) = (service.clone(), availability_zone.clone());
+                let slots = u32::try_from(shares.allowance(resource, now)).unwrap_or(u32::MAX);
+                Some((SiteName { service, availability_zone }, slots))
+            }
+        };
+        plan.caps.keys().filter_map(slots).collect()
+    }
+
     /// Adopts the caps of the version in force; false while none is.
     fn adopt_plan(&self, version: Option<&Version>, now: Time) -> bool {
         let Some(version) = version else { return false };
--- a/crates/runpind/tests/membership.rs
+++ b/crates/runpind/tests/membership.rs
@@ -2,10 +2,11 @@
 
 mod fleet;
 
-use fleet::Fleet;
+use fleet::{Fleet, key_of};
 use runpind::Daemon;
 use std::net::SocketAddr;
 use std::time::Duration;
+use steering::figures::{SiteCapacity, SiteFigures, SiteName};
 use steering::membership::MemberState;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -101,3 +102,48 @@
     let home = members.home(two.process().incarnation).expect("known by its new incarnation");
     assert_eq!((&*home.name, home.caller_address), ("two", two.caller_address()));
 }
+
+/// Slots of the site that the tests assume, and those that are counted on without figures.
+const CAPACITY: SiteCapacity =
+    SiteCapacity { capacity_slots: 100.0, floor_slots: 10.0, round_trip_ms: 1.0 };
+
+/// Returns what a daemon knows of the site now, and what it would know a while later if it heard
+/// nothing more.
+fn figures_of(daemon: &Daemon, later: Duration) -> (SiteFigures, SiteFigures) {
+    let site = SiteName { service: "files".into(), availability_zone: "n1".into() };
+    let figures = daemon.process().routing.figures.lock();
+    let now = daemon.process().clock.now();
+    (figures.site(&site, CAPACITY, 1, now), figures.site(&site, CAPACITY, 1, now + later))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_in_flight_shows_in_the_figures_of_another_instance_with_its_age() {
+    const LATER: Duration = Duration::from_secs(40);
+    let fleet = Fleet::start().await;
+    let (one, two) = (fleet.daemon("one").await, fleet.daemon("two").await);
+    let key = key_of(&one, "a");
+    let sent_at = two.process().clock.now();
+
+    let looking = async {
+        fleet.server.wait_run(&key).await;
+        let mut seen = figures_of(&two, LATER);
+        while seen.0.headroom_slots != 99.0 {
+            tokio::time::sleep(POLL).await;
+            seen = figures_of(&two, LATER);
+        }
+        let since_sent = two.process().clock.now().since(sent_at);
+        fleet.until(|| one.process().own_sites().iter().any(|site| site.granted_slots > 0)).await;
+        let own = one.process().own_sites();
+        fleet.server.open_gate();
+        (seen, since_sent, own)
+    };
+    let (answer, ((now, later), since_sent, own)) =
+        tokio::join!(fleet.send(one.caller_address(), "/files/gate", &key), looking);
+
+    assert_eq!(answer.status, 201);
+    assert_eq!((own.len(), own[0].in_flight), (1, 1));
+    assert_eq!(now.in_flight, 0, "it is not the instance's own work");
+    assert!(now.age <= since_sent, "the report was made after the request was sent");
+    assert_eq!(later.age, now.age + LATER);
+    assert_eq!(later.headroom_slots, CAPACITY.floor_slots);
+}
--- a/crates/steering/src/figures/mod.rs
+++ b/crates/steering/src/figures/mod.rs
@@ -67,6 +67,12 @@
         self.own_site(site).granted_slots = slots;
     }
 
+    /// Records how many slots this instance may use: none of the sites that are not named.
+    pub fn set_all_granted(&mut self, granted: &[(SiteName, u32)]) {
+        self.own.values_mut().for_each(|own| own.granted_slots = 0);
+        granted.iter().for_each(|(site, slots)| self.set_granted(site, *slots));
+    }
+
     /// Takes over what another instance reported `age` ago, unless newer news of it is known.
     pub fn absorb(&mut self, from: &Arc<str>, sites: Vec<SiteReport>, age: Duration, now: Time) {
         self.reports.absorb(from, sites, age, now);
