Divide small shares of sites without loss

Cause: at 2.5 times its capacity the agenda service of the repair deployment answered 223 requests a second of the 600 possible. Refusals were all for want of a share at a site, while sites stood at 3.7 of 10 slots on average: the split of a site between zones and the division of a zone's part among its instances both rounded down, so that one slot wanted by two instances went to neither. Ruled out: the queue (it refused only what had no slot), links (22 of 150 requests a second), the guard (nothing unplaced).

Change: parts are the differences of rounded running sums in one order that all know, so that they add up to the whole. What is free still bounds each grant.

--- a/crates/steering/src/shares/allocator.rs
+++ b/crates/steering/src/shares/allocator.rs
@@ -1,5 +1,6 @@
 //! How the session holder divides the rest of each cap among the instances of its zone.
 
+use super::apportion::part_by_demand;
 use super::timing::{GRANT_DURATION, SLOT_HOLD, plus_drift};
 use super::{Amounts, Ask, Grant, Resource, WINDOW};
 use crate::{Incarnation, Time};
@@ -129,7 +130,14 @@
         let own = self.askers.get(&asker).map_or(0, |asker| asker.wants(resource));
         match rest.checked_sub(wanted) {
             Some(spare) => own + spare.div_ceil(heard.max(1) as u64),
-            None => (u128::from(rest) * u128::from(own) / u128::from(wanted)) as u64,
+            None => {
+                let ahead = self
+                    .askers
+                    .iter()
+                    .filter(|(other, state)| **other < asker && state.is_heard(now));
+                let before = ahead.map(|(_, state)| state.wants(resource)).sum();
+                part_by_demand(rest, before, own, wanted)
+            }
         }
     }
 
--- a/crates/steering/src/shares/mod.rs
+++ b/crates/steering/src/shares/mod.rs
@@ -11,6 +11,7 @@
 //! [`Shares`] is what one instance may spend of both.
 
 mod allocator;
+mod apportion;
 mod demand;
 mod grant;
 mod instance;
--- a/crates/steering/src/shares/site_split.rs
+++ b/crates/steering/src/shares/site_split.rs
@@ -3,6 +3,7 @@
 //! The split is one object in the platform, changed by conditional updates only.  Each zone's part
 //! is written by the holder of that zone's session, and divided among its instances as grants.
 
+use super::apportion::part_by_demand;
 use super::slots::WriteId;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -173,8 +174,9 @@
     match view.rest.checked_sub(view.wanted + demand_of_others) {
         Some(spare) => view.wanted.max(view.base.min(view.wanted + spare)),
         None => {
-            let all = u128::from(view.wanted + demand_of_others);
-            (u128::from(view.rest) * u128::from(view.wanted) / all) as u64
+            let ahead = split.parts.iter().filter(|(other, _)| &***other < zone);
+            let before = ahead.map(|(_, part)| part.slots + part.lacks).sum();
+            part_by_demand(view.rest, before, view.wanted, view.wanted + demand_of_others)
         }
     }
 }
--- a/crates/steering/tests/shares_grants.rs
+++ b/crates/steering/tests/shares_grants.rs
@@ -213,3 +213,18 @@
 
     assert_eq!(other.amounts[&link()], 0);
 }
+
+#[test]
+fn nothing_of_a_small_rest_is_lost_by_dividing_it() {
+    for (slots, wanted) in [(1, [5, 5]), (3, [7, 7]), (5, [2, 9]), (6, [100, 1])] {
+        let mut allocator = Allocator::new(1, at(0), true);
+        let rest = amounts(0, slots);
+        allocator.grant(A, &ask(1, wanted[0], 0), &amounts(0, 0), at(0)).expect("a grant");
+        allocator.grant(B, &ask(1, wanted[1], 0), &amounts(0, 0), at(0)).expect("a grant");
+
+        let first = allocator.grant(A, &ask(2, wanted[0], 0), &rest, at(1)).expect("a grant");
+        let second = allocator.grant(B, &ask(2, wanted[1], 0), &rest, at(1)).expect("a grant");
+
+        assert_eq!(first.amounts[&site()] + second.amounts[&site()], slots, "{wanted:?}");
+    }
+}
