--- a/crates/runpin/tests/common/mod.rs
+++ b/crates/runpin/tests/common/mod.rs
@@ -93,6 +93,15 @@
         std::os::unix::fs::symlink(target, self.directory.path().join(name)).expect("linked");
     }
 
+    /// Returns the metrics of the first instance.
+    pub(crate) async fn metrics(&self) -> String {
+        let client = Client::builder(TokioExecutor::new()).build_http::<Full<bytes::Bytes>>();
+        let uri = format!("http://{}/metrics", self.daemons[0].admin_address());
+        let response = client.get(uri.parse().expect("a URI")).await.expect("an answer");
+        let body = response.into_body().collect().await.expect("a whole answer").to_bytes();
+        String::from_utf8(body.into()).expect("text")
+    }
+
     pub(crate) fn admin_addresses(&self) -> String {
         let addresses = self.daemons.iter().map(|daemon| daemon.admin_address().to_string());
         addresses.collect::<Vec<_>>().join(",")
