--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -29,7 +29,10 @@
 ) -> Response<AnswerBody> {
     let instance = exchange.instance.clone();
     instance.earn_retry(&exchange.service);
-    instance.roster.borrow_mut().asked(&exchange.service, exchange.route.kind);
+    {
+        let Exchange { service, route, key_hash, started, .. } = &exchange;
+        instance.roster.borrow_mut().asked(service, route.kind, *key_hash, *started);
+    }
     let deadline = tokio::time::Instant::from_std(exchange.deadline);
     let mut progress = Progress::default();
     let outcome =
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod cold;
 pub mod division;
+pub mod keys;
 pub mod load;
 pub mod peers;
 pub mod rank;
--- a/crates/steering/src/placement/rank.rs
+++ b/crates/steering/src/placement/rank.rs
@@ -12,6 +12,14 @@
     xxh3_64_with_seed(&key_hash.to_le_bytes(), candidate_hash)
 }
 
+/// Rank of a candidate that comes first in proportion to its weight; the lowest comes first.
+///
+/// It is the time of the first event of a process with this rate, so that each candidate wins its
+/// share of the keys, and one that comes or goes moves no other key (weighted rendezvous hashing).
+pub fn weighted_rank(key_hash: u64, candidate_hash: u64, weight: u32) -> f64 {
+    -(1.0 - unit(key_hash, candidate_hash)).ln() / f64::from(weight.max(1))
+}
+
 /// Place of a key in `0.0..1.0`, the same on all instances.
 pub fn unit(key_hash: u64, salt: u64) -> f64 {
     // The 53 highest bits fill the mantissa of an f64.
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -1,9 +1,10 @@
 //! The backend servers that an instance knows, and its choice among them.
 
 use super::cold::is_sender;
+use super::keys::SeenKeys;
 use super::load::LoadReport;
 use super::peers::{Demand, Peer, Peers};
-use super::rank::{name_hash, rank, unit};
+use super::rank::{name_hash, unit, weighted_rank};
 use super::server::{Ending, Server};
 use super::shares::{RegionLoad, RegionalShare, target};
 use crate::deployment::{BackendServers, Deployment, Evacuations, RequestKind};
@@ -33,6 +34,13 @@
 /// Shortest and longest time after which a refused caller is asked to come back.
 const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(800)];
 
+/// Objects that a backend server is expected to keep warm.  None tells; the sites of today keep 11
+/// to 53, and too few replicas cost less than too many.
+const KEPT_OBJECTS: usize = 24;
+
+/// Backend servers that an object may be at, in any case: one may be full.
+const LEAST_REPLICAS: usize = 3;
+
 /// A backend server this many times slower than its service comes last.
 const SLOW_FACTOR: f64 = 2.5;
 
@@ -90,6 +98,7 @@
     movable_per_s: f64,
     near_per_s: f64,
     share: RegionalShare,
+    keys: SeenKeys,
 }
 
 impl ServiceState {
@@ -102,7 +111,8 @@
 #[derive(Debug)]
 pub struct Roster {
     own_hash: u64,
-    zone: Arc<str>,
+    /// All regions, in the order of their names.
+    region_names: Vec<Arc<str>>,
     region: Arc<str>,
     regions: HashMap<Arc<str>, Arc<str>>,
     services: BTreeMap<Arc<str>, ServiceState>,
@@ -116,10 +126,13 @@
 impl Roster {
     /// Begins without any backend server; `regions` has the region of each availability zone.
     pub fn new(name: &str, zone: Arc<str>, regions: HashMap<Arc<str>, Arc<str>>) -> Self {
-        let region = regions.get(&zone).cloned().unwrap_or_else(|| zone.clone());
+        let region = regions.get(&zone).cloned().unwrap_or(zone);
+        let mut region_names: Vec<Arc<str>> = regions.values().cloned().collect();
+        region_names.sort_unstable();
+        region_names.dedup();
         Self {
             own_hash: name_hash(name),
-            zone,
+            region_names,
             region,
             regions,
             services: BTreeMap::new(),
@@ -187,9 +200,10 @@
         }
     }
 
-    /// Counts a request of a caller.
-    pub fn asked(&mut self, service: &Arc<str>, kind: RequestKind) {
+    /// Counts a request of a caller, and its object.
+    pub fn asked(&mut self, service: &Arc<str>, kind: RequestKind, key_hash: u64, now: Instant) {
         let state = self.services.entry(service.clone()).or_default();
+        state.keys.seen(key_hash, now);
         match kind {
             RequestKind::Upload => state.near_per_s += 1.0 / DEMAND_WINDOW_S,
             _ => state.movable_per_s += 1.0 / DEMAND_WINDOW_S,
@@ -266,6 +280,7 @@
         };
         let home = home.clone();
         let cold_rate = self.cold_rates.get(ask.service).copied().unwrap_or(0.0);
+        let keys = state.keys.count();
         let mut candidates: Vec<Candidate> = Vec::new();
         for (index, server) in state.servers.iter_mut().enumerate() {
             let allowed =
@@ -285,25 +300,18 @@
             {
                 continue;
             }
-            let near = match ask.kind {
-                RequestKind::Upload => server.record.availability_zone == self.zone,
-                _ => server.region == home,
-            };
-            let tier = match () {
-                () if near => 0,
-                () if server.region == self.region => 1,
-                () => 2,
-            };
+            let near = ask.kind == RequestKind::Upload && server.region == self.region;
             let slow = server.answer_ms().is_some_and(|mean| mean > answer_ms * SLOW_FACTOR);
             candidates.push(Candidate {
                 index,
-                tier,
+                near,
                 last: slow,
-                rank: rank(ask.key_hash, server.hash),
+                rank: weighted_rank(ask.key_hash, server.hash, server.record.slots),
                 load: server.load.estimate(now),
                 slots: f64::from(server.record.slots.max(1)),
             });
         }
+        keep_replicas(&mut candidates, keys);
         let usable = candidates.len();
         let answer = Duration::from_secs_f64(answer_ms / 1_000.0);
         let patience = ask.objective_left.saturating_sub(answer).max(ask.least_patience);
@@ -372,18 +380,18 @@
 
 struct Candidate {
     index: usize,
-    /// 0 where the request belongs, 1 elsewhere in the own region, 2 in other regions.
-    tier: u8,
+    /// Whether it is near, for a request that should stay near.
+    near: bool,
     /// Whether it is so slow that it comes last.
     last: bool,
-    rank: u64,
+    rank: f64,
     load: f64,
     slots: f64,
 }
 
 impl Candidate {
-    fn has_room(&self, utilization: f64) -> bool {
-        self.load + 1.0 <= (self.slots * utilization).max(1.0)
+    fn has_room(&self) -> bool {
+        self.load + 1.0 <= self.slots
     }
 
     /// Expected wait in milliseconds when each request takes `answer_ms`.
@@ -392,25 +400,24 @@
     }
 }
 
-/// The first in rank with a free slot where the request belongs, then nearby, then elsewhere; then
-/// the shortest wait that the request has patience for.
+/// Keeps the first in rank: the replicas of the key's object.
+///
+/// Work goes to no other backend server, also under load: one that gets an object for the first
+/// time is slow, and drops another object for it.
+fn keep_replicas(candidates: &mut Vec<Candidate>, keys: usize) {
+    candidates.sort_unstable_by(|a, b| b.near.cmp(&a.near).then(a.rank.total_cmp(&b.rank)));
+    let fit = (candidates.len() * KEPT_OBJECTS) as f64 / keys.max(1) as f64;
+    candidates.truncate((fit.round() as usize).max(LEAST_REPLICAS));
+}
+
+/// The first in rank with a free slot; then the shortest wait that the request has patience for.
 fn best_of(candidates: &[Candidate], patience: Duration, answer_ms: f64) -> Option<&Candidate> {
-    let first = |tier: u8, last: bool, utilization: f64| {
+    let first = |last: bool| candidates.iter().find(|it| it.last == last && it.has_room());
+    let patience_ms = patience.as_secs_f64() * 1_000.0;
+    first(false).or_else(|| first(true)).or_else(|| {
         candidates
             .iter()
-            .filter(|it| it.tier == tier && it.last == last && it.has_room(utilization))
-            .min_by_key(|it| it.rank)
-    };
-    let patience_ms = patience.as_secs_f64() * 1_000.0;
-    first(0, false, 1.0)
-        .or_else(|| first(1, false, 1.0))
-        .or_else(|| first(2, false, SPILL_UTILIZATION))
-        .or_else(|| first(0, true, 1.0))
-        .or_else(|| first(1, true, 1.0))
-        .or_else(|| {
-            candidates
-                .iter()
-                .filter(|it| it.wait_ms(answer_ms) <= patience_ms)
-                .min_by(|a, b| a.wait_ms(answer_ms).total_cmp(&b.wait_ms(answer_ms)))
-        })
+            .filter(|it| it.wait_ms(answer_ms) <= patience_ms)
+            .min_by(|a, b| a.wait_ms(answer_ms).total_cmp(&b.wait_ms(answer_ms)))
+    })
 }
