--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -20,6 +20,9 @@
 /// Callers' addresses in the answer to a look-up, at least, if there are as many instances.
 const MIN_ADDRESSES: usize = 2;
 
+/// Callers' addresses in the answer to a look-up, at most.
+const MAX_ADDRESSES: usize = 64;
+
 /// What an instance says that it does.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerState {
@@ -150,10 +153,12 @@
         };
         let mut addresses: Vec<SocketAddr> = Vec::new();
         for tier in 0..=2 {
-            if addresses.len() < MIN_ADDRESSES {
-                let of_tier = serving.iter().filter(|peer| distance(peer) == tier);
-                addresses.extend(of_tier.map(|peer| peer.caller_address));
-            }
+            let missing = match tier {
+                0 => MAX_ADDRESSES,
+                _ => MIN_ADDRESSES.saturating_sub(addresses.len()),
+            };
+            let of_tier = serving.iter().filter(|peer| distance(peer) == tier);
+            addresses.extend(of_tier.map(|peer| peer.caller_address).take(missing));
         }
         addresses
     }
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -122,6 +122,7 @@
 #[derive(Debug)]
 pub struct Roster {
     own_hash: u64,
+    zone: Arc<str>,
     region: Arc<str>,
     regions: HashMap<Arc<str>, Arc<str>>,
     services: BTreeMap<Arc<str>, ServiceState>,
@@ -135,9 +136,10 @@
 impl Roster {
     /// Begins without any backend server; `regions` has the region of each availability zone.
     pub fn new(name: &str, zone: Arc<str>, regions: HashMap<Arc<str>, Arc<str>>) -> Self {
-        let region = regions.get(&zone).cloned().unwrap_or(zone);
+        let region = regions.get(&zone).cloned().unwrap_or_else(|| zone.clone());
         Self {
             own_hash: name_hash(name),
+            zone,
             region,
             regions,
             services: BTreeMap::new(),
@@ -325,10 +327,13 @@
             {
                 continue;
             }
+            let near = ask.kind == RequestKind::Upload
+                && server.record.availability_zone != self.zone;
             let tier = match () {
-                () if server.region == home => 0,
-                () if server.region == self.region => 1,
-                () => 2,
+                () if server.region == home && !near => 0,
+                () if server.region == home => 1,
+                () if server.region == self.region => 2,
+                () => 3,
             };
             let slow = server.answer_ms().is_some_and(|mean| mean > answer_ms * SLOW_FACTOR);
             candidates.push(Candidate {
@@ -352,7 +357,7 @@
             let retry_after = soon.clamp(RETRY_AFTER[0], RETRY_AFTER[1]);
             return Err(Refusal { retry_after, usable });
         };
-        if best.tier > 0 && !failing {
+        if best.tier > 1 && !failing {
             state.spills = (state.spills - 1.0).max(0.0);
         }
         let server = &mut state.servers[best.index];
@@ -414,7 +419,8 @@
 
 struct Candidate {
     index: usize,
-    /// 0 where the request belongs, 1 in the own region if that is another one, 2 elsewhere.
+    /// 0 and 1 where the request belongs, 1 if that costs more bytes between zones; 2 in the own
+    /// region if that is another one, 3 elsewhere.
     tier: u8,
     /// Whether it is so slow that it comes last.
     last: bool,
@@ -448,7 +454,7 @@
     may_spill: bool,
 ) -> Option<&Candidate> {
     candidates.sort_unstable_by(|a, b| a.tier.cmp(&b.tier).then(a.rank.total_cmp(&b.rank)));
-    let home = candidates.iter().filter(|it| it.tier == 0).count();
+    let home = candidates.iter().filter(|it| it.tier <= 1).count();
     // Where the object belongs there may be no backend server at all.
     let home = if home == 0 { candidates.len() } else { home };
     let (home, elsewhere) = candidates.split_at(home);
