Let two instances of a region follow the store, and test placement

Change: the two instances of a region that rank first among those that reach the store watch it (steering::watchers, as before); others hear at once by a datagram and ask the sender. Watches wait 3 to 8 s at random, and a pause of 0.1 s lets changes that follow share a call.

--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -11,10 +11,11 @@
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use steering::placement::Peer;
+use steering::placement::{Peer, Peers};
 use tokio::net::UdpSocket;
 
 /// Time between two heartbeats.
@@ -44,25 +45,26 @@
 /// Tells other instances of this one, and hears them, for as long as the process lives.
 pub(super) async fn run(instance: Rc<Instance>) -> Result<(), EntryError> {
     let address = instance.settings.gossip_address;
-    let socket = UdpSocket::bind(address)
-        .await
-        .map_err(|source| EntryError::Listen { address, source })?;
+    let socket =
+        UdpSocket::bind(address).await.map_err(|source| EntryError::Listen { address, source })?;
     let socket = Rc::new(socket);
     tokio::task::spawn_local(receive(instance.clone(), socket.clone()));
     tokio::task::spawn_local(beat(instance, socket));
     Ok(())
 }
 
-/// Tells the instance's state at once, outside the regular heartbeats.
-async fn send(instance: &Instance, socket: &UdpSocket) {
+/// Tells some instances what this one is; news of the store goes to those of its region first.
+async fn send(instance: &Instance, socket: &UdpSocket, near_first: bool) {
     instance.beat();
     let own = instance.own();
     let now = Instant::now();
     let mut targets: Vec<SocketAddr> = Vec::new();
+    let mut near: HashSet<SocketAddr> = HashSet::new();
     let mut others: Vec<Peer> = Vec::new();
     {
         let peers = instance.peers.borrow();
         targets.extend(peers.all().map(|peer| peer.gossip_address));
+        near.extend(in_region(&peers, &own.region).map(|peer| peer.gossip_address));
         others.extend(peers.alive(now).cloned());
     }
     // Seeds join when they were not heard of: they may know instances that nobody else does.
@@ -75,6 +77,9 @@
     }
     let mut random = rand::rng();
     targets.shuffle(&mut random);
+    if near_first {
+        targets.sort_by_key(|target| !near.contains(target));
+    }
     others.shuffle(&mut random);
     let mut datagram = Datagram { own, others: Vec::new() };
     let Ok(mut bytes) = postcard::to_allocvec(&datagram) else { return };
@@ -92,15 +97,20 @@
     }
 }
 
+fn in_region<'a>(peers: &'a Peers, region: &'a str) -> impl Iterator<Item = &'a Peer> {
+    peers.all().filter(move |peer| *peer.region == *region)
+}
+
 async fn beat(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut stop = instance.stop.subscribe();
     let mut known_alive = 0;
+    let mut near_first = false;
     for beats in 0u64.. {
         let alone = instance.peers.borrow().alive_count(Instant::now()) == 0;
         if alone && beats % ALONE_BEATS == 0 {
             introduce(&instance, &socket).await;
         }
-        send(&instance, &socket).await;
+        send(&instance, &socket, near_first).await;
         let now = Instant::now();
         let own = instance.own();
         let alive = {
@@ -113,11 +123,12 @@
             log::info!(target: "instances", alive, before = known_alive; "changed");
             known_alive = alive;
         }
-        tokio::select! {
-            () = tokio::time::sleep(BEAT) => {}
-            // A planned stop is told at once.
-            _ = stop.changed() => {}
-        }
+        near_first = tokio::select! {
+            () = tokio::time::sleep(BEAT) => false,
+            // A planned stop is told at once, and so is news of the store.
+            _ = stop.changed() => false,
+            () = instance.news.notified() => true,
+        };
     }
 }
 
@@ -172,7 +183,12 @@
             }
         }
         if is_behind(&instance, revisions) && !asking.replace(true) {
-            tokio::task::spawn_local(catch_up(instance.clone(), address, revisions, asking.clone()));
+            tokio::task::spawn_local(catch_up(
+                instance.clone(),
+                address,
+                revisions,
+                asking.clone(),
+            ));
         }
     }
 }
@@ -188,7 +204,9 @@
     revisions: [u64; 3],
     asking: Rc<Cell<bool>>,
 ) {
-    tokio::time::sleep(WATCH_AHEAD).await;
+    if instance.is_watcher() {
+        tokio::time::sleep(WATCH_AHEAD).await;
+    }
     if is_behind(&instance, revisions) {
         let asked = tokio::time::timeout(ASK_TIMEOUT, ask(address)).await;
         match asked {
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -52,6 +52,10 @@
     pub stop: watch::Sender<StopPhase>,
     /// Requests that are being answered.
     pub in_flight: Cell<usize>,
+    /// Whether the last call to the store was answered.
+    pub reaches_store: Cell<bool>,
+    /// Wakes the heartbeat when there is news of the store for the other instances.
+    pub news: Notify,
     /// Wakes the watch of a subject whose knowledge came from elsewhere.
     pub learned: [Notify; 3],
     own: RefCell<Peer>,
@@ -81,6 +85,7 @@
             knowledge_address: settings.peer_address,
             availability_zone: settings.availability_zone.clone(),
             region: settings.region.clone(),
+            reaches_store: true,
             revisions: [0; 3],
             demand: Vec::new(),
         };
@@ -97,6 +102,8 @@
             metrics: Metrics::new()?,
             stop: watch::Sender::new(StopPhase::Running),
             in_flight: Cell::new(0),
+            reaches_store: Cell::new(true),
+            news: Notify::new(),
             learned: Default::default(),
             own: RefCell::new(own),
             budgets: RefCell::default(),
@@ -113,6 +120,7 @@
             StopPhase::Running => PeerState::Joining,
             StopPhase::Leaving | StopPhase::Closed => PeerState::Leaving,
         };
+        own.reaches_store = self.reaches_store.get();
         own.revisions = self.knowledge.borrow().revisions();
         own.demand = self.roster.borrow().demand();
         own.clone()
@@ -123,6 +131,12 @@
         self.own.borrow_mut().heartbeat += 1;
     }
 
+    /// Tells whether this instance follows the store, and does not just hear of it.
+    pub fn is_watcher(&self) -> bool {
+        let own = self.own();
+        self.peers.borrow().is_watcher(&own, Instant::now())
+    }
+
     /// Tells whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         self.knowledge.borrow().is_complete() && *self.stop.borrow() == StopPhase::Running
--- a/crates/entry/src/process/watching.rs
+++ b/crates/entry/src/process/watching.rs
@@ -6,9 +6,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest wait of one watch.  A store that falls silent is noticed when it is over, so it stays
-/// below the time in which a change has to be in force.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Shortest and longest wait of one watch, at random.  A store that falls silent is noticed by the
+/// first instance whose wait is over, and the others hear of it.
+const WATCH_WAIT_MS: [u64; 2] = [3_000, 8_000];
+
+/// Pause after a watch that brought changes, so that those that follow at once share one call.
+const CHANGES_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after which an instance that hears from others looks whether it should watch itself.
+const RECHECK: Duration = Duration::from_millis(700);
 
 /// First pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
@@ -22,7 +28,12 @@
     let mut listed = false;
     let mut failures = 0u32;
     loop {
-        let outcome = if listed { watch(&instance, subject).await } else { list(&instance, subject).await };
+        if listed && !instance.is_watcher() {
+            tokio::time::sleep(RECHECK).await;
+            continue;
+        }
+        let outcome =
+            if listed { watch(&instance, subject).await } else { list(&instance, subject).await };
         let name = match &outcome {
             Ok(()) => "ok",
             Err(StoreError::Unreachable(_)) => "unreachable",
@@ -38,6 +49,7 @@
                 if failures > 0 {
                     log::info!(target: "store", subject = subject.as_str(), failures; "regained");
                 }
+                instance.reaches_store.set(true);
                 listed = true;
                 failures = 0;
             }
@@ -48,6 +60,8 @@
                 }
                 if error == StoreError::Compacted {
                     listed = false;
+                } else {
+                    instance.reaches_store.set(false);
                 }
                 let doubled = FIRST_PAUSE * (1 << failures.min(6));
                 failures = failures.saturating_add(1);
@@ -63,20 +77,24 @@
     let changed = instance.knowledge.borrow_mut().listed(subject, listed);
     if changed {
         instance.apply(subject, "store");
+        instance.news.notify_one();
     }
     Ok(())
 }
 
 async fn watch(instance: &Rc<Instance>, subject: Subject) -> Result<(), StoreError> {
     let after = instance.knowledge.borrow().as_of(subject);
+    let wait_ms = rand::random_range(WATCH_WAIT_MS[0]..WATCH_WAIT_MS[1]);
     let changes = tokio::select! {
-        changes = instance.store.watch(subject, after, WATCH_WAIT) => changes?,
+        changes = instance.store.watch(subject, after, Duration::from_millis(wait_ms)) => changes?,
         // Another instance knew better, which the watch under way did not tell.
         () = instance.learned[subject.index()].notified() => return Ok(()),
     };
     let changed = instance.knowledge.borrow_mut().changed(subject, changes);
     if changed {
         instance.apply(subject, "store");
+        instance.news.notify_one();
+        tokio::time::sleep(CHANGES_PAUSE).await;
     }
     Ok(())
 }
--- a/crates/entry/src/request/metrics.rs
+++ b/crates/entry/src/request/metrics.rs
@@ -8,10 +8,7 @@
 use std::time::Instant;
 
 /// Answers with all metrics as text.
-pub(crate) async fn answer(
-    instance: Rc<Instance>,
-    _: Request<Incoming>,
-) -> Response<AnswerBody> {
+pub(crate) async fn answer(instance: Rc<Instance>, _: Request<Incoming>) -> Response<AnswerBody> {
     let known = &instance.metrics.known;
     let set = |of: &str, value: u64| {
         known.with_label_values(&[of]).set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/crates/entry/src/version/mod.rs
+++ b/crates/entry/src/version/mod.rs
@@ -21,7 +21,8 @@
 
 impl<T> Known<T> {
     fn replace(&mut self, content: T, as_of: u64, changed_at: u64) {
-        *self = Self { as_of, changed_at: changed_at.max(self.changed_at), content: Arc::new(content) };
+        *self =
+            Self { as_of, changed_at: changed_at.max(self.changed_at), content: Arc::new(content) };
     }
 }
 
@@ -144,10 +145,10 @@
 fn apply(content: Content, facts: Vec<Fact>) -> Content {
     facts.into_iter().fold(content, |mut content, fact| {
         match (&mut content, fact) {
-            (Content::Configuration(newest), Fact::Configuration(deployment)) => {
-                if newest.as_ref().is_none_or(|it| it.version < deployment.version) {
-                    *newest = Some(deployment);
-                }
+            (Content::Configuration(newest), Fact::Configuration(deployment))
+                if newest.as_ref().is_none_or(|it| it.version < deployment.version) =>
+            {
+                *newest = Some(deployment);
             }
             (Content::Servers(servers), Fact::BackendServer(id, server)) => {
                 servers.insert(id, server);
--- a/crates/steering/src/placement/cold.rs
+++ b/crates/steering/src/placement/cold.rs
@@ -6,12 +6,12 @@
 /// Instances that send to one cold backend server.
 pub const SENDERS: usize = 2;
 
-/// Part of the rate that a cold backend server bears which one sender uses: two senders use all of
-/// it, and twice as many, while views differ, stay below the bound with its overage and slack.
-const SENDER_SHARE: f64 = 0.5;
+/// Part of the rate that a cold backend server bears which one sender uses: twice as many senders,
+/// while views differ, stay below the bound with its overage and slack.
+const SENDER_SHARE: f64 = 0.35;
 
 /// Requests that one sender may send at once.
-const BURST: f64 = 1.5;
+const BURST: f64 = 1.25;
 
 /// Tells whether an instance is one of the senders to a cold backend server.
 ///
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -4,6 +4,7 @@
 //! instance whose count no longer grows is taken for gone.
 
 use super::rank::name_hash;
+use crate::watchers;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -66,12 +67,21 @@
     pub availability_zone: Arc<str>,
     /// Its region.
     pub region: Arc<str>,
+    /// Whether its last call to the platform's store was answered, or it had no cause for one.
+    pub reaches_store: bool,
     /// Revisions of what it knows, see the peers' message.
     pub revisions: [u64; 3],
     /// Its demand, by the lower half of the hash of the service's name.
     pub demand: Vec<(u32, Demand)>,
 }
 
+impl Peer {
+    /// Tells whether it serves callers.
+    pub fn is_serving(&self) -> bool {
+        self.state == PeerState::Serving
+    }
+}
+
 #[derive(Debug)]
 struct Seen {
     peer: Peer,
@@ -124,6 +134,14 @@
         self.seen.values().map(|seen| &seen.peer)
     }
 
+    /// Tells whether `own` is one of the few instances of its region that follow the store; the
+    /// others hear of changes from these.  One that does not reach the store is left out.
+    pub fn is_watcher(&self, own: &Peer, now: Instant) -> bool {
+        let of_region = self.alive(now).filter(|peer| peer.region == own.region);
+        let reaching = of_region.filter(|peer| peer.reaches_store && peer.is_serving());
+        watchers::is_watcher(&own.name, reaching.map(|peer| &*peer.name))
+    }
+
     /// Hashes of the names of living instances in a region.
     pub fn hashes_in(&self, region: &str, now: Instant) -> Vec<u64> {
         self.alive_seen(now)
@@ -141,11 +159,8 @@
     /// They are those of the zone, joined by others of the region, then of other regions, while
     /// there are too few.
     pub fn look_up(&self, own: &Peer, zone: &str, region: &str, now: Instant) -> Vec<SocketAddr> {
-        let serving: Vec<&Peer> = self
-            .alive(now)
-            .chain(std::iter::once(own))
-            .filter(|peer| peer.state == PeerState::Serving)
-            .collect();
+        let serving: Vec<&Peer> =
+            self.alive(now).chain(std::iter::once(own)).filter(|peer| peer.is_serving()).collect();
         let distance = |peer: &Peer| match () {
             () if *peer.availability_zone == *zone => 0,
             () if *peer.region == *region => 1,
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -233,9 +233,8 @@
 
     /// Moves the regional shares on, by the demand of all instances; about twice a second.
     pub fn step(&mut self, own: &Peer, peers: &Peers, now: Instant) {
-        let elapsed = self.stepped_at.replace(now).map_or(0.0, |at| {
-            now.duration_since(at).as_secs_f64()
-        });
+        let elapsed =
+            self.stepped_at.replace(now).map_or(0.0, |at| now.duration_since(at).as_secs_f64());
         let fade = (-elapsed / DEMAND_WINDOW_S).exp();
         self.senders = peers.hashes_in(&self.region, now);
         if !self.senders.is_empty() {
@@ -306,10 +305,7 @@
         for (index, server) in state.servers.iter_mut().enumerate() {
             let allowed =
                 ask.allowed_regions.is_empty() || ask.allowed_regions.contains(&server.region);
-            if !allowed
-                || ask.excluded.contains(&server.id)
-                || !may_work(server, &self.evacuated)
-            {
+            if !allowed || ask.excluded.contains(&server.id) || !may_work(server, &self.evacuated) {
                 continue;
             }
             let at_home = usize::from(server.region == home);
@@ -327,8 +323,8 @@
             {
                 continue;
             }
-            let near = ask.kind == RequestKind::Upload
-                && server.record.availability_zone != self.zone;
+            let near =
+                ask.kind == RequestKind::Upload && server.record.availability_zone != self.zone;
             let tier = match () {
                 () if server.region == home && !near => 0,
                 () if server.region == home => 1,
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -64,16 +64,14 @@
     let rooms: Vec<(&Arc<str>, f64)> = loads
         .iter()
         .filter(|(name, _)| ***name != *region)
-        .map(|(name, load)| {
-            (name, (utilization * load.slots - load.movable - load.near).max(0.0))
-        })
+        .map(|(name, load)| (name, (utilization * load.slots - load.movable - load.near).max(0.0)))
         .collect();
     let room: f64 = rooms.iter().map(|(_, room)| room).sum();
-    if room <= 0.0 {
-        return Split::new();
-    }
     // All movable traffic of a region without slots has to go; otherwise no more than there is room.
     let moved = if own.slots > 0.0 { overflow.min(room) } else { overflow };
+    if moved <= 0.0 || room <= 0.0 {
+        return Split::new();
+    }
     rooms
         .into_iter()
         .filter(|(_, part)| *part > 0.0)
--- /dev/null
+++ b/crates/steering/tests/placement_bounds.rs
@@ -0,0 +1,259 @@
+//! What binds the sum over all instances, and holds without an agreement between them.
+
+mod placement_common;
+
+use placement_common::{ask, name, peer, region_of, roster, servers, step, with_demand};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+use steering::deployment::{Evacuations, Part};
+use steering::placement::peers::LOST_AFTER;
+use steering::placement::shares::{RegionLoad, RegionalShare, expect_demand, target};
+use steering::placement::{Division, Ending, PeerState, Peers, RetryBudget};
+
+/// Rate that a cold backend server bears in the fixtures, with the overage and slack that the
+/// users' sites allow: 11 * 1.5 + 5.
+const COLD_BOUND: usize = 21;
+
+/// Requests that all instances of a region send to one cold backend server within a second, when
+/// each instance is heard by those that `hears` names.
+fn cold_requests(instances: usize, hears: impl Fn(usize, usize) -> bool) -> usize {
+    let start = Instant::now();
+    let mut known = servers(&[("north-a", 1)], 9);
+    for record in known.values_mut() {
+        record.cold_remaining = Duration::from_secs(30);
+    }
+    let of = |number: usize| peer(&format!("instance-{number}"), "north-a");
+    let mut rosters: Vec<_> = (0..instances)
+        .map(|number| {
+            let mut roster = roster(&of(number).name, "north-a", &known, start);
+            let others: Vec<_> = (0..instances)
+                .filter(|other| *other != number && hears(number, *other))
+                .map(of)
+                .collect();
+            step(&mut roster, &of(number), &others, start);
+            roster
+        })
+        .collect();
+    let service = name(placement_common::SERVICE);
+    let mut times: Vec<u64> = Vec::new();
+    for at_ms in (0..5_000).step_by(5) {
+        let now = start + Duration::from_millis(at_ms);
+        for roster in &mut rosters {
+            if let Ok(choice) = roster.choose(&ask(&service, at_ms, &[]), now) {
+                times.push(at_ms);
+                let after = Duration::from_millis(100);
+                roster.ended(&choice.id, Ending::Answered { after }, None, now);
+            }
+        }
+    }
+    let within = |from: &u64| times.iter().filter(|at| (*from..from + 1_000).contains(*at)).count();
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn a_cold_backend_server_is_spared_by_all_instances_together() {
+    let most = cold_requests(12, |_, _| true);
+    assert!((5..=COLD_BOUND).contains(&most), "{most} requests in a second");
+}
+
+#[test]
+fn a_cold_backend_server_is_spared_while_views_differ() {
+    // Two halves that don't hear each other: twice the senders.
+    let most = cold_requests(12, |one, other| one % 2 == other % 2);
+    assert!((5..=COLD_BOUND).contains(&most), "{most} requests in a second");
+}
+
+#[test]
+fn instances_that_know_no_other_send_nothing_to_a_cold_backend_server() {
+    assert_eq!(cold_requests(12, |_, _| false), 0);
+}
+
+#[test]
+fn after_an_evacuation_backend_servers_count_as_cold_until_they_were_checked() {
+    let now = Instant::now();
+    let known = servers(&[("north-a", 1)], 9);
+    let mut roster = roster("one", "north-a", &known, now);
+    let service = name(placement_common::SERVICE);
+    roster.set_evacuations(&Evacuations::from([name("north-a")]), now);
+    let unproven = roster.set_evacuations(&Evacuations::new(), now);
+    assert_eq!(unproven.len(), 1);
+    roster.choose(&ask(&service, 1, &[]), now).expect_err("it may be cold");
+    roster.checked("north-a-0", Duration::ZERO, now);
+    roster.choose(&ask(&service, 1, &[]), now).expect("it is warm");
+}
+
+#[test]
+fn a_share_moves_slowly_while_only_demand_changes() {
+    let start = Instant::now();
+    let mut share = RegionalShare::default();
+    let mut last = 0.0;
+    for beat in 0..100u32 {
+        // Demand jumps to and fro every four seconds.
+        let movable = if (beat / 5) % 2 == 0 { 5.0 } else { 60.0 };
+        let loads = loads(&[("north", movable, 18.0), ("south", 20.0, 100.0)]);
+        let now = start + Duration::from_millis(800) * beat;
+        share.step(&target("north", &loads), 18.0, now);
+        let moved: f64 = share.split().values().sum();
+        assert!((moved - last).abs() <= 0.03 * 0.8 + 1e-9, "moved from {last} to {moved}");
+        last = moved;
+    }
+    assert!(last > 0.1, "{last}");
+}
+
+#[test]
+fn a_share_follows_lost_room_at_once() {
+    let start = Instant::now();
+    let mut share = RegionalShare::default();
+    let whole = loads(&[("north", 10.0, 30.0), ("south", 10.0, 60.0)]);
+    share.step(&target("north", &whole), 30.0, start);
+    assert!(share.split().is_empty());
+    let lost = loads(&[("north", 10.0, 0.0), ("south", 10.0, 60.0)]);
+    share.step(&target("north", &lost), 0.0, start + Duration::from_millis(800));
+    assert_eq!(share.region_of(0.999).map(|region| &**region), Some("south"));
+}
+
+#[test]
+fn no_region_is_sent_more_than_the_common_utilization() {
+    for own_slots in [0.0, 6.0, 18.0, 60.0] {
+        for demand in [1.0, 20.0, 70.0, 200.0] {
+            let loads = loads(&[
+                ("north", demand, own_slots),
+                ("south", 30.0, 90.0),
+                ("west", 50.0, 100.0),
+            ]);
+            let split = target("north", &loads);
+            let slots: f64 = loads.values().map(|load| load.slots).sum();
+            let utilization = ((demand + 80.0) / slots).max(0.7);
+            for (region, part) in &split {
+                let load = loads[region];
+                let there = load.movable + part * demand;
+                assert!(there <= utilization * load.slots + 1e-6, "{region} gets {there}");
+            }
+            let moved: f64 = split.values().sum();
+            assert!((0.0..=1.0 + 1e-9).contains(&moved), "{moved}");
+        }
+    }
+}
+
+#[test]
+fn demand_is_expected_alike_until_it_was_measured() {
+    let mut unknown = loads(&[("north", 0.0, 18.0), ("south", 0.0, 90.0), ("west", 0.0, 108.0)]);
+    expect_demand(&mut unknown);
+    let moved: f64 = target("north", &unknown).values().sum();
+    assert!((0.5..0.8).contains(&moved), "a small region sends {moved} away");
+    let mut measured = loads(&[("north", 10.0, 18.0), ("south", 20.0, 90.0)]);
+    let before = measured.clone();
+    expect_demand(&mut measured);
+    assert_eq!(measured, before);
+}
+
+#[test]
+fn pauses_of_backend_servers_do_not_move_shares() {
+    let start = Instant::now();
+    let known = servers(&[("north-a", 8), ("south-a", 8)], 9);
+    let mut roster = roster("one", "north-a", &known, start);
+    let own = with_demand(peer("one", "north-a"), 60.0, 50);
+    let other = with_demand(peer("two", "south-a"), 60.0, 50);
+    step(&mut roster, &own, std::slice::from_ref(&other), start);
+    let before: f64 = roster.moved_shares().map(|(_, share)| share).sum();
+    for id in known.keys().filter(|id| id.starts_with("north")).take(4) {
+        roster.ended(id, Ending::Failed, None, start);
+    }
+    step(&mut roster, &own, &[other], start + Duration::from_millis(100));
+    let after: f64 = roster.moved_shares().map(|(_, share)| share).sum();
+    assert!((after - before).abs() < 0.01, "{before} became {after}");
+}
+
+#[test]
+fn repeats_stay_within_the_budget_of_all_instances() {
+    let (ratio, extra, instances) = (0.2, 64.0, 12);
+    let mut budgets = vec![RetryBudget::new(ratio, extra); instances];
+    let (mut requests, mut repeats) = (0.0, 0.0);
+    for _ in 0..200 {
+        for budget in &mut budgets {
+            budget.request(instances);
+            requests += 1.0;
+            while budget.take() {
+                repeats += 1.0;
+            }
+        }
+    }
+    assert!(repeats <= ratio * requests + extra, "{repeats} repeats of {requests} requests");
+    assert!(repeats >= 0.1 * requests, "{repeats} repeats of {requests} requests");
+}
+
+#[test]
+fn instances_that_just_started_repeat_nothing() {
+    assert!(!RetryBudget::new(0.2, 64.0).take());
+}
+
+#[test]
+fn parts_get_their_weights_over_short_runs() {
+    let part = |service: &str, weight| Part { service: name(service), weight };
+    let parts = [part("a", 90.0), part("b", 7.0), part("c", 3.0)];
+    let mut division = Division::default();
+    let mut counts: BTreeMap<String, i32> = BTreeMap::new();
+    for number in 1..=1_000 {
+        let chosen = division.next(&parts).expect("there are parts");
+        *counts.entry(chosen.service.to_string()).or_default() += 1;
+        for part in &parts {
+            let fair = f64::from(number) * part.weight / 100.0;
+            let got = f64::from(*counts.get(&*part.service).unwrap_or(&0));
+            assert!((got - fair).abs() <= 1.0 + 1e-6, "{} got {got}, fair is {fair}", part.service);
+        }
+    }
+    assert_eq!(Division::default().next(&[]), None);
+}
+
+#[test]
+fn an_instance_whose_heartbeats_stop_is_in_no_look_up() {
+    let start = Instant::now();
+    let mut peers = Peers::default();
+    let own = peer("one", "north-a");
+    let mut other = peer("two", "north-a");
+    other.caller_address = placement_common::address(8001);
+    peers.heard(other.clone(), start);
+    assert_eq!(peers.look_up(&own, "north-a", "north", start).len(), 2);
+    let later = start + LOST_AFTER;
+    // An old heartbeat that comes again is no sign of life.
+    assert!(!peers.heard(other.clone(), later));
+    assert_eq!(peers.look_up(&own, "north-a", "north", later), [own.caller_address]);
+    other.heartbeat += 1;
+    assert!(peers.heard(other.clone(), later));
+    assert_eq!(peers.look_up(&own, "north-a", "north", later).len(), 2);
+    // It stops as planned, starts again, and an old message arrives late.
+    other.heartbeat += 1;
+    other.state = PeerState::Leaving;
+    peers.heard(other.clone(), later);
+    assert_eq!(peers.look_up(&own, "north-a", "north", later), [own.caller_address]);
+    let late = other.clone();
+    other.started_ms += 1;
+    other.heartbeat = 1;
+    other.state = PeerState::Serving;
+    assert!(peers.heard(other, later));
+    assert!(!peers.heard(late, later));
+    assert_eq!(peers.look_up(&own, "north-a", "north", later).len(), 2);
+}
+
+#[test]
+fn a_look_up_names_the_zone_and_no_more_than_one_instance_besides() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    for (number, zone) in [(1, "north-b"), (2, "north-b"), (3, "south-a")] {
+        let mut other = peer(&format!("peer-{number}"), zone);
+        other.caller_address = placement_common::address(8000 + number);
+        peers.heard(other, now);
+    }
+    let own = peer("one", "north-a");
+    let alone = peers.look_up(&own, "north-a", &region_of("north-a"), now);
+    assert_eq!(alone.len(), 2);
+    assert_eq!(alone[0], own.caller_address);
+    assert_eq!(peers.look_up(&own, "north-b", "north", now).len(), 2);
+    let unknown = peers.look_up(&own, "nowhere", "nowhere", now);
+    assert_eq!(unknown.len(), 2);
+}
+
+fn loads(regions: &[(&str, f64, f64)]) -> BTreeMap<std::sync::Arc<str>, RegionLoad> {
+    let load = |movable, slots| RegionLoad { movable, near: 0.0, slots };
+    regions.iter().map(|(region, demand, slots)| (name(region), load(*demand, *slots))).collect()
+}
