--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -1,7 +1,6 @@
 //! Accepting connections of callers, operators and other instances.
 
 use super::dial::watch_over;
-use crate::error::EntryError;
 use crate::process::Instance;
 use crate::process::instance::StopPhase;
 use crate::request::body::AnswerBody;
@@ -10,7 +9,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -23,22 +21,12 @@
 /// Least buffer for a request's head that the library takes.
 const LEAST_BUFFER_BYTES: usize = 8192;
 
-/// Listens on an address, and answers each request by `answer`.
-///
-/// # Errors
-///
-/// Fails if the address can't be listened on.
-pub(crate) async fn listen<A, F>(
-    instance: &Rc<Instance>,
-    address: SocketAddr,
-    answer: A,
-) -> Result<(), EntryError>
+/// Accepts connections, and answers each request by `answer`, until a planned stop.
+pub(crate) fn listen<A, F>(instance: &Rc<Instance>, listener: TcpListener, answer: A)
 where
     A: Fn(Rc<Instance>, Request<Incoming>) -> F + Copy + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    let failed = |source| EntryError::Listen { address, source };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
     let instance = instance.clone();
     spawn_local(async move {
         let mut stop = instance.stop.subscribe();
@@ -58,7 +46,6 @@
             }
         }
     });
-    Ok(())
 }
 
 async fn serve<A, F>(instance: Rc<Instance>, stream: TcpStream, answer: A)
--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -1,6 +1,7 @@
 //! Starting an instance and running it until it is told to stop.
 
 use super::instance::Instance;
+use super::listeners::Listeners;
 use super::{gossip, stop, watching};
 use crate::border::{Store, Subject, Wire};
 use crate::connection::listener;
@@ -27,8 +28,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     let outcome = local.block_on(&runtime, async {
+        let mut settings = settings;
+        let listeners = Listeners::bind(&mut settings).await?;
         let instance = Instance::new(settings, wire, store)?;
-        start(&instance).await?;
+        start(&instance, listeners);
         until_stopped(&instance).await
     });
     runtime.shutdown_background();
@@ -36,11 +39,7 @@
 }
 
 /// Starts all tasks of an instance on the current local set.
-///
-/// # Errors
-///
-/// Fails if an address can't be listened on.
-pub async fn start(instance: &Rc<Instance>) -> Result<(), EntryError> {
+pub fn start(instance: &Rc<Instance>, listeners: Listeners) {
     let settings = &instance.settings;
     log::info!(
         target: "process",
@@ -48,16 +47,16 @@
         caller_address:% = settings.caller_address, version = env!("CARGO_PKG_VERSION");
         "started"
     );
-    listener::listen(instance, settings.caller_address, request::answer).await?;
-    listener::listen(instance, settings.look_up_address, request::look_up::answer).await?;
-    listener::listen(instance, settings.readiness_address, request::readiness::answer).await?;
-    listener::listen(instance, settings.peer_address, request::knowledge::answer).await?;
-    listener::listen(instance, settings.metrics_address, request::metrics::answer).await?;
-    gossip::run(instance.clone()).await?;
+    let Listeners { callers, look_ups, readiness, peers, metrics, gossip } = listeners;
+    listener::listen(instance, callers, request::answer);
+    listener::listen(instance, look_ups, request::look_up::answer);
+    listener::listen(instance, readiness, request::readiness::answer);
+    listener::listen(instance, peers, request::knowledge::answer);
+    listener::listen(instance, metrics, request::metrics::answer);
+    gossip::run(instance, gossip);
     for subject in Subject::ALL {
         spawn_local(watching::follow(instance.clone(), subject));
     }
-    Ok(())
 }
 
 async fn until_stopped(instance: &Rc<Instance>) -> Result<(), EntryError> {
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -6,7 +6,6 @@
 
 use super::instance::Instance;
 use crate::border::{Registration, Subject};
-use crate::error::EntryError;
 use crate::version::Knowledge;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
@@ -43,14 +42,10 @@
 }
 
 /// Tells other instances of this one, and hears them, for as long as the process lives.
-pub(super) async fn run(instance: Rc<Instance>) -> Result<(), EntryError> {
-    let address = instance.settings.gossip_address;
-    let socket =
-        UdpSocket::bind(address).await.map_err(|source| EntryError::Listen { address, source })?;
+pub(super) fn run(instance: &Rc<Instance>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     tokio::task::spawn_local(receive(instance.clone(), socket.clone()));
-    tokio::task::spawn_local(beat(instance, socket));
-    Ok(())
+    tokio::task::spawn_local(beat(instance.clone(), socket));
 }
 
 /// Tells some instances what this one is; news of the store goes to those of its region first.
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -3,9 +3,10 @@
 pub mod daemon;
 mod gossip;
 pub mod instance;
+pub mod listeners;
 pub mod logging;
 pub mod metrics;
-mod stop;
+pub mod stop;
 mod watching;
 
 pub use daemon::run;
--- a/crates/entry/src/process/stop.rs
+++ b/crates/entry/src/process/stop.rs
@@ -14,7 +14,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Runs the stop to its end.
-pub(super) async fn run(instance: &Instance) {
+pub async fn run(instance: &Instance) {
     let started = Instant::now();
     let grace = instance.settings.stop_grace;
     log::info!(target: "process", in_flight = instance.in_flight.get(); "stopping");
