Pass heartbeats on through others, and end a stop's last requests with it

Cause, seen in the log of an instance of the grown repair site (74 instances): it counted 57 to 68 living others by turns, as each datagram told of 3 others. A datagram now carries the last heartbeat of up to 70 others in 13 bytes each. Requests that come during a stop now get a deadline within it, the listener closes at 0.35 of the grace, and the process ends at 0.95.

--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use steering::placement::peers::Heartbeat;
 use steering::placement::{Peer, Peers};
 use tokio::net::UdpSocket;
 
@@ -24,7 +25,10 @@
 const FANOUT: usize = 11;
 
 /// Largest datagram, below what every link carries in one piece.
-const DATAGRAM_BYTES: usize = 1200;
+const DATAGRAM_BYTES: usize = 1400;
+
+/// Heartbeats of others in one datagram: 13 bytes each at most.
+const MOST_HEARTBEATS: usize = 70;
 
 /// Time that the own watch has to bring what another instance knows already.
 const WATCH_AHEAD: Duration = Duration::from_millis(300);
@@ -38,6 +42,9 @@
 #[derive(Deserialize, Serialize)]
 struct Datagram {
     own: Peer,
+    /// Heartbeats of others, so that one that is not told directly is still known to live.
+    heartbeats: Vec<Heartbeat>,
+    /// A few others in full, for instances that don't know them.
     others: Vec<Peer>,
 }
 
@@ -56,11 +63,13 @@
     let mut targets: Vec<SocketAddr> = Vec::new();
     let mut near: HashSet<SocketAddr> = HashSet::new();
     let mut others: Vec<Peer> = Vec::new();
+    let mut heartbeats;
     {
         let peers = instance.peers.borrow();
         targets.extend(peers.all().map(|peer| peer.gossip_address));
         near.extend(in_region(&peers, &own.region).map(|peer| peer.gossip_address));
         others.extend(peers.alive(now).cloned());
+        heartbeats = peers.heartbeats(now);
     }
     // Seeds join when they were not heard of: they may know instances that nobody else does.
     let port = instance.settings.gossip_address.port();
@@ -76,7 +85,8 @@
         targets.sort_by_key(|target| !near.contains(target));
     }
     others.shuffle(&mut random);
-    let mut datagram = Datagram { own, others: Vec::new() };
+    heartbeats.truncate(MOST_HEARTBEATS);
+    let mut datagram = Datagram { own, heartbeats, others: Vec::new() };
     let Ok(mut bytes) = postcard::to_allocvec(&datagram) else { return };
     // A few other descriptions find room; everybody gets to everyone in a few heartbeats.
     for other in others.into_iter().take(3) {
@@ -149,7 +159,8 @@
                 return;
             }
         };
-        let datagram = Datagram { own: instance.own(), others: Vec::new() };
+        let (heartbeats, none) = (Vec::new(), Vec::new());
+        let datagram = Datagram { own: instance.own(), heartbeats, others: none };
         let Ok(bytes) = postcard::to_allocvec(&datagram) else { return };
         for other in others.iter().filter(|other| other.name != own.name) {
             let _ = socket.send_to(&bytes, other.gossip_address).await;
@@ -173,6 +184,7 @@
         {
             let mut peers = instance.peers.borrow_mut();
             let heard = std::iter::once(datagram.own).chain(datagram.others);
+            peers.heard_heartbeats(&datagram.heartbeats, now);
             for peer in heard.filter(|peer| peer.name != instance.settings.name) {
                 peers.heard(peer, now);
             }
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -50,6 +50,8 @@
     pub metrics: Metrics,
     /// How far a planned stop has come.
     pub stop: watch::Sender<StopPhase>,
+    /// Time by which requests have to be answered that come during a planned stop.
+    pub answer_until: Cell<Option<Instant>>,
     /// Requests that are being answered.
     pub in_flight: Cell<usize>,
     /// Whether the last call to the store was answered.
@@ -101,6 +103,7 @@
             pools: Pools::default(),
             metrics: Metrics::new()?,
             stop: watch::Sender::new(StopPhase::Running),
+            answer_until: Cell::new(None),
             in_flight: Cell::new(0),
             reaches_store: Cell::new(true),
             news: Notify::new(),
--- a/crates/entry/src/process/stop.rs
+++ b/crates/entry/src/process/stop.rs
@@ -5,10 +5,14 @@
 
 /// Part of the grace in which new connections are still served: callers that hold an older answer
 /// of a look-up still come.
-const LEAVING_PART: f64 = 0.45;
+const LEAVING_PART: f64 = 0.35;
 
 /// Part of the grace after which the process ends in any case.
-const END_PART: f64 = 0.85;
+const END_PART: f64 = 0.95;
+
+/// Part of the grace after which a request that came during the stop is answered: its backend
+/// server is told this deadline, and its answer still gets through.
+const ANSWERED_PART: f64 = 0.88;
 
 /// Time between two looks at what is still on the way.
 const LOOK: Duration = Duration::from_millis(50);
@@ -18,6 +22,7 @@
     let started = Instant::now();
     let grace = instance.settings.stop_grace;
     log::info!(target: "process", in_flight = instance.in_flight.get(); "stopping");
+    instance.answer_until.set(Some(started + grace.mul_f64(ANSWERED_PART)));
     instance.stop.send_replace(StopPhase::Leaving);
     tokio::time::sleep(grace.mul_f64(LEAVING_PART)).await;
     instance.stop.send_replace(StopPhase::Closed);
--- a/crates/entry/src/request/answer.rs
+++ b/crates/entry/src/request/answer.rs
@@ -89,6 +89,8 @@
     let body = CallerBody::read(request, body_limit).await?;
     let service = instance.divide(&route).ok_or(Problem::NoRoute)?;
     let waits = head.deadline.unwrap_or(Duration::MAX).min(route.timeout);
+    let deadline = started + waits;
+    let deadline = instance.answer_until.get().map_or(deadline, |until| until.min(deadline));
     let key_hash = match &head.affinity_key {
         Some(key) if route.affinity => name_hash(key) ^ name_hash(&service),
         _ => rand::random(),
@@ -102,7 +104,7 @@
         headers,
         key_hash,
         started,
-        deadline: started + waits,
+        deadline,
         route,
     };
     Ok((exchange, body))
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -6,14 +6,14 @@
 use super::rank::name_hash;
 use crate::watchers;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time without a new heartbeat after which an instance is in no look-up any more: three lost
-/// datagrams and the delay to the furthest region.
-pub const LOST_AFTER: Duration = Duration::from_millis(3500);
+/// Time without a new heartbeat after which an instance is in no look-up any more: the time in
+/// which a heartbeat reaches a hundred instances through others, twice.
+pub const LOST_AFTER: Duration = Duration::from_millis(3800);
 
 /// Time after which an instance that was lost is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
@@ -75,6 +75,17 @@
     pub demand: Vec<(u32, Demand)>,
 }
 
+impl Seen {
+    fn heartbeat(&self) -> Heartbeat {
+        let lower = |number: u64| (number & u64::from(u32::MAX)) as u32;
+        Heartbeat {
+            name_hash: lower(self.name_hash),
+            started_ms: lower(self.peer.started_ms),
+            heartbeat: lower(self.peer.heartbeat),
+        }
+    }
+}
+
 impl Peer {
     /// Tells whether it serves callers.
     pub fn is_serving(&self) -> bool {
@@ -82,6 +93,17 @@
     }
 }
 
+/// A heartbeat of an instance that the reader knows already.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// Lower half of the hash of the instance's name.
+    pub name_hash: u32,
+    /// Lower half of the time of its start.
+    pub started_ms: u32,
+    /// Heartbeats since then.
+    pub heartbeat: u32,
+}
+
 #[derive(Debug)]
 struct Seen {
     peer: Peer,
@@ -114,6 +136,28 @@
         }
     }
 
+    /// The heartbeats of the living instances, newest first.
+    pub fn heartbeats(&self, now: Instant) -> Vec<Heartbeat> {
+        let mut seen: Vec<&Seen> = self.alive_seen(now).collect();
+        seen.sort_by_key(|seen| std::cmp::Reverse(seen.grew_at));
+        seen.into_iter().map(Seen::heartbeat).collect()
+    }
+
+    /// Takes over heartbeats; those of unknown instances or other starts tell nothing.
+    pub fn heard_heartbeats(&mut self, heartbeats: &[Heartbeat], now: Instant) {
+        let news: HashMap<(u32, u32), u32> =
+            heartbeats.iter().map(|it| ((it.name_hash, it.started_ms), it.heartbeat)).collect();
+        for seen in self.seen.values_mut() {
+            let known = seen.heartbeat();
+            if let Some(heartbeat) = news.get(&(known.name_hash, known.started_ms))
+                && *heartbeat > known.heartbeat
+            {
+                seen.peer.heartbeat = u64::from(*heartbeat);
+                seen.grew_at = now;
+            }
+        }
+    }
+
     /// Forgets instances that have been lost for long.
     pub fn prune(&mut self, now: Instant) {
         self.seen.retain(|_, seen| now.duration_since(seen.grew_at) < FORGOTTEN_AFTER);
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -235,6 +235,30 @@
     assert_eq!(peers.look_up(&own, "north-a", "north", later).len(), 2);
 }
 
+#[test]
+fn heartbeats_that_others_pass_on_keep_an_instance_alive() {
+    let start = Instant::now();
+    let (mut near, mut far) = (Peers::default(), Peers::default());
+    let mut other = peer("two", "north-a");
+    near.heard(other.clone(), start);
+    far.heard(other.clone(), start);
+    let later = start + LOST_AFTER;
+    other.heartbeat += 1;
+    near.heard(other.clone(), later);
+    far.heard_heartbeats(&near.heartbeats(later), later);
+    assert_eq!(far.alive_count(later), 1);
+    // The same heartbeat again is no sign of life, and neither is one of an earlier start.
+    let lost = later + LOST_AFTER;
+    far.heard_heartbeats(&near.heartbeats(later), lost);
+    assert_eq!(far.alive_count(lost), 0);
+    other.started_ms += 1;
+    other.heartbeat = 1;
+    far.heard(other, lost);
+    assert_eq!(far.alive_count(lost), 1);
+    far.heard_heartbeats(&near.heartbeats(later), lost + LOST_AFTER);
+    assert_eq!(far.alive_count(lost + LOST_AFTER), 0);
+}
+
 #[test]
 fn a_look_up_names_the_zone_and_no_more_than_one_instance_besides() {
     let now = Instant::now();
