Measure demand by warm answers, and silence by the service's own times

Ruled out: flapping membership (84 living others throughout), configuration alone.

Change: demand goes by the answer time that 3 of 10 answers stay below; silence is five mean answers of the service; only failures let everything spill.

--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use steering::placement::peers::Heartbeat;
+use steering::placement::roster::ShareMove;
 use steering::placement::{Peer, Peers};
 use tokio::net::UdpSocket;
 
@@ -22,7 +23,7 @@
 const BEAT: Duration = Duration::from_millis(800);
 
 /// Instances that one heartbeat goes to.
-const FANOUT: usize = 11;
+const FANOUT: usize = 6;
 
 /// Largest datagram, below what every link carries in one piece.
 const DATAGRAM_BYTES: usize = 1400;
@@ -118,12 +119,15 @@
         send(&instance, &socket, near_first).await;
         let now = Instant::now();
         let own = instance.own();
-        let alive = {
+        let (alive, moves) = {
             let mut peers = instance.peers.borrow_mut();
             peers.prune(now);
-            instance.roster.borrow_mut().step(&own, &peers, now);
-            peers.alive_count(now)
+            let moves = instance.roster.borrow_mut().step(&own, &peers, now);
+            (peers.alive_count(now), moves)
         };
+        for ShareMove { service, moved, slots, demand } in moves {
+            log::info!(target: "shares", service = &*service, moved, slots, demand, alive; "moved");
+        }
         if alive != known_alive {
             log::info!(target: "instances", alive, before = known_alive; "changed");
             known_alive = alive;
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -23,12 +23,22 @@
 /// Most requests that go elsewhere in a row.
 const MOST_SPILLS: f64 = 3.0;
 
+/// Change of a share that is told, for logs.
+const TOLD_SHARE: f64 = 0.05;
+
 /// Salt of the place of a key among the regions.
 const REGION_SALT: u64 = 0x7265_6769_6f6e;
 
 /// Weight of a new sample in a service's mean answer time.
 const SAMPLE_WEIGHT: f64 = 0.03;
 
+/// Part of the answers that are taken to be warm and to have waited for nothing: the work of a
+/// request must not seem to grow because its object was moved and is cold where it is now.
+const WARM_QUANTILE: f64 = 0.3;
+
+/// Part by which one answer moves the quantile.
+const QUANTILE_STEP: f64 = 0.05;
+
 /// Time over which demand is averaged.
 const DEMAND_WINDOW_S: f64 = 2.0;
 
@@ -89,6 +99,19 @@
     pub answer_ms: f64,
 }
 
+/// A share of the own region's requests that has moved.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShareMove {
+    /// The service.
+    pub service: Arc<str>,
+    /// Part of the movable requests that goes to other regions.
+    pub moved: f64,
+    /// Slots of the own region.
+    pub slots: f64,
+    /// Busy slots that the own region's requests would need.
+    pub demand: f64,
+}
+
 /// No backend server may take a request now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -102,6 +125,8 @@
 struct ServiceState {
     servers: Vec<Server>,
     answer_ms: Option<f64>,
+    /// Answer time that a part of [`WARM_QUANTILE`] of the answers stays below.
+    warm_answer_ms: Option<f64>,
     movable_per_s: f64,
     near_per_s: f64,
     share: RegionalShare,
@@ -110,12 +135,27 @@
     replicas: usize,
     /// Requests that may go elsewhere than where they belong.
     spills: f64,
+    told_share: f64,
+    demand_slots: f64,
 }
 
 impl ServiceState {
     fn answer_ms(&self) -> f64 {
         self.answer_ms.unwrap_or(FIRST_ANSWER_MS)
     }
+
+    fn warm_answer_ms(&self) -> f64 {
+        self.warm_answer_ms.unwrap_or(FIRST_ANSWER_MS)
+    }
+
+    /// Takes over the time to an answer.
+    fn answered(&mut self, sample_ms: f64) {
+        let mean = self.answer_ms.unwrap_or(sample_ms);
+        self.answer_ms = Some(mean + (sample_ms - mean) * SAMPLE_WEIGHT);
+        let warm = self.warm_answer_ms.unwrap_or(sample_ms);
+        let part = if sample_ms < warm { WARM_QUANTILE - 1.0 } else { WARM_QUANTILE };
+        self.warm_answer_ms = Some(warm * (1.0 + part * QUANTILE_STEP));
+    }
 }
 
 /// What an instance knows of all backend servers.
@@ -232,7 +272,9 @@
     }
 
     /// Moves the regional shares on, by the demand of all instances; about twice a second.
-    pub fn step(&mut self, own: &Peer, peers: &Peers, now: Instant) {
+    ///
+    /// Returns the shares that have moved by [`TOLD_SHARE`] since they were returned last.
+    pub fn step(&mut self, own: &Peer, peers: &Peers, now: Instant) -> Vec<ShareMove> {
         let elapsed =
             self.stepped_at.replace(now).map_or(0.0, |at| now.duration_since(at).as_secs_f64());
         let fade = (-elapsed / DEMAND_WINDOW_S).exp();
@@ -240,6 +282,7 @@
         if !self.senders.is_empty() {
             self.senders.push(self.own_hash);
         }
+        let mut moves = Vec::new();
         let mut demand: HashMap<(u32, Arc<str>), Demand> = HashMap::new();
         for peer in peers.alive(now).chain(std::iter::once(own)) {
             for (service, part) in &peer.demand {
@@ -253,7 +296,7 @@
         for (name, state) in &mut self.services {
             state.movable_per_s *= fade;
             state.near_per_s *= fade;
-            let slots_s = state.answer_ms() / 1_000.0;
+            let slots_s = state.warm_answer_ms() / 1_000.0;
             let mut loads: BTreeMap<Arc<str>, RegionLoad> = BTreeMap::new();
             let mut keys = 0;
             for region in self.regions.values() {
@@ -280,7 +323,15 @@
             state.replicas = (servers * KEPT_OBJECTS) / keys.max(1);
             let slots = loads.get(&self.region).map_or(0.0, |load| load.slots);
             state.share.step(&target(&self.region, &loads), slots, now);
+            state.demand_slots = loads.get(&self.region).map_or(0.0, |it| it.movable + it.near);
+            let moved: f64 = state.share.split().values().sum();
+            if (moved - state.told_share).abs() >= TOLD_SHARE {
+                state.told_share = moved;
+                let demand = state.demand_slots;
+                moves.push(ShareMove { service: name.clone(), moved, slots, demand });
+            }
         }
+        moves
     }
 
     /// Chooses the backend server of a request.
@@ -292,6 +343,7 @@
         let none = Refusal { retry_after: RETRY_AFTER[1], usable: 0 };
         let Some(state) = self.services.get_mut(ask.service) else { return Err(none) };
         let answer_ms = state.answer_ms();
+        let mean_answer = Duration::from_secs_f64(answer_ms / 1_000.0);
         let place = unit(ask.key_hash, REGION_SALT);
         let home = match ask.kind {
             RequestKind::Upload => &self.region,
@@ -301,19 +353,19 @@
         let cold_rate = self.cold_rates.get(ask.service).copied().unwrap_or(0.0);
         let replicas = state.replicas.max(LEAST_REPLICAS);
         let mut candidates: Vec<Candidate> = Vec::new();
-        let (mut listed_at_home, mut working_at_home) = (0usize, 0usize);
+        let (mut listed_at_home, mut failed_at_home) = (0usize, 0usize);
         for (index, server) in state.servers.iter_mut().enumerate() {
             let allowed =
                 ask.allowed_regions.is_empty() || ask.allowed_regions.contains(&server.region);
             if !allowed || ask.excluded.contains(&server.id) || !may_work(server, &self.evacuated) {
                 continue;
             }
-            let at_home = usize::from(server.region == home);
-            listed_at_home += at_home;
-            if server.is_paused(now) {
+            let at_home = server.region == home;
+            listed_at_home += usize::from(at_home);
+            failed_at_home += usize::from(at_home && server.has_failed(now));
+            if server.is_paused(mean_answer, now) {
                 continue;
             }
-            working_at_home += at_home;
             let cold = server.is_cold(now);
             if cold
                 && !(server.region == self.region
@@ -342,10 +394,9 @@
             });
         }
         let usable = candidates.len();
-        let answer = Duration::from_secs_f64(answer_ms / 1_000.0);
-        let patience = ask.objective_left.saturating_sub(answer).max(ask.least_patience);
+        let patience = ask.objective_left.saturating_sub(mean_answer).max(ask.least_patience);
         // What must not shift with load alone may do so when backend servers fail.
-        let failing = 2 * working_at_home < listed_at_home;
+        let failing = 2 * failed_at_home > listed_at_home;
         let may_spill = failing || state.spills >= 1.0;
         let best = best_of(&mut candidates, replicas, patience, answer_ms, may_spill);
         let Some(best) = best else {
@@ -375,12 +426,15 @@
         let Some((state, index)) = self.find(id) else { return };
         state.servers[index].ended(ending, report, now);
         if let Ending::Answered { after } = ending {
-            let sample = after.as_secs_f64() * 1_000.0;
-            let mean = state.answer_ms.unwrap_or(sample);
-            state.answer_ms = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
+            state.answered(after.as_secs_f64() * 1_000.0);
         }
     }
 
+    /// Busy slots that the own region's requests for a service would need, at the last step.
+    pub fn demand_slots(&self, service: &str) -> f64 {
+        self.services.get(service).map_or(0.0, |state| state.demand_slots)
+    }
+
     /// The number of backend servers known.
     pub fn server_count(&self) -> usize {
         self.services.values().map(|state| state.servers.len()).sum()
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -13,8 +13,12 @@
 /// Longest pause of a backend server that fails again and again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
-/// A backend server with work from here that answered nothing for so long is taken for silent.
-const SILENCE: Duration = Duration::from_millis(1500);
+/// Pause after a backend server had no room.
+const SHED_PAUSE: Duration = Duration::from_millis(50);
+
+/// A backend server with work from here that answered nothing for so long is taken for silent, at
+/// the least, and so many times the mean answer of its service: a cold answer takes three.
+const SILENCE: (Duration, f64) = (Duration::from_millis(1500), 5.0);
 
 /// Weight of a new sample in the mean of answer times.
 const SAMPLE_WEIGHT: f64 = 0.15;
@@ -56,7 +60,8 @@
     pub pace: ColdPace,
     cold_until: Option<Instant>,
     failures: u32,
-    paused_until: Option<Instant>,
+    failed_until: Option<Instant>,
+    shed_until: Option<Instant>,
     heard_at: Instant,
     answer_ms: Option<f64>,
 }
@@ -74,7 +79,8 @@
             pace: ColdPace::new(now),
             cold_until: None,
             failures: 0,
-            paused_until: None,
+            failed_until: None,
+            shed_until: None,
             heard_at: now,
             answer_ms: None,
         };
@@ -101,7 +107,7 @@
     pub fn checked(&mut self, cold: Duration, now: Instant) {
         self.cold_until = (!cold.is_zero()).then(|| now + cold);
         self.failures = 0;
-        self.paused_until = None;
+        self.failed_until = None;
     }
 
     /// Tells whether it is cold.
@@ -109,10 +115,17 @@
         self.cold_until.is_some_and(|until| until > now)
     }
 
-    /// Tells whether it should get no request for now, for failures or silence.
-    pub fn is_paused(&self, now: Instant) -> bool {
-        let silent = self.load.in_flight > 0 && now.duration_since(self.heard_at) > SILENCE;
-        silent || self.paused_until.is_some_and(|until| until > now)
+    /// Tells whether it failed a moment ago.
+    pub fn has_failed(&self, now: Instant) -> bool {
+        self.failed_until.is_some_and(|until| until > now)
+    }
+
+    /// Tells whether it should get no request for now, as it failed, had no room or is silent;
+    /// `mean_answer` is that of its service.
+    pub fn is_paused(&self, mean_answer: Duration, now: Instant) -> bool {
+        let silence = SILENCE.0.max(mean_answer.mul_f64(SILENCE.1));
+        let silent = self.load.in_flight > 0 && now.duration_since(self.heard_at) > silence;
+        silent || self.has_failed(now) || self.shed_until.is_some_and(|until| until > now)
     }
 
     /// Mean time to an answer in milliseconds, once there was one.
@@ -139,19 +152,20 @@
             Ending::Answered { after } => {
                 self.heard_at = now;
                 self.failures = 0;
-                self.paused_until = None;
+                self.failed_until = None;
+                self.shed_until = None;
                 let sample = after.as_secs_f64() * 1_000.0;
                 let mean = self.answer_ms.unwrap_or(sample);
                 self.answer_ms = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
             }
             Ending::Shed => {
                 self.heard_at = now;
-                self.paused_until = Some(now + Duration::from_millis(50));
+                self.shed_until = Some(now + SHED_PAUSE);
             }
             Ending::Failed | Ending::Replaced => {
                 self.failures += 1;
                 let factor = 1u32 << (self.failures - 1).min(4);
-                self.paused_until = Some(now + (FIRST_PAUSE * factor).min(LONGEST_PAUSE));
+                self.failed_until = Some(now + (FIRST_PAUSE * factor).min(LONGEST_PAUSE));
             }
             Ending::Abandoned | Ending::Unsent => {}
         }
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -164,6 +164,48 @@
     assert!((after - before).abs() < 0.01, "{before} became {after}");
 }
 
+#[test]
+fn cold_answers_do_not_make_demand_seem_to_grow() {
+    let start = Instant::now();
+    let known = servers(&[("north-a", 8), ("south-a", 16)], 9);
+    let mut roster = roster("one", "north-a", &known, start);
+    let own = with_demand(peer("one", "north-a"), 150.0, 50);
+    let other = with_demand(peer("two", "south-a"), 150.0, 50);
+    let answers = |roster: &mut steering::placement::Roster, cold_of_10: u64| {
+        for number in 0..400 {
+            let after = Duration::from_millis(if number % 10 < cold_of_10 { 900 } else { 270 });
+            roster.ended("south-a-0", Ending::Answered { after }, None, start);
+        }
+    };
+    let demand = |roster: &mut steering::placement::Roster, at_ms| {
+        let now = start + Duration::from_millis(at_ms);
+        step(roster, &own, std::slice::from_ref(&other), now);
+        roster.demand_slots(placement_common::SERVICE)
+    };
+    answers(&mut roster, 0);
+    let warm = demand(&mut roster, 0);
+    answers(&mut roster, 5);
+    let mixed = demand(&mut roster, 800);
+    assert!((mixed / warm - 1.0).abs() < 0.25, "{warm} became {mixed}");
+}
+
+#[test]
+fn work_of_seconds_is_no_silence() {
+    let start = Instant::now();
+    let known = servers(&[("north-a", 1)], 9);
+    let mut roster = roster("one", "north-a", &known, start);
+    let service = name(placement_common::SERVICE);
+    for _ in 0..100 {
+        roster.choose(&ask(&service, 1, &[]), start).expect("there is room");
+        let after = Duration::from_millis(700);
+        roster.ended("north-a-0", Ending::Answered { after }, None, start);
+    }
+    roster.choose(&ask(&service, 1, &[]), start).expect("there is room");
+    let at = |ms| start + Duration::from_millis(ms);
+    roster.choose(&ask(&service, 1, &[]), at(3_000)).expect("it may be at work");
+    roster.choose(&ask(&service, 1, &[]), at(4_000)).expect_err("it is silent");
+}
+
 #[test]
 fn repeats_stay_within_the_budget_of_all_instances() {
     let (ratio, extra, instances) = (0.2, 64.0, 12);
