Let objects spread only once their number is known

A new instance had seen few objects, took them for all, and spread each over as many backend servers as would fit so few. Ruled out: late knowledge (configuration and servers are known 0.02 s after the start), cold backend servers.

--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -42,8 +42,8 @@
     pub movable_per_s: f32,
     /// Those that stay near because of their size.
     pub near_per_s: f32,
-    /// Distinct objects that they concern.
-    pub keys: u32,
+    /// Distinct objects that they concern, once that is known.
+    pub keys: Option<u32>,
 }
 
 /// One instance, as it tells of itself.
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -23,6 +23,9 @@
 /// Most requests that go elsewhere in a row.
 const MOST_SPILLS: f64 = 3.0;
 
+/// Requests a second of a region below which its objects don't count.
+const LEAST_DEMAND_PER_S: f32 = 0.5;
+
 /// Change of a share that is told, for logs.
 const TOLD_SHARE: f64 = 0.05;
 
@@ -265,7 +268,7 @@
             .map(|(name, state)| {
                 let movable_per_s = state.movable_per_s as f32;
                 let near_per_s = state.near_per_s as f32;
-                let keys = u32::try_from(state.keys.count()).unwrap_or(u32::MAX);
+                let keys = state.keys.count().map(|keys| keys.try_into().unwrap_or(u32::MAX));
                 (demand_key(name), Demand { movable_per_s, near_per_s, keys })
             })
             .collect()
@@ -298,12 +301,14 @@
             state.near_per_s *= fade;
             let slots_s = state.warm_answer_ms() / 1_000.0;
             let mut loads: BTreeMap<Arc<str>, RegionLoad> = BTreeMap::new();
-            let mut keys = 0;
+            let mut keys = Some(0);
             for region in self.regions.values() {
                 loads.entry(region.clone()).or_insert_with(|| {
                     let part = demand.get(&(demand_key(name), region.clone()));
                     let part = part.copied().unwrap_or_default();
-                    keys += part.keys as usize;
+                    if part.movable_per_s + part.near_per_s >= LEAST_DEMAND_PER_S {
+                        keys = keys.zip(part.keys).map(|(sum, more)| sum + more as usize);
+                    }
                     RegionLoad {
                         movable: f64::from(part.movable_per_s) * slots_s,
                         near: f64::from(part.near_per_s) * slots_s,
@@ -320,7 +325,9 @@
                 servers += 1;
             }
             expect_demand(&mut loads);
-            state.replicas = (servers * KEPT_OBJECTS) / keys.max(1);
+            // While a region does not know its objects yet, they must not spread.
+            let keys = keys.filter(|keys| *keys > 0);
+            state.replicas = keys.map_or(0, |keys| servers * KEPT_OBJECTS / keys);
             let slots = loads.get(&self.region).map_or(0.0, |load| load.slots);
             state.share.step(&target(&self.region, &loads), slots, now);
             state.demand_slots = loads.get(&self.region).map_or(0.0, |it| it.movable + it.near);
--- a/crates/steering/tests/placement_choice.rs
+++ b/crates/steering/tests/placement_choice.rs
@@ -79,6 +79,28 @@
     assert_eq!(at.len(), near, "{at:?}");
 }
 
+#[test]
+fn objects_do_not_spread_before_their_number_is_known() {
+    let now = Instant::now();
+    let service = name(placement_common::SERVICE);
+    let mut roster = roster("one", "north-a", &servers(&ALL, 3), now);
+    // Three requests of three objects: there may be many more.
+    for key in 0..3 {
+        roster.asked(&service, RequestKind::Idempotent, key, now);
+    }
+    let mut own = peer("one", "north-a");
+    own.demand = roster.demand();
+    let other = with_demand(peer("two", "south-a"), 40.0, 96);
+    step(&mut roster, &own, &[other], now);
+    let mut at: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+    for _ in 0..40 {
+        if let Some(id) = chosen(&mut roster, 7, now) {
+            *at.entry(id).or_default() += 1;
+        }
+    }
+    assert!(at.len() <= 2, "{at:?}");
+}
+
 #[test]
 fn what_finds_no_room_near_spills_for_few_requests_only() {
     let now = Instant::now();
--- a/crates/steering/tests/placement_common/mod.rs
+++ b/crates/steering/tests/placement_common/mod.rs
@@ -80,8 +80,12 @@
     }
 }
 
-pub(crate) fn with_demand(mut peer: Peer, movable_per_s: f32, keys: u32) -> Peer {
-    let demand = Demand { movable_per_s, near_per_s: 0.0, keys };
+pub(crate) fn with_demand(
+    mut peer: Peer,
+    movable_per_s: f32,
+    keys: impl Into<Option<u32>>,
+) -> Peer {
+    let demand = Demand { movable_per_s, near_per_s: 0.0, keys: keys.into() };
     peer.demand = vec![(demand_key(SERVICE), demand)];
     peer
 }
