--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -47,12 +47,12 @@
         caller_address:% = settings.caller_address, version = env!("CARGO_PKG_VERSION");
         "started"
     );
-    let Listeners { callers, look_ups, readiness, peers, metrics, gossip } = listeners;
+    let Listeners { callers, look_ups, readiness, peers, operators, gossip } = listeners;
     listener::listen(instance, callers, request::answer);
     listener::listen(instance, look_ups, request::look_up::answer);
     listener::listen(instance, readiness, request::readiness::answer);
     listener::listen(instance, peers, request::knowledge::answer);
-    listener::listen(instance, metrics, request::metrics::answer);
+    listener::listen(instance, operators, request::operators::answer);
     gossip::run(instance, gossip);
     for subject in Subject::ALL {
         spawn_local(watching::follow(instance.clone(), subject));
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -1,6 +1,7 @@
 //! The state of an instance, shared by its tasks on one thread.
 
 use super::metrics::Metrics;
+use super::recent::Recent;
 use crate::border::{Store, Subject, Wire};
 use crate::connection::pool::Pools;
 use crate::error::EntryError;
@@ -46,6 +47,8 @@
     pub peers: RefCell<Peers>,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// The last requests and what was decided about them.
+    pub recent: RefCell<Recent>,
     /// Metrics.
     pub metrics: Metrics,
     /// How far a planned stop has come.
@@ -101,6 +104,7 @@
             roster: RefCell::new(roster),
             peers: RefCell::default(),
             pools: Pools::default(),
+            recent: RefCell::default(),
             metrics: Metrics::new()?,
             stop: watch::Sender::new(StopPhase::Running),
             answer_until: Cell::new(None),
--- a/crates/entry/src/process/listeners.rs
+++ b/crates/entry/src/process/listeners.rs
@@ -12,7 +12,7 @@
     pub(super) look_ups: TcpListener,
     pub(super) readiness: TcpListener,
     pub(super) peers: TcpListener,
-    pub(super) metrics: TcpListener,
+    pub(super) operators: TcpListener,
     pub(super) gossip: UdpSocket,
 }
 
@@ -34,7 +34,7 @@
             look_ups: tcp(&mut settings.look_up_address).await?,
             readiness: tcp(&mut settings.readiness_address).await?,
             peers: tcp(&mut settings.peer_address).await?,
-            metrics: tcp(&mut settings.metrics_address).await?,
+            operators: tcp(&mut settings.operators_address).await?,
             gossip: gossip.1,
         })
     }
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod listeners;
 pub mod logging;
 pub mod metrics;
+pub mod recent;
 pub mod stop;
 mod watching;
 
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -37,6 +37,17 @@
     Broken,
 }
 
+impl Attempt {
+    /// Name for operators.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun => "not run",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// A request at a backend server; the roster is told of its end.
 pub(super) struct Work {
     instance: Rc<Instance>,
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) mod health;
 pub(crate) mod knowledge;
 pub(crate) mod look_up;
-pub(crate) mod metrics;
+pub(crate) mod operators;
 mod pass_on;
 mod problem;
 pub(crate) mod readiness;
--- /dev/null
+++ b/crates/entry/src/request/operators.rs
@@ -0,0 +1,117 @@
+//! What operators may ask an instance: metrics, its status, and what became of a request.
+
+use super::body::{AnswerBody, whole};
+use crate::error::EntryError;
+use crate::process::Instance;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+use steering::placement::PeerState;
+
+/// Path of the status.
+const STATUS_PATH: &str = "/v1/status";
+
+/// Beginning of the path of what became of a request.
+const REQUESTS_PATH: &str = "/v1/requests/";
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// What an instance knows and does.
+#[derive(Serialize)]
+struct Status {
+    name: Arc<str>,
+    availability_zone: Arc<str>,
+    state: PeerState,
+    configuration_version: u64,
+    configuration_as_of: u64,
+    servers_as_of: u64,
+    evacuations_as_of: u64,
+    backend_servers: usize,
+    evacuated: Vec<Arc<str>>,
+    instances: Vec<Arc<str>>,
+    follows_store: bool,
+    reaches_store: bool,
+    in_flight: usize,
+    moved_shares: BTreeMap<Arc<str>, f64>,
+}
+
+/// Answers an operator's question.
+pub(crate) async fn answer(
+    instance: Rc<Instance>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let path = request.uri().path();
+    if let Some(request_id) = path.strip_prefix(REQUESTS_PATH) {
+        let found = instance.recent.borrow().of(request_id);
+        return if found.is_empty() { empty(StatusCode::NOT_FOUND) } else { json(&found) };
+    }
+    match path {
+        METRICS_PATH => metrics(&instance).unwrap_or_else(|error| {
+            log::warn!(target: "process", error:%; "metrics can't be rendered");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }),
+        STATUS_PATH => json(&status(&instance)),
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn metrics(instance: &Instance) -> Result<Response<AnswerBody>, EntryError> {
+    let known = &instance.metrics.known;
+    let set = |of: &str, value: u64| {
+        known.with_label_values(&[of]).set(i64::try_from(value).unwrap_or(i64::MAX));
+    };
+    set("configuration-version", instance.knowledge.borrow().configuration.content.version);
+    set("backend-servers", instance.roster.borrow().server_count() as u64);
+    set("instances", instance.peers.borrow().alive_count(Instant::now()) as u64 + 1);
+    Ok(Response::new(whole(instance.metrics.render()?)))
+}
+
+fn status(instance: &Instance) -> Status {
+    let own = instance.own();
+    let knowledge = instance.knowledge.borrow();
+    let roster = instance.roster.borrow();
+    let peers = instance.peers.borrow();
+    Status {
+        name: own.name,
+        availability_zone: own.availability_zone,
+        state: own.state,
+        configuration_version: knowledge.configuration.content.version,
+        configuration_as_of: knowledge.configuration.as_of,
+        servers_as_of: knowledge.servers.as_of,
+        evacuations_as_of: knowledge.evacuations.as_of,
+        backend_servers: roster.server_count(),
+        evacuated: knowledge.evacuations.content.iter().cloned().collect(),
+        instances: peers.alive(Instant::now()).map(|peer| peer.name.clone()).collect(),
+        follows_store: instance.is_watcher(),
+        reaches_store: instance.reaches_store.get(),
+        in_flight: instance.in_flight.get(),
+        moved_shares: roster.moved_shares().map(|(name, part)| (name.clone(), part)).collect(),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Response<AnswerBody> {
+    match serde_json::to_vec(value) {
+        Ok(text) => {
+            let mut response = Response::new(whole(text));
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+            response
+        }
+        Err(error) => {
+            log::warn!(target: "process", error:%; "answer can't be encoded");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn empty(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(""));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -5,6 +5,7 @@
 use super::body::{AnswerBody, CallerBody, RequestBody};
 use super::pass_on;
 use super::problem::Problem;
+use crate::process::recent::{Decision, Offer};
 use http::Response;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,6 +22,9 @@
 /// its route allows did not run it.
 const MAX_OFFERS: u32 = 3;
 
+/// Outcome of an offer whose time was over before it ended.
+const GIVEN_UP: &str = "given up";
+
 /// Runs a request and logs what was made of it.
 pub(super) async fn run(
     exchange: Exchange,
@@ -41,6 +45,8 @@
             Err(_) if progress.may_have_run => Err(Problem::TimeoutAfterSend),
             Err(_) => Err(Problem::TimeoutBeforeSend),
         };
+    let name = outcome.as_ref().map_or_else(Problem::as_str, |_| "answered");
+    remember(&exchange, progress.told, name);
     match outcome {
         Ok(answer) => pass_on::pass_on(exchange, answer, in_flight),
         Err(problem) => {
@@ -61,6 +67,26 @@
     }
 }
 
+/// Remembers what was made of a request, for operators who ask by its identity.
+fn remember(exchange: &Exchange, mut offers: Vec<Offer>, outcome: &'static str) {
+    let Some(request_id) = &exchange.head.request_id else { return };
+    let took_ms = millis(exchange.started.elapsed());
+    if let Some(last) = offers.last_mut().filter(|last| last.outcome == GIVEN_UP) {
+        last.ended_ms = took_ms;
+    }
+    let knowledge = exchange.instance.knowledge.borrow();
+    exchange.instance.recent.borrow_mut().add(Decision {
+        request_id: request_id.as_str().into(),
+        route: exchange.route.name.clone(),
+        service: exchange.service.clone(),
+        outcome,
+        offers,
+        configuration_version: knowledge.configuration.content.version,
+        servers_as_of: knowledge.servers.as_of,
+        took_ms,
+    });
+}
+
 /// How far a request has come.
 #[derive(Default)]
 struct Progress {
@@ -69,6 +95,8 @@
     /// Whether a backend server may have run it.
     may_have_run: bool,
     excluded: Vec<Arc<str>>,
+    /// What is told of the offers.
+    told: Vec<Offer>,
 }
 
 async fn offer(
@@ -118,7 +146,20 @@
     progress: &mut Progress,
 ) -> Attempt {
     let before = std::mem::replace(&mut progress.may_have_run, true);
+    progress.told.push(Offer {
+        server: choice.id.clone(),
+        availability_zone: choice.availability_zone.clone(),
+        load: choice.load,
+        slots: choice.slots,
+        cold: choice.cold,
+        ended_ms: 0,
+        outcome: GIVEN_UP,
+    });
     let attempt = attempt::send(exchange, choice, work, body).await;
+    if let Some(offer) = progress.told.last_mut() {
+        offer.ended_ms = millis(exchange.started.elapsed());
+        offer.outcome = attempt.as_str();
+    }
     if matches!(attempt, Attempt::NotRun) {
         progress.may_have_run = before;
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Ports after the first free one: metrics, then datagrams.
+/// Ports from the first free one: operators and metrics, then datagrams.
 const GOSSIP_PORT_OFFSET: u16 = 1;
 
 /// Settings as the file has them; unknown fields are ignored.
@@ -66,8 +66,8 @@
     pub peer_address: SocketAddr,
     /// Address for datagrams of other instances.
     pub gossip_address: SocketAddr,
-    /// Address for metrics.
-    pub metrics_address: SocketAddr,
+    /// Address for operators and metrics.
+    pub operators_address: SocketAddr,
     /// Hosts of a few other instances, which may be stale.
     pub seeds: Vec<IpAddr>,
     /// Address of the platform's store.
@@ -127,7 +127,7 @@
             look_up_address: address("look_up_address", &raw.look_up_address)?,
             peer_address,
             gossip_address: local(raw.first_port.saturating_add(GOSSIP_PORT_OFFSET)),
-            metrics_address: local(raw.first_port),
+            operators_address: local(raw.first_port),
             seeds: raw
                 .seeds
                 .iter()
--- a/crates/runpin/src/client.rs
+++ b/crates/runpin/src/client.rs
@@ -30,7 +30,7 @@
 /// Asks one instance after another until one answers.
 pub(crate) struct Client {
     instances: Vec<SocketAddr>,
-    token: String,
+    token: Option<String>,
     http: legacy::Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -55,13 +55,22 @@
         Self::new(instances, CHANGE_TOKEN)
     }
 
+    /// Makes a client of instances that ask for no token.
+    pub(crate) fn without_token(instances: &[SocketAddr]) -> Result<Self, CommandError> {
+        Self::with_token(instances, None)
+    }
+
     fn new(instances: &[SocketAddr], variable: &'static str) -> Result<Self, CommandError> {
+        let token = std::env::var(variable).ok().filter(|token| !token.is_empty());
+        let token = token.ok_or(CommandError::MissingToken(variable))?;
+        Self::with_token(instances, Some(token))
+    }
+
+    fn with_token(instances: &[SocketAddr], token: Option<String>) -> Result<Self, CommandError> {
         let instances = match instances {
             [] => instances_of_environment()?,
             named => named.to_vec(),
         };
-        let token = std::env::var(variable).ok().filter(|token| !token.is_empty());
-        let token = token.ok_or(CommandError::MissingToken(variable))?;
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let http = legacy::Client::builder(TokioExecutor::new()).build(connector);
@@ -141,12 +150,12 @@
         path: &str,
         body: Bytes,
     ) -> Result<Bytes, Failure> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{instance}{path}"))
-            .header(AUTHORIZATION, format!("Bearer {}", self.token))
-            .body(Full::new(body))
-            .map_err(|error| Failure::NotSent(error.to_string()))?;
+        let mut request = Request::builder().method(method).uri(format!("http://{instance}{path}"));
+        if let Some(token) = &self.token {
+            request = request.header(AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let request =
+            request.body(Full::new(body)).map_err(|error| Failure::NotSent(error.to_string()))?;
         match tokio::time::timeout(TIMEOUT, self.exchange(request)).await {
             Ok(answered) => answered,
             Err(_) => Err(Failure::Lost("timeout".to_owned())),
--- /dev/null
+++ b/crates/runpin/src/command/entry/status.rs
@@ -0,0 +1,82 @@
+//! `runpin entry status`.
+
+use crate::client::Client;
+use crate::error::CommandError;
+use crate::exit::Exit;
+use crate::output::Output;
+use crate::table::Table;
+use argh::FromArgs;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// show what an instance knows, and how new it is
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(super) struct Status {
+    /// address for operators of an instance, IP:PORT; may be repeated (RUNPIN_INSTANCE)
+    #[argh(option)]
+    instance: Vec<SocketAddr>,
+    /// form of the result, `text` or `json`; default `text`
+    #[argh(option, default = "Output::Text")]
+    output: Output,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Answer {
+    name: String,
+    availability_zone: String,
+    state: String,
+    configuration_version: u64,
+    configuration_as_of: u64,
+    servers_as_of: u64,
+    evacuations_as_of: u64,
+    backend_servers: usize,
+    evacuated: Vec<String>,
+    instances: Vec<String>,
+    follows_store: bool,
+    reaches_store: bool,
+    in_flight: usize,
+    moved_shares: BTreeMap<String, f64>,
+}
+
+/// Asks an instance and shows its answer.
+pub(super) async fn run(options: Status) -> Result<Exit, CommandError> {
+    let client = Client::without_token(&options.instance)?;
+    let answer: Answer = client.read("/v1/status").await?;
+    options.output.show(&answer, describe(&answer))?;
+    Ok(Exit::Done)
+}
+
+fn describe(answer: &Answer) -> String {
+    let mut table = Table::new(["WHAT", "VALUE"]);
+    let store = match (answer.reaches_store, answer.follows_store) {
+        (false, _) => "out of reach",
+        (true, true) => "followed by this instance",
+        (true, false) => "followed by others",
+    };
+    let list = |names: &[String]| match names {
+        [] => "none".to_owned(),
+        names => names.join(", "),
+    };
+    for (what, value) in [
+        ("instance", format!("{} in {}", answer.name, answer.availability_zone)),
+        ("state", answer.state.clone()),
+        (
+            "configuration",
+            format!("{} as of {}", answer.configuration_version, answer.configuration_as_of),
+        ),
+        ("backend servers", format!("{} as of {}", answer.backend_servers, answer.servers_as_of)),
+        ("evacuated", format!("{} as of {}", list(&answer.evacuated), answer.evacuations_as_of)),
+        ("store", store.to_owned()),
+        ("other instances", list(&answer.instances)),
+        ("in flight", answer.in_flight.to_string()),
+    ] {
+        table.row([what.to_owned(), value]);
+    }
+    for (service, share) in &answer.moved_shares {
+        let value = format!("{:.0} % go to other regions", share * 100.0);
+        table.row([format!("service {service}"), value]);
+    }
+    table.to_string()
+}
--- a/crates/runpin/src/command/mod.rs
+++ b/crates/runpin/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod config;
 pub(crate) mod drain;
+pub(crate) mod entry;
 pub(crate) mod explain;
 pub(crate) mod lab;
 pub(crate) mod lookup;
@@ -26,6 +27,7 @@
             Command::Drain(options) => drain::run(options).await,
             Command::Undrain(options) => drain::run_undrain(options).await,
             Command::Policy(options) => policy::run(options).await,
+            Command::Entry(options) => entry::run(options).await,
             Command::Explain(options) => explain::run(options).await,
             Command::Lab(options) => lab::run(options).await,
         }
--- a/crates/runpin/src/options.rs
+++ b/crates/runpin/src/options.rs
@@ -2,6 +2,7 @@
 
 use crate::command::config::Config;
 use crate::command::drain::{DrainCommand, UndrainCommand};
+use crate::command::entry::Entry;
 use crate::command::explain::Explain;
 use crate::command::lab::Lab;
 use crate::command::lookup::Lookup;
@@ -24,6 +25,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Lookup(Lookup),
+    Entry(Entry),
     Explain(Explain),
     Status(StatusCommand),
     Config(Config),
