Tell other instances the changes they lack, and ask those near first

Roster: backend servers are found by identity, loads are estimated for those that matter only. A property test holds chains of updates against the store's content. roster.rs is split into ask, candidate, roster and service.

--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -6,7 +6,7 @@
 
 use super::instance::Instance;
 use crate::border::{Registration, Subject};
-use crate::version::Knowledge;
+use crate::version::exchange::{self, Update};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -15,8 +15,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use steering::placement::peers::Heartbeat;
-use steering::placement::roster::ShareMove;
-use steering::placement::{Peer, Peers};
+
+use steering::placement::{Peer, Peers, ShareMove};
 use tokio::net::UdpSocket;
 
 /// Time between two heartbeats.
@@ -31,9 +31,19 @@
 /// Heartbeats of others in one datagram: 13 bytes each at most.
 const MOST_HEARTBEATS: usize = 70;
 
+/// Others in one datagram that are told in full.
+const OTHERS: usize = 3;
+
 /// Time that the own watch has to bring what another instance knows already.
 const WATCH_AHEAD: Duration = Duration::from_millis(300);
 
+/// Longest wait, at random, before an instance of the own region is asked, so that not all ask at
+/// once.
+const NEAR_WAIT: Duration = Duration::from_millis(60);
+
+/// Wait before an instance of another region is asked.
+const FAR_WAIT: Duration = Duration::from_millis(500);
+
 /// Time for asking another instance for what it knows.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -86,11 +96,13 @@
         targets.sort_by_key(|target| !near.contains(target));
     }
     others.shuffle(&mut random);
-    heartbeats.truncate(MOST_HEARTBEATS);
+    // News is short, so that it may be told often.
+    heartbeats.truncate(if near_first { 0 } else { MOST_HEARTBEATS });
+    others.truncate(if near_first { 0 } else { OTHERS });
     let mut datagram = Datagram { own, heartbeats, others: Vec::new() };
     let Ok(mut bytes) = postcard::to_allocvec(&datagram) else { return };
     // A few other descriptions find room; everybody gets to everyone in a few heartbeats.
-    for other in others.into_iter().take(3) {
+    for other in others {
         datagram.others.push(other);
         match postcard::to_allocvec(&datagram) {
             Ok(longer) if longer.len() <= DATAGRAM_BYTES => bytes = longer,
@@ -185,6 +197,7 @@
         let now = Instant::now();
         let revisions = datagram.own.revisions;
         let address = datagram.own.knowledge_address;
+        let near = datagram.own.region == instance.settings.region;
         {
             let mut peers = instance.peers.borrow_mut();
             let heard = std::iter::once(datagram.own).chain(datagram.others);
@@ -197,6 +210,7 @@
             tokio::task::spawn_local(catch_up(
                 instance.clone(),
                 address,
+                near,
                 revisions,
                 asking.clone(),
             ));
@@ -212,14 +226,20 @@
 async fn catch_up(
     instance: Rc<Instance>,
     address: SocketAddr,
+    near: bool,
     revisions: [u64; 3],
     asking: Rc<Cell<bool>>,
 ) {
-    if instance.is_watcher() {
-        tokio::time::sleep(WATCH_AHEAD).await;
-    }
+    // Whoever is near and knows it spares the bytes from far away.
+    let wait = match (instance.is_watcher(), near) {
+        (true, _) => WATCH_AHEAD,
+        (false, true) => NEAR_WAIT.mul_f64(rand::random()),
+        (false, false) => FAR_WAIT,
+    };
+    tokio::time::sleep(wait).await;
     if is_behind(&instance, revisions) {
-        let asked = tokio::time::timeout(ASK_TIMEOUT, ask(address)).await;
+        let as_of = instance.knowledge.borrow().all_as_of();
+        let asked = tokio::time::timeout(ASK_TIMEOUT, ask(address, as_of)).await;
         match asked {
             Ok(Some(knowledge)) => {
                 let changed = instance.knowledge.borrow_mut().learned(knowledge);
@@ -227,6 +247,7 @@
                     if changed[subject.index()] {
                         instance.apply(subject, "instance");
                         instance.learned[subject.index()].notify_one();
+                        instance.news.notify_one();
                     }
                 }
             }
@@ -238,7 +259,8 @@
     asking.set(false);
 }
 
-async fn ask(address: SocketAddr) -> Option<Knowledge> {
-    let body = crate::connection::ask::get(address, super::daemon::KNOWLEDGE_PATH).await?;
+async fn ask(address: SocketAddr, as_of: [u64; 3]) -> Option<Update> {
+    let path = format!("{}?{}", super::daemon::KNOWLEDGE_PATH, exchange::query(as_of));
+    let body = crate::connection::ask::get(address, &path).await?;
     postcard::from_bytes(&body).ok()
 }
--- a/crates/entry/src/version/mod.rs
+++ b/crates/entry/src/version/mod.rs
@@ -3,7 +3,10 @@
 //! The store counts one revision for all changes, so that two accounts of a subject can always be
 //! ordered, wherever they come from.  An instance never goes back to an earlier one.
 
+pub mod exchange;
+
 use crate::border::{Fact, Facts, Subject};
+use exchange::{ServerChanges, ServersUpdate, Update};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use steering::deployment::{BackendServers, Deployment, Evacuations};
@@ -27,7 +30,7 @@
 }
 
 /// All that an instance knows of the deployment.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
 pub struct Knowledge {
     /// The configuration in force.
     pub configuration: Known<Deployment>,
@@ -35,6 +38,8 @@
     pub servers: Known<BackendServers>,
     /// The evacuated availability zones.
     pub evacuations: Known<Evacuations>,
+    /// The last changes of backend servers, for other instances.
+    server_changes: ServerChanges,
 }
 
 impl Knowledge {
@@ -85,21 +90,46 @@
         self.set(apply(content, changes.facts), as_of, as_of)
     }
 
+    /// Revisions up to which the subjects are known.
+    pub fn all_as_of(&self) -> [u64; 3] {
+        Subject::ALL.map(|subject| self.as_of(subject))
+    }
+
     /// Takes over what another instance knows better; returns which subjects changed.
-    pub fn learned(&mut self, other: Self) -> [bool; 3] {
+    pub fn learned(&mut self, update: Update) -> [bool; 3] {
         let mut changed = [false; 3];
-        let Known { as_of, changed_at, content } = other.configuration;
-        if as_of > self.configuration.as_of {
+        if let Some(Known { as_of, changed_at, content }) = update.configuration
+            && as_of > self.configuration.as_of
+        {
             let content = Content::Configuration(Some((*content).clone()));
             changed[0] = self.set(content, as_of, changed_at);
         }
-        let Known { as_of, changed_at, content } = other.servers;
-        if as_of > self.servers.as_of {
-            changed[1] = self.set(Content::Servers((*content).clone()), as_of, changed_at);
+        let servers = match update.servers {
+            Some(ServersUpdate::Whole(Known { as_of, changed_at, content })) => {
+                Some(((*content).clone(), as_of, changed_at))
+            }
+            Some(ServersUpdate::Changes { as_of, changed_at, changes }) => {
+                let mut servers = (*self.servers.content).clone();
+                for change in changes {
+                    match change.record {
+                        Some(record) => servers.insert(change.id, record),
+                        None => servers.remove(&change.id),
+                    };
+                }
+                Some((servers, as_of, changed_at))
+            }
+            None => None,
+        };
+        if let Some((servers, as_of, changed_at)) = servers
+            && as_of > self.servers.as_of
+        {
+            changed[1] = self.set(Content::Servers(servers), as_of, changed_at);
         }
-        let Known { as_of, changed_at, content } = other.evacuations;
-        if as_of > self.evacuations.as_of {
-            changed[2] = self.set(Content::Evacuations((*content).clone()), as_of, changed_at);
+        if let Some(Known { as_of, changed_at, content }) = update.evacuations
+            && as_of > self.evacuations.as_of
+        {
+            let content = Content::Evacuations((*content).clone());
+            changed[2] = self.set(content, as_of, changed_at);
         }
         changed
     }
@@ -119,6 +149,7 @@
             Content::Servers(servers) => {
                 let changed = servers != *self.servers.content;
                 if changed {
+                    self.server_changes.add(&self.servers.content, &servers, as_of);
                     self.servers.replace(servers, as_of, changed_at);
                 }
                 self.servers.as_of = as_of;
--- /dev/null
+++ b/crates/entry/tests/knowledge.rs
@@ -0,0 +1,126 @@
+//! What instances learn from each other, against one that follows the store itself.
+
+use entry::border::{Fact, Facts, Subject};
+use entry::version::Knowledge;
+use entry::version::exchange::{ServersUpdate, query, read_query};
+use proptest::prelude::{Strategy, any, prop, prop_assert_eq, proptest};
+use std::sync::Arc;
+use std::time::Duration;
+use steering::deployment::{BackendServer, Deployment};
+
+fn server(slots: u32) -> BackendServer {
+    BackendServer {
+        service: "dossier".into(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 9000)),
+        availability_zone: "north-a".into(),
+        slots,
+        draining: false,
+        cold_remaining: Duration::ZERO,
+    }
+}
+
+fn listed(servers: u32) -> Knowledge {
+    let id = |number: u32| -> Arc<str> { format!("i-{number}").into() };
+    let facts = (0..servers).map(|number| Fact::BackendServer(id(number), server(9))).collect();
+    let mut knowledge = Knowledge::default();
+    knowledge.listed(Subject::BackendServers, Facts { facts, as_of: 10, changed_at: 9 });
+    knowledge
+}
+
+fn change(knowledge: &mut Knowledge, number: u8, slots: Option<u32>, as_of: u64) {
+    let id: Arc<str> = format!("i-{number}").into();
+    let fact = match slots {
+        Some(slots) => Fact::BackendServer(id, server(slots)),
+        None => Fact::BackendServerGone(id),
+    };
+    let facts = Facts { facts: vec![fact], as_of, changed_at: as_of };
+    knowledge.changed(Subject::BackendServers, facts);
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u8, Option<u32>, bool, bool)>> {
+    let step = (0u8..12, prop::option::of(1u32..4), any::<bool>(), any::<bool>());
+    prop::collection::vec(step, 0..60)
+}
+
+proptest! {
+    /// One instance follows the store; a second asks it now and then; a third asks the second.
+    #[test]
+    fn instances_that_ask_each_other_know_what_the_store_has(steps in steps()) {
+        let mut first = listed(6);
+        let (mut second, mut third) = (Knowledge::default(), Knowledge::default());
+        for (step, (number, slots, second_asks, third_asks)) in steps.into_iter().enumerate() {
+            change(&mut first, number, slots, 11 + step as u64);
+            if second_asks {
+                second.learned(first.update_since(second.all_as_of()));
+                prop_assert_eq!(&second.servers.content, &first.servers.content);
+            }
+            if third_asks {
+                third.learned(second.update_since(third.all_as_of()));
+                prop_assert_eq!(&third.servers.content, &second.servers.content);
+            }
+        }
+        second.learned(first.update_since(second.all_as_of()));
+        prop_assert_eq!(&second.servers.content, &first.servers.content);
+    }
+
+    #[test]
+    fn a_query_is_read_as_it_was_written(as_of in any::<[u64; 3]>()) {
+        prop_assert_eq!(read_query(Some(&query(as_of))), as_of);
+    }
+}
+
+#[test]
+fn who_is_little_behind_gets_the_changes_only() {
+    let mut knowledge = listed(6);
+    change(&mut knowledge, 1, None, 20);
+    let update = knowledge.update_since([0, 10, 0]);
+    match update.servers {
+        Some(ServersUpdate::Changes { changes, .. }) => assert_eq!(changes.len(), 1),
+        other => panic!("changes are enough: {other:?}"),
+    }
+    assert!(matches!(knowledge.update_since([0; 3]).servers, Some(ServersUpdate::Whole(_))));
+    assert!(knowledge.update_since([0, 20, 0]).servers.is_none());
+}
+
+#[test]
+fn an_older_account_changes_nothing() {
+    let mut knowledge = listed(6);
+    let mut behind = listed(6);
+    change(&mut behind, 1, None, 15);
+    change(&mut knowledge, 2, None, 20);
+    let before = knowledge.servers.content.clone();
+    assert_eq!(knowledge.learned(behind.update_since([0, 10, 0])), [false; 3]);
+    assert_eq!(knowledge.servers.content, before);
+    let old = Facts { facts: Vec::new(), as_of: 12, changed_at: 12 };
+    assert!(!knowledge.listed(Subject::BackendServers, old));
+    assert_eq!(knowledge.servers.content, before);
+}
+
+#[test]
+fn an_older_version_of_the_configuration_never_comes_into_force() {
+    let version = |version, as_of| {
+        let deployment = Deployment { version, ..Deployment::default() };
+        Facts { facts: vec![Fact::Configuration(deployment)], as_of, changed_at: as_of }
+    };
+    let mut knowledge = Knowledge::default();
+    assert!(knowledge.changed(Subject::Configuration, version(7, 20)));
+    assert!(!knowledge.changed(Subject::Configuration, version(6, 30)));
+    assert!(!knowledge.listed(Subject::Configuration, version(5, 40)));
+    let mut other = Knowledge::default();
+    other.changed(Subject::Configuration, version(4, 50));
+    assert_eq!(knowledge.learned(other.update_since([0; 3])), [false; 3]);
+    assert_eq!(knowledge.configuration.content.version, 7);
+}
+
+#[test]
+fn evacuations_come_and_go() {
+    let mut knowledge = Knowledge::default();
+    let facts = |fact, as_of| Facts { facts: vec![fact], as_of, changed_at: as_of };
+    let zone: Arc<str> = "north-a".into();
+    assert!(knowledge.changed(Subject::Evacuations, facts(Fact::Evacuated(zone.clone()), 5)));
+    let mut other = Knowledge::default();
+    assert_eq!(other.learned(knowledge.update_since([0; 3])), [false, false, true]);
+    assert!(knowledge.changed(Subject::Evacuations, facts(Fact::EvacuationEnded(zone), 6)));
+    assert_eq!(other.learned(knowledge.update_since(other.all_as_of())), [false, false, true]);
+    assert!(other.evacuations.content.is_empty());
+}
--- /dev/null
+++ b/crates/steering/src/placement/ask.rs
@@ -0,0 +1,66 @@
+//! What a request asks of the roster, and what it is told.
+
+use crate::deployment::RequestKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Service that runs it.
+    pub service: &'a Arc<str>,
+    /// Hash of the object that it concerns, or of the request.
+    pub key_hash: u64,
+    /// Whether it may run more than once.
+    pub kind: RequestKind,
+    /// Regions that may serve it; all if empty.
+    pub allowed_regions: &'a [Arc<str>],
+    /// Backend servers that it must not go to.
+    pub excluded: &'a [Arc<str>],
+    /// Time that is left of its latency objective.
+    pub objective_left: Duration,
+    /// Time that it may wait for a slot even if its latency objective is missed then.
+    pub least_patience: Duration,
+}
+
+/// The backend server that a request goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its identity.
+    pub id: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub availability_zone: Arc<str>,
+    /// Estimate of the requests there.
+    pub load: f64,
+    /// Its slots.
+    pub slots: u32,
+    /// Whether it is cold.
+    pub cold: bool,
+    /// Mean time to an answer in milliseconds.
+    pub answer_ms: f64,
+}
+
+/// A share of the own region's requests that has moved.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShareMove {
+    /// The service.
+    pub service: Arc<str>,
+    /// Part of the movable requests that goes to other regions.
+    pub moved: f64,
+    /// Slots of the own region.
+    pub slots: f64,
+    /// Busy slots that the own region's requests would need.
+    pub demand: f64,
+}
+
+/// No backend server may take a request now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Time after which there may be room.
+    pub retry_after: Duration,
+    /// Backend servers that were left after those that may not be used.
+    pub usable: usize,
+}
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -5,7 +5,9 @@
 //! to other regions follows from demand and room, and moves slowly ([`shares`]).  What binds the
 //! sum over all instances is divided by rank ([`cold`]) or by number ([`budget`]).
 
+pub mod ask;
 pub mod budget;
+mod candidate;
 pub mod cold;
 pub mod division;
 pub mod keys;
@@ -14,10 +16,12 @@
 pub mod rank;
 pub mod roster;
 pub mod server;
+mod service;
 pub mod shares;
 
+pub use ask::{Ask, Choice, Refusal, ShareMove};
 pub use budget::RetryBudget;
 pub use division::Division;
 pub use peers::{Peer, PeerState, Peers};
-pub use roster::{Ask, Choice, Refusal, Roster};
+pub use roster::Roster;
 pub use server::Ending;
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -1,21 +1,20 @@
 //! The backend servers that an instance knows, and its choice among them.
 
+use super::ask::{Ask, Choice, Refusal, ShareMove};
+use super::candidate::{Candidate, Terms, best_of};
 use super::cold::is_sender;
-use super::keys::SeenKeys;
 use super::load::LoadReport;
 use super::peers::{Demand, Peer, Peers};
 use super::rank::{name_hash, unit, weighted_rank};
 use super::server::{Ending, Server};
-use super::shares::{RegionLoad, RegionalShare, expect_demand, target};
-use crate::deployment::{BackendServers, Deployment, Evacuations, RequestKind};
+use super::service::ServiceState;
+use super::shares::{RegionLoad, expect_demand, target};
+use crate::deployment::{BackendServer, BackendServers, Deployment, Evacuations, RequestKind};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Utilization of a backend server of another region up to which it takes what has no place near.
-const SPILL_UTILIZATION: f64 = 0.6;
-
 /// Part of the requests that may go elsewhere than where they belong while nothing fails.  Together
 /// with what the shares move it stays below the shift that is allowed between two windows.
 const SPILL_RATIO: f64 = 0.04;
@@ -32,25 +31,12 @@
 /// Salt of the place of a key among the regions.
 const REGION_SALT: u64 = 0x7265_6769_6f6e;
 
-/// Weight of a new sample in a service's mean answer time.
-const SAMPLE_WEIGHT: f64 = 0.03;
-
-/// Part of the answers that are taken to be warm and to have waited for nothing: the work of a
-/// request must not seem to grow because its object was moved and is cold where it is now.
-const WARM_QUANTILE: f64 = 0.3;
-
-/// Part by which one answer moves the quantile.
-const QUANTILE_STEP: f64 = 0.05;
-
 /// Time over which demand is averaged.
 const DEMAND_WINDOW_S: f64 = 2.0;
 
 /// Cold backend servers work slower; their slots count for this part.
 const COLD_SLOTS: f64 = 0.1;
 
-/// Mean answer time of a service until one is known, in milliseconds.
-const FIRST_ANSWER_MS: f64 = 300.0;
-
 /// Shortest and longest time after which a refused caller is asked to come back.
 const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(800)];
 
@@ -64,103 +50,6 @@
 /// A backend server this many times slower than its service comes last.
 const SLOW_FACTOR: f64 = 2.5;
 
-/// What a request asks for.
-#[derive(Clone, Debug)]
-pub struct Ask<'a> {
-    /// Service that runs it.
-    pub service: &'a Arc<str>,
-    /// Hash of the object that it concerns, or of the request.
-    pub key_hash: u64,
-    /// Whether it may run more than once.
-    pub kind: RequestKind,
-    /// Regions that may serve it; all if empty.
-    pub allowed_regions: &'a [Arc<str>],
-    /// Backend servers that it must not go to.
-    pub excluded: &'a [Arc<str>],
-    /// Time that is left of its latency objective.
-    pub objective_left: Duration,
-    /// Time that it may wait for a slot even if its latency objective is missed then.
-    pub least_patience: Duration,
-}
-
-/// The backend server that a request goes to.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// Its identity.
-    pub id: Arc<str>,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub availability_zone: Arc<str>,
-    /// Estimate of the requests there.
-    pub load: f64,
-    /// Its slots.
-    pub slots: u32,
-    /// Whether it is cold.
-    pub cold: bool,
-    /// Mean time to an answer in milliseconds.
-    pub answer_ms: f64,
-}
-
-/// A share of the own region's requests that has moved.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ShareMove {
-    /// The service.
-    pub service: Arc<str>,
-    /// Part of the movable requests that goes to other regions.
-    pub moved: f64,
-    /// Slots of the own region.
-    pub slots: f64,
-    /// Busy slots that the own region's requests would need.
-    pub demand: f64,
-}
-
-/// No backend server may take a request now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Refusal {
-    /// Time after which there may be room.
-    pub retry_after: Duration,
-    /// Backend servers that were left after those that may not be used.
-    pub usable: usize,
-}
-
-#[derive(Debug, Default)]
-struct ServiceState {
-    servers: Vec<Server>,
-    answer_ms: Option<f64>,
-    /// Answer time that a part of [`WARM_QUANTILE`] of the answers stays below.
-    warm_answer_ms: Option<f64>,
-    movable_per_s: f64,
-    near_per_s: f64,
-    share: RegionalShare,
-    keys: SeenKeys,
-    /// Backend servers that an object is spread over.
-    replicas: usize,
-    /// Requests that may go elsewhere than where they belong.
-    spills: f64,
-    told_share: f64,
-    demand_slots: f64,
-}
-
-impl ServiceState {
-    fn answer_ms(&self) -> f64 {
-        self.answer_ms.unwrap_or(FIRST_ANSWER_MS)
-    }
-
-    fn warm_answer_ms(&self) -> f64 {
-        self.warm_answer_ms.unwrap_or(FIRST_ANSWER_MS)
-    }
-
-    /// Takes over the time to an answer.
-    fn answered(&mut self, sample_ms: f64) {
-        let mean = self.answer_ms.unwrap_or(sample_ms);
-        self.answer_ms = Some(mean + (sample_ms - mean) * SAMPLE_WEIGHT);
-        let warm = self.warm_answer_ms.unwrap_or(sample_ms);
-        let part = if sample_ms < warm { WARM_QUANTILE - 1.0 } else { WARM_QUANTILE };
-        self.warm_answer_ms = Some(warm * (1.0 + part * QUANTILE_STEP));
-    }
-}
-
 /// What an instance knows of all backend servers.
 #[derive(Debug)]
 pub struct Roster {
@@ -204,22 +93,17 @@
 
     /// Takes over the list of backend servers.
     pub fn set_servers(&mut self, servers: &BackendServers, now: Instant) {
-        for (name, state) in &mut self.services {
-            state
-                .servers
-                .retain(|server| servers.get(&server.id).is_some_and(|it| it.service == *name));
-        }
+        let mut services = std::mem::take(&mut self.services);
+        let mut by_service: BTreeMap<Arc<str>, BTreeMap<&Arc<str>, &BackendServer>> =
+            services.keys().map(|name| (name.clone(), BTreeMap::new())).collect();
         for (id, record) in servers {
-            let state = self.services.entry(record.service.clone()).or_default();
-            match state.servers.iter_mut().find(|server| server.id == *id) {
-                Some(server) => server.update(record, now),
-                None => {
-                    let zone = &record.availability_zone;
-                    let region = self.regions.get(zone).cloned().unwrap_or_else(|| zone.clone());
-                    state.servers.push(Server::new(id.clone(), record.clone(), region, now));
-                }
-            }
+            by_service.entry(record.service.clone()).or_default().insert(id, record);
+        }
+        let region_of = |zone: &Arc<str>| self.regions.get(zone).unwrap_or(zone).clone();
+        for (name, of_service) in by_service {
+            services.entry(name).or_default().set_servers(&of_service, region_of, now);
         }
+        self.services = services;
     }
 
     /// Takes over the evacuated zones; returns the backend servers that come back into use, which
@@ -391,22 +275,16 @@
                 () => 3,
             };
             let slow = server.answer_ms().is_some_and(|mean| mean > answer_ms * SLOW_FACTOR);
-            candidates.push(Candidate {
-                index,
-                tier,
-                last: slow,
-                rank: weighted_rank(ask.key_hash, server.hash, server.record.slots),
-                load: server.load.estimate(now),
-                slots: f64::from(server.record.slots.max(1)),
-            });
+            let rank = weighted_rank(ask.key_hash, server.hash, server.record.slots);
+            candidates.push(Candidate { index, tier, last: slow, rank });
         }
         let usable = candidates.len();
         let patience = ask.objective_left.saturating_sub(mean_answer).max(ask.least_patience);
         // What must not shift with load alone may do so when backend servers fail.
         let failing = 2 * failed_at_home > listed_at_home;
         let may_spill = failing || state.spills >= 1.0;
-        let best = best_of(&mut candidates, replicas, patience, answer_ms, may_spill);
-        let Some(best) = best else {
+        let terms = Terms { replicas, patience, answer_ms, may_spill, now };
+        let Some(best) = best_of(&mut candidates, &state.servers, terms) else {
             let soon = Duration::from_secs_f64(answer_ms / 1_000.0);
             let retry_after = soon.clamp(RETRY_AFTER[0], RETRY_AFTER[1]);
             return Err(Refusal { retry_after, usable });
@@ -416,12 +294,13 @@
         }
         let server = &mut state.servers[best.index];
         let cold = server.is_cold(now);
+        let load = server.load.estimate(now);
         server.sent(now);
         Ok(Choice {
             id: server.id.clone(),
             address: server.record.address,
             availability_zone: server.record.availability_zone.clone(),
-            load: best.load,
+            load,
             slots: server.record.slots,
             cold,
             answer_ms: server.answer_ms().unwrap_or(answer_ms),
@@ -454,8 +333,8 @@
 
     fn find(&mut self, id: &str) -> Option<(&mut ServiceState, usize)> {
         self.services.values_mut().find_map(|state| {
-            let index = state.servers.iter().position(|server| *server.id == *id)?;
-            Some((state, index))
+            let position = *state.positions.get(id)?;
+            Some((state, position))
         })
     }
 
@@ -473,58 +352,3 @@
 fn may_work(server: &Server, evacuated: &Evacuations) -> bool {
     !server.record.draining && !evacuated.contains(&server.record.availability_zone)
 }
-
-struct Candidate {
-    index: usize,
-    /// 0 and 1 where the request belongs, 1 if that costs more bytes between zones; 2 in the own
-    /// region if that is another one, 3 elsewhere.
-    tier: u8,
-    /// Whether it is so slow that it comes last.
-    last: bool,
-    rank: f64,
-    load: f64,
-    slots: f64,
-}
-
-impl Candidate {
-    fn has_room(&self, utilization: f64) -> bool {
-        self.load + 1.0 <= (self.slots * utilization).max(1.0)
-    }
-
-    /// Expected wait in milliseconds when each request takes `answer_ms`.
-    fn wait_ms(&self, answer_ms: f64) -> f64 {
-        (self.load + 1.0 - self.slots).max(0.0) / self.slots * answer_ms
-    }
-}
-
-/// Chooses among all candidates, of which `replicas` hold the object where it belongs.
-///
-/// The first in rank with a free slot gets the request; else the replica with the shortest wait,
-/// if the request has patience for it; else one elsewhere that has much room.  A backend server
-/// that gets an object for the first time is slow and drops another object for it, so that work
-/// does not spread further under load.
-fn best_of(
-    candidates: &mut [Candidate],
-    replicas: usize,
-    patience: Duration,
-    answer_ms: f64,
-    may_spill: bool,
-) -> Option<&Candidate> {
-    candidates.sort_unstable_by(|a, b| a.tier.cmp(&b.tier).then(a.rank.total_cmp(&b.rank)));
-    let home = candidates.iter().filter(|it| it.tier <= 1).count();
-    // Where the object belongs there may be no backend server at all.
-    let home = if home == 0 { candidates.len() } else { home };
-    let (home, elsewhere) = candidates.split_at(home);
-    let replicas = &home[..replicas.clamp(1, home.len().max(1)).min(home.len())];
-    let first = |last: bool| replicas.iter().find(|it| it.last == last && it.has_room(1.0));
-    let patience_ms = patience.as_secs_f64() * 1_000.0;
-    let shortest = || {
-        let waits = replicas.iter().filter(|it| it.wait_ms(answer_ms) <= patience_ms);
-        waits.min_by(|a, b| a.wait_ms(answer_ms).total_cmp(&b.wait_ms(answer_ms)))
-    };
-    let spill = || {
-        let with_room = |it: &&Candidate| !it.last && it.has_room(SPILL_UTILIZATION);
-        elsewhere.iter().find(with_room).filter(|_| may_spill)
-    };
-    first(false).or_else(|| first(true)).or_else(shortest).or_else(spill)
-}
--- /dev/null
+++ b/crates/steering/src/placement/service.rs
@@ -0,0 +1,92 @@
+//! What one instance knows of one service.
+
+use super::keys::SeenKeys;
+use super::server::Server;
+use super::shares::RegionalShare;
+use crate::deployment::BackendServer;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Part of the answers that are taken to be warm and to have waited for nothing: the work of a
+/// request must not seem to grow because its object was moved and is cold where it is now.
+const WARM_QUANTILE: f64 = 0.3;
+
+/// Part by which one answer moves the quantile.
+const QUANTILE_STEP: f64 = 0.05;
+
+/// Weight of a new sample in a service's mean answer time.
+const SAMPLE_WEIGHT: f64 = 0.03;
+
+/// Mean answer time of a service until one is known, in milliseconds.
+const FIRST_ANSWER_MS: f64 = 300.0;
+
+/// A service with its backend servers.
+#[derive(Debug, Default)]
+pub(super) struct ServiceState {
+    /// Its backend servers; their order means nothing.
+    pub(super) servers: Vec<Server>,
+    /// Position of each in `servers`, by identity.
+    pub(super) positions: HashMap<Arc<str>, usize>,
+    pub(super) answer_ms: Option<f64>,
+    /// Answer time that a part of [`WARM_QUANTILE`] of the answers stays below.
+    pub(super) warm_answer_ms: Option<f64>,
+    pub(super) movable_per_s: f64,
+    pub(super) near_per_s: f64,
+    pub(super) share: RegionalShare,
+    pub(super) keys: SeenKeys,
+    /// Backend servers that an object is spread over.
+    pub(super) replicas: usize,
+    /// Requests that may go elsewhere than where they belong.
+    pub(super) spills: f64,
+    pub(super) told_share: f64,
+    pub(super) demand_slots: f64,
+}
+
+impl ServiceState {
+    /// Mean time to an answer, in milliseconds.
+    pub(super) fn answer_ms(&self) -> f64 {
+        self.answer_ms.unwrap_or(FIRST_ANSWER_MS)
+    }
+
+    /// Time to an answer of a request that is warm and waited for nothing, in milliseconds.
+    pub(super) fn warm_answer_ms(&self) -> f64 {
+        self.warm_answer_ms.unwrap_or(FIRST_ANSWER_MS)
+    }
+
+    /// Takes over the time to an answer.
+    pub(super) fn answered(&mut self, sample_ms: f64) {
+        let mean = self.answer_ms.unwrap_or(sample_ms);
+        self.answer_ms = Some(mean + (sample_ms - mean) * SAMPLE_WEIGHT);
+        let warm = self.warm_answer_ms.unwrap_or(sample_ms);
+        let part = if sample_ms < warm { WARM_QUANTILE - 1.0 } else { WARM_QUANTILE };
+        self.warm_answer_ms = Some(warm * (1.0 + part * QUANTILE_STEP));
+    }
+
+    /// Takes over the list of the service's backend servers; `region_of` an availability zone.
+    pub(super) fn set_servers(
+        &mut self,
+        listed: &BTreeMap<&Arc<str>, &BackendServer>,
+        region_of: impl Fn(&Arc<str>) -> Arc<str>,
+        now: Instant,
+    ) {
+        self.servers.retain(|server| listed.contains_key(&server.id));
+        self.index();
+        for (id, record) in listed {
+            match self.positions.get(*id) {
+                Some(position) => self.servers[*position].update(record, now),
+                None => {
+                    let region = region_of(&record.availability_zone);
+                    let (id, record) = ((*id).clone(), (*record).clone());
+                    self.servers.push(Server::new(id, record, region, now));
+                }
+            }
+        }
+        self.index();
+    }
+
+    fn index(&mut self) {
+        let ids = self.servers.iter().map(|server| server.id.clone());
+        self.positions = ids.zip(0..).collect();
+    }
+}
