--- a/crates/entry/src/process/stop.rs
+++ b/crates/entry/src/process/stop.rs
@@ -26,13 +26,13 @@
     instance.stop.send_replace(StopPhase::Leaving);
     tokio::time::sleep(grace.mul_f64(LEAVING_PART)).await;
     instance.stop.send_replace(StopPhase::Closed);
-    // One look more than needed lets the last answers leave the buffers.
     while started.elapsed() < grace.mul_f64(END_PART) {
         tokio::time::sleep(LOOK).await;
         if instance.in_flight.get() == 0 {
             break;
         }
     }
-    tokio::time::sleep(LOOK).await;
     log::info!(target: "process", in_flight = instance.in_flight.get(); "stopped");
+    // The last line and the last answers still leave.
+    tokio::time::sleep(LOOK).await;
 }
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -31,6 +31,8 @@
 pub(super) enum Attempt {
     /// The backend server answered.
     Answered(Box<Answer>),
+    /// Nothing of the request reached it.
+    NotSent,
     /// It has not run the request and never will.
     NotRun,
     /// It may have run the request, and no answer came that can be used.
@@ -42,6 +44,7 @@
     pub(super) fn as_str(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
+            Self::NotSent => "not sent",
             Self::NotRun => "not run",
             Self::Broken => "broken",
         }
@@ -110,7 +113,7 @@
                 PoolError::Dial(_) | PoolError::Handshake(_) => Ending::Failed,
             });
             note(exchange, choice, "not sent", &error.to_string());
-            return Attempt::NotRun;
+            return Attempt::NotSent;
         }
     };
     if is_new {
@@ -118,7 +121,7 @@
     }
     let Some(request) = head(exchange, choice, body) else {
         work.ended(Ending::Unsent);
-        return Attempt::NotRun;
+        return Attempt::NotSent;
     };
     work.sent_at = Instant::now();
     let response = match sender.try_send_request(request).await {
@@ -130,7 +133,7 @@
                 work.ended(if is_new { Ending::Failed } else { Ending::Unsent });
                 instance.pools.forget(&choice.id);
                 note(exchange, choice, "not sent", &error.error().to_string());
-                return Attempt::NotRun;
+                return Attempt::NotSent;
             }
             let by_caller = error.error().is_user();
             work.ended(if by_caller { Ending::Abandoned } else { Ending::Failed });
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -113,16 +113,20 @@
         let first = send_counted(exchange, &choice, work, &mut ready, progress);
         match first.await {
             Attempt::Answered(answer) => return Ok(answer),
-            Attempt::NotRun if progress.offers < MAX_OFFERS => {
+            // What did not arrive anywhere is no repeat.
+            Attempt::NotSent | Attempt::NotRun if progress.offers >= MAX_OFFERS => {
+                return Err(not_taken(exchange));
+            }
+            end @ (Attempt::NotSent | Attempt::NotRun) => {
                 if ready.is_none() {
                     ready = body.take();
                 }
-                let again = ready.is_some() && exchange.instance.take_retry(&exchange.service);
-                if !again {
+                let arrived = matches!(end, Attempt::NotRun);
+                let may = !arrived || exchange.instance.take_retry(&exchange.service);
+                if ready.is_none() || !may {
                     return Err(not_taken(exchange));
                 }
             }
-            Attempt::NotRun => return Err(not_taken(exchange)),
             Attempt::Broken => {
                 let again = exchange.route.kind.is_idempotent()
                     && progress.offers < exchange.route.max_attempts
@@ -160,7 +164,7 @@
         offer.ended_ms = millis(exchange.started.elapsed());
         offer.outcome = attempt.as_str();
     }
-    if matches!(attempt, Attempt::NotRun) {
+    if matches!(attempt, Attempt::NotSent | Attempt::NotRun) {
         progress.may_have_run = before;
     }
     attempt
