--- a/crates/entry/src/connection/dial.rs
+++ b/crates/entry/src/connection/dial.rs
@@ -11,10 +11,10 @@
 pub const DIAL_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Time after which sent bytes that nobody confirmed break a connection.
-const UNCONFIRMED: Duration = Duration::from_secs(3);
+pub const UNCONFIRMED: Duration = Duration::from_secs(3);
 
 /// Rest after which the other side is asked whether it is still there, and pause between questions.
-const KEEPALIVE: Duration = Duration::from_secs(2);
+pub const KEEPALIVE: Duration = Duration::from_secs(2);
 
 /// Opens a connection that notices a silent network.
 ///
--- a/crates/runpind/src/main.rs
+++ b/crates/runpind/src/main.rs
@@ -3,7 +3,7 @@
 use runpind::{Daemon, Dependencies, RawSettings, Settings};
 use std::path::Path;
 use std::process::ExitCode;
-use users_platform::{ObjectStore, PlatformWire};
+use users_platform::{PlatformClient, PlatformWire};
 
 /// Exit code when a setting is wrong.
 const EXIT_SETTINGS: u8 = 2;
@@ -32,7 +32,7 @@
         Ok(settings) => settings,
         Err(error) => return report(&error, EXIT_SETTINGS),
     };
-    let store = ObjectStore::new(settings.store_address);
+    let store = PlatformClient::new(settings.store_address);
     let outcome = entry::process::logging::start()
         .and_then(|()| entry::process::run(settings, Box::new(PlatformWire), Box::new(store)));
     match outcome {
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -14,12 +14,13 @@
 use crate::request;
 use crate::settings::Settings;
 use peer::Transport;
-use platform::{HttpPlatform, InstanceDirectory, ObjectStore};
+use platform::{InstanceDirectory, ObjectStore};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use steering::Incarnation;
 use tokio::task::JoinSet;
+use users_platform::PlatformClient;
 
 /// Longest wait for the platform to take back shares at a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -39,7 +40,7 @@
 impl Dependencies {
     /// Returns the real ones.
     pub fn for_settings(settings: &Settings) -> Self {
-        let platform = Arc::new(HttpPlatform::new(settings.platform_address));
+        let platform = Arc::new(PlatformClient::new(settings.platform_address));
         Self {
             store: platform.clone(),
             directory: platform,
