--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -2,25 +2,32 @@
 
 use super::instance::Instance;
 use super::listeners::Listeners;
+use super::reload::SettingsFile;
 use super::{gossip, stop, watching};
 use crate::border::{Store, Subject, Wire};
 use crate::connection::listener;
 use crate::error::EntryError;
 use crate::request;
 use crate::settings::Settings;
+use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+/// Time between two looks at the settings file.
+const FILE_CHECK: Duration = Duration::from_secs(5);
+
 /// Path at which other instances ask for what this one knows.
 pub(crate) const KNOWLEDGE_PATH: &str = "/v1/knowledge";
 
-/// Runs an instance until SIGTERM or SIGINT, then stops it in order.
+/// Runs an instance until SIGTERM or SIGINT, then stops it in order; `path` is the settings file.
 ///
 /// # Errors
 ///
 /// Fails if an address can't be listened on, or the runtime or logs can't be started.
 pub fn run(
+    path: &Path,
     settings: Settings,
     wire: Box<dyn Wire>,
     store: Box<dyn Store>,
@@ -32,7 +39,7 @@
         let listeners = Listeners::bind(&mut settings).await?;
         let instance = Instance::new(settings, wire, store)?;
         start(&instance, listeners);
-        until_stopped(&instance).await
+        until_stopped(&instance, SettingsFile::new(path)).await
     });
     runtime.shutdown_background();
     outcome
@@ -59,7 +66,7 @@
     }
 }
 
-async fn until_stopped(instance: &Rc<Instance>) -> Result<(), EntryError> {
+async fn until_stopped(instance: &Rc<Instance>, mut file: SettingsFile) -> Result<(), EntryError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
@@ -67,11 +74,8 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hang_up.recv() => {
-                // Nothing of the settings may change while the process runs; the next start reads
-                // them anew.
-                log::info!(target: "process", settings = "stay"; "reload asked for");
-            }
+            _ = hang_up.recv() => file.reload(instance, true),
+            () = tokio::time::sleep(FILE_CHECK) => file.reload(instance, false),
         }
     }
     stop::run(instance).await;
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -84,7 +84,7 @@
     }
     // Seeds join when they were not heard of: they may know instances that nobody else does.
     let port = instance.settings.gossip_address.port();
-    for seed in &instance.settings.seeds {
+    for seed in &*instance.seeds.borrow() {
         let seed = SocketAddr::new(*seed, port);
         if !targets.contains(&seed) && seed != instance.settings.gossip_address {
             targets.push(seed);
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -9,7 +9,7 @@
 use crate::version::Knowledge;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -33,6 +33,8 @@
 pub struct Instance {
     /// Settings of the process.
     pub settings: Settings,
+    /// Hosts of a few other instances, which may be stale.
+    pub seeds: RefCell<Vec<IpAddr>>,
     /// Names and forms of messages.
     pub wire: Box<dyn Wire>,
     /// The platform's store.
@@ -97,6 +99,7 @@
         let zone = settings.availability_zone.clone();
         let roster = Roster::new(&settings.name, zone, settings.regions.clone());
         Ok(Rc::new(Self {
+            seeds: RefCell::new(settings.seeds.clone()),
             wire,
             store,
             knowledge: RefCell::default(),
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod recent;
+pub mod reload;
 pub mod stop;
 mod watching;
 
--- a/crates/runpind/src/main.rs
+++ b/crates/runpind/src/main.rs
@@ -33,8 +33,9 @@
         Err(error) => return report(&error, EXIT_SETTINGS),
     };
     let store = PlatformClient::new(settings.store_address);
-    let outcome = entry::process::logging::start()
-        .and_then(|()| entry::process::run(settings, Box::new(PlatformWire), Box::new(store)));
+    let outcome = entry::process::logging::start().and_then(|()| {
+        entry::process::run(path, settings, Box::new(PlatformWire), Box::new(store))
+    });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => report(&error, 1),
