Ask elsewhere after a failure that may repeat, and share what reports no load

For deployments that the sites of today do not show: a backend server that never reports its load is taken to have as much work from each instance of the region; one that fails more than 15 in 100 of its latest answers comes last; and a failure that a backend server answers to an idempotent request is offered to a second one within attempts and budget, else passed on as it is.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -83,6 +83,7 @@
     fn drop(&mut self) {
         let name = match self.ending {
             Ending::Answered { .. } => "answered",
+            Ending::Erred => "erred",
             Ending::Shed => "shed",
             Ending::Failed => "failed",
             Ending::Replaced => "replaced",
@@ -151,7 +152,8 @@
     let after = work.sent_at.elapsed();
     match ServerBody::read(incoming, &parts.headers).await {
         Ok(body) => {
-            work.ended(Ending::Answered { after });
+            let erred = parts.status.is_server_error();
+            work.ended(if erred { Ending::Erred } else { Ending::Answered { after } });
             let (status, headers) = (parts.status, parts.headers);
             Attempt::Answered(Box::new(Answer { status, headers, body, work, sender }))
         }
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -6,7 +6,7 @@
 use super::pass_on;
 use super::problem::Problem;
 use crate::process::recent::{Decision, Offer};
-use http::Response;
+use http::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::placement::{Ask, Choice};
@@ -105,14 +105,29 @@
     progress: &mut Progress,
 ) -> Result<Box<attempt::Answer>, Problem> {
     let mut ready = body.take();
+    let mut next = None;
     loop {
-        let choice = choose(exchange, progress)?;
+        let choice = match next.take() {
+            Some(choice) => choice,
+            None => choose(exchange, progress)?,
+        };
         let work = Work::new(exchange, &choice);
         progress.offers += 1;
         progress.excluded.push(choice.id.clone());
         let first = send_counted(exchange, &choice, work, &mut ready, progress);
         match first.await {
-            Attempt::Answered(answer) => return Ok(answer),
+            Attempt::Answered(answer) if !may_repeat(exchange, &answer, progress) => {
+                return Ok(answer);
+            }
+            // Another backend server may do better; if none can be asked, the failure is the answer.
+            Attempt::Answered(failure) => match choose(exchange, progress) {
+                Ok(choice) => {
+                    drop(failure);
+                    ready = body.take();
+                    next = Some(choice);
+                }
+                Err(_) => return Ok(failure),
+            },
             // What did not arrive anywhere is no repeat.
             Attempt::NotSent | Attempt::NotRun if progress.offers >= MAX_OFFERS => {
                 return Err(not_taken(exchange));
@@ -141,6 +156,15 @@
     }
 }
 
+/// Tells whether a failure that a backend server answered may be repeated elsewhere.
+fn may_repeat(exchange: &Exchange, answer: &attempt::Answer, progress: &Progress) -> bool {
+    answer.status.is_server_error()
+        && answer.status != StatusCode::GATEWAY_TIMEOUT
+        && exchange.route.kind.is_idempotent()
+        && progress.offers < exchange.route.max_attempts
+        && exchange.instance.take_retry(&exchange.service)
+}
+
 /// Sends the request once; while it is on the way, it may run.
 async fn send_counted(
     exchange: &Exchange,
--- a/crates/steering/src/placement/ask.rs
+++ b/crates/steering/src/placement/ask.rs
@@ -39,8 +39,6 @@
     pub slots: u32,
     /// Whether it is cold.
     pub cold: bool,
-    /// Mean time to an answer in milliseconds.
-    pub answer_ms: f64,
 }
 
 /// A share of the own region's requests that has moved.
--- a/crates/steering/src/placement/candidate.rs
+++ b/crates/steering/src/placement/candidate.rs
@@ -15,7 +15,7 @@
     /// 0 and 1 where the request belongs, 1 if that costs more bytes between zones; 2 in the own
     /// region if that is another one, 3 elsewhere.
     pub(super) tier: u8,
-    /// Whether it is so slow that it comes last.
+    /// Whether it is so slow, or fails so often, that it comes last.
     pub(super) last: bool,
     /// Its place among all candidates for the key, lowest first.
     pub(super) rank: f64,
@@ -42,6 +42,8 @@
     pub(super) answer_ms: f64,
     /// Whether the request may go elsewhere than where it belongs.
     pub(super) may_spill: bool,
+    /// Instances that send to the same backend servers, this one included.
+    pub(super) sharers: usize,
     /// The time.
     pub(super) now: Instant,
 }
@@ -71,12 +73,12 @@
     let room = |it: &Candidate, utilization: f64| {
         let server = &servers[it.index];
         let slots = f64::from(server.record.slots);
-        server.load.estimate(terms.now) + 1.0 <= (slots * utilization).max(1.0)
+        server.load.estimate(terms.sharers, terms.now) + 1.0 <= (slots * utilization).max(1.0)
     };
     let wait_ms = |it: &Candidate| {
         let server = &servers[it.index];
         let slots = f64::from(server.record.slots.max(1));
-        let waiting = (server.load.estimate(terms.now) + 1.0 - slots).max(0.0);
+        let waiting = (server.load.estimate(terms.sharers, terms.now) + 1.0 - slots).max(0.0);
         waiting / slots * terms.answer_ms
     };
     let homes = || replicas.iter().filter(|it| it.is_home());
--- a/crates/steering/src/placement/load.rs
+++ b/crates/steering/src/placement/load.rs
@@ -32,6 +32,8 @@
     /// Requests of others, by the mean of reports.
     others_mean: f64,
     reported_at: Option<Instant>,
+    /// Whether an answer came without a report.
+    tells_nothing: bool,
 }
 
 impl Load {
@@ -48,12 +50,23 @@
         self.reported_at = Some(now);
     }
 
+    /// Notes that an answer came without a report.
+    pub fn not_reported(&mut self) {
+        self.tells_nothing = true;
+    }
+
     /// Estimates the requests at the backend server.
     ///
+    /// Of one that never reports, others are taken to send as much as this instance: `sharers` is
+    /// their number, this one included.
+    ///
     /// A busy backend server answers late, so its reports are old just when they matter: others'
     /// work is then taken to be what it was in the mean, not to have ended.
-    pub fn estimate(&self, now: Instant) -> f64 {
-        let Some(reported_at) = self.reported_at else { return f64::from(self.in_flight) };
+    pub fn estimate(&self, sharers: usize, now: Instant) -> f64 {
+        let Some(reported_at) = self.reported_at else {
+            let sharers = if self.tells_nothing { sharers } else { 1 };
+            return f64::from(self.in_flight) * sharers as f64;
+        };
         let age_s = now.saturating_duration_since(reported_at).as_secs_f64();
         let last = (-age_s / REPORT_LIFE_S).exp();
         let mean = (-age_s / MEAN_LIFE_S).exp();
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -275,15 +275,17 @@
                 () => 3,
             };
             let slow = server.answer_ms().is_some_and(|mean| mean > answer_ms * SLOW_FACTOR);
+            let last = slow || server.is_doubtful();
             let rank = weighted_rank(ask.key_hash, server.hash, server.record.slots);
-            candidates.push(Candidate { index, tier, last: slow, rank });
+            candidates.push(Candidate { index, tier, last, rank });
         }
         let usable = candidates.len();
         let patience = ask.objective_left.saturating_sub(mean_answer).max(ask.least_patience);
         // What must not shift with load alone may do so when backend servers fail.
         let failing = 2 * failed_at_home > listed_at_home;
         let may_spill = failing || state.spills >= 1.0;
-        let terms = Terms { replicas, patience, answer_ms, may_spill, now };
+        let sharers = self.senders.len().max(1);
+        let terms = Terms { replicas, patience, answer_ms, may_spill, sharers, now };
         let Some(best) = best_of(&mut candidates, &state.servers, terms) else {
             let soon = Duration::from_secs_f64(answer_ms / 1_000.0);
             let retry_after = soon.clamp(RETRY_AFTER[0], RETRY_AFTER[1]);
@@ -294,7 +296,7 @@
         }
         let server = &mut state.servers[best.index];
         let cold = server.is_cold(now);
-        let load = server.load.estimate(now);
+        let load = server.load.estimate(sharers, now);
         server.sent(now);
         Ok(Choice {
             id: server.id.clone(),
@@ -303,7 +305,6 @@
             load,
             slots: server.record.slots,
             cold,
-            answer_ms: server.answer_ms().unwrap_or(answer_ms),
         })
     }
 
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -23,6 +23,13 @@
 /// Weight of a new sample in the mean of answer times.
 const SAMPLE_WEIGHT: f64 = 0.15;
 
+/// Weight of one answer in the part of failures.
+const ERROR_WEIGHT: f64 = 0.1;
+
+/// Part of failures above which a backend server comes last: one failure among ten answers is
+/// bad luck, two in a row among few are not.
+const DOUBTFUL_PART: f64 = 0.15;
+
 /// How an exchange with a backend server ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
@@ -31,6 +38,8 @@
         /// From sending the request to the head of the answer.
         after: Duration,
     },
+    /// A whole answer came that says that the request failed.
+    Erred,
     /// It said that it did not run the request, because it had no room.
     Shed,
     /// No connection came up, or it broke.
@@ -64,6 +73,8 @@
     shed_until: Option<Instant>,
     heard_at: Instant,
     answer_ms: Option<f64>,
+    /// Part of its latest answers that were failures.
+    error_part: f64,
 }
 
 impl Server {
@@ -83,6 +94,7 @@
             shed_until: None,
             heard_at: now,
             answer_ms: None,
+            error_part: 0.0,
         };
         server.cold_for(server.record.cold_remaining, now);
         server
@@ -128,6 +140,11 @@
         silent || self.has_failed(now) || self.shed_until.is_some_and(|until| until > now)
     }
 
+    /// Tells whether so many of its answers are failures that it should come last.
+    pub fn is_doubtful(&self) -> bool {
+        self.error_part > DOUBTFUL_PART
+    }
+
     /// Mean time to an answer in milliseconds, once there was one.
     pub fn answer_ms(&self) -> Option<f64> {
         self.answer_ms
@@ -157,6 +174,11 @@
                 let sample = after.as_secs_f64() * 1_000.0;
                 let mean = self.answer_ms.unwrap_or(sample);
                 self.answer_ms = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
+                self.error_part *= 1.0 - ERROR_WEIGHT;
+            }
+            Ending::Erred => {
+                self.heard_at = now;
+                self.error_part += (1.0 - self.error_part) * ERROR_WEIGHT;
             }
             Ending::Shed => {
                 self.heard_at = now;
@@ -169,8 +191,10 @@
             }
             Ending::Abandoned | Ending::Unsent => {}
         }
-        if let Some(report) = report {
-            self.load.reported(report, now);
+        match (report, ending) {
+            (Some(report), _) => self.load.reported(report, now),
+            (None, Ending::Answered { .. }) => self.load.not_reported(),
+            (None, _) => {}
         }
     }
 }
--- a/crates/steering/tests/placement_choice.rs
+++ b/crates/steering/tests/placement_choice.rs
@@ -250,3 +250,40 @@
     assert_eq!(chosen(&mut roster, 1, now).as_deref(), Some("north-a-again"));
     assert_eq!(roster.server_count(), 1);
 }
+
+#[test]
+fn a_backend_server_that_reports_no_load_is_shared_with_other_instances() {
+    let now = Instant::now();
+    let mut roster = roster("one", "north-a", &servers(&[("north-a", 1)], 6), now);
+    let others = [peer("two", "north-a"), peer("three", "north-b")];
+    step(&mut roster, &peer("one", "north-a"), &others, now);
+    let service = name(placement_common::SERVICE);
+    let ask = Ask {
+        objective_left: Duration::ZERO,
+        least_patience: Duration::ZERO,
+        ..ask(&service, 1, &[])
+    };
+    roster.choose(&ask, now).expect("there is room");
+    answered(&mut roster, "north-a-0", now);
+    for _ in 0..2 {
+        roster.choose(&ask, now).expect("a third of six slots is free");
+    }
+    roster.choose(&ask, now).expect_err("two others may have sent as much");
+}
+
+#[test]
+fn a_backend_server_that_often_fails_comes_last() {
+    let now = Instant::now();
+    let mut roster = roster("one", "north-a", &servers(&[("north-a", 2)], 9), now);
+    let first = chosen(&mut roster, 1, now).expect("there is room");
+    roster.ended(&first, Ending::Erred, None, now);
+    assert_eq!(chosen(&mut roster, 1, now).as_ref(), Some(&first), "one failure may be bad luck");
+    roster.ended(&first, Ending::Erred, None, now);
+    let second = chosen(&mut roster, 1, now).expect("there is room");
+    assert_ne!(second, first);
+    for _ in 0..9 {
+        answered(&mut roster, &first, now);
+    }
+    answered(&mut roster, &second, now);
+    assert_eq!(chosen(&mut roster, 1, now), Some(first));
+}
