--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -1,7 +1,7 @@
 //! Accepting connections of callers, operators and other instances.
 
 use super::dial::watch_over;
-use crate::process::Instance;
+use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
 use crate::request::body::AnswerBody;
 use http::{Request, Response};
--- /dev/null
+++ b/crates/entry/src/process/applying.rs
@@ -0,0 +1,38 @@
+//! Taking into force what is newly known.
+
+use super::instance::Instance;
+use crate::border::Subject;
+use crate::request::health;
+use std::rc::Rc;
+use std::time::Instant;
+use steering::deployment::RouteTable;
+
+/// Takes into force what is newly known of a subject.
+pub(super) fn apply(instance: &Rc<Instance>, subject: Subject, source: &str) {
+    let now = Instant::now();
+    let knowledge = instance.knowledge.borrow().clone();
+    let revision = knowledge.revisions()[subject.index()];
+    log::info!(
+        target: "knowledge",
+        subject = subject.as_str(), source, revision,
+        version = knowledge.configuration.content.version;
+        "changed"
+    );
+    match subject {
+        Subject::Configuration => {
+            let deployment = &knowledge.configuration.content;
+            *instance.routes.borrow_mut() = Rc::new(RouteTable::new(deployment));
+            instance.roster.borrow_mut().set_deployment(deployment);
+        }
+        Subject::BackendServers => {
+            instance.roster.borrow_mut().set_servers(&knowledge.servers.content, now);
+        }
+        Subject::Evacuations => {
+            let evacuations = &knowledge.evacuations.content;
+            let back = instance.roster.borrow_mut().set_evacuations(evacuations, now);
+            for (id, address) in back {
+                health::spawn(instance, id, address);
+            }
+        }
+    }
+}
--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -18,9 +18,6 @@
 /// Time between two looks at the settings file.
 const FILE_CHECK: Duration = Duration::from_secs(5);
 
-/// Path at which other instances ask for what this one knows.
-pub(crate) const KNOWLEDGE_PATH: &str = "/v1/knowledge";
-
 /// Runs an instance until SIGTERM or SIGINT, then stops it in order; `path` is the settings file.
 ///
 /// # Errors
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -4,9 +4,11 @@
 //! revisions of what the sender knows; whoever is behind waits a moment for its own watch and then
 //! asks for the whole.
 
+use super::applying::apply;
 use super::instance::Instance;
 use crate::border::{Registration, Subject};
-use crate::version::exchange::{self, Update};
+use crate::version::changes::Update;
+use crate::version::exchange;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -245,7 +247,7 @@
                 let changed = instance.knowledge.borrow_mut().learned(knowledge);
                 for subject in Subject::ALL {
                     if changed[subject.index()] {
-                        instance.apply(subject, "instance");
+                        apply(&instance, subject, "instance");
                         instance.learned[subject.index()].notify_one();
                         instance.news.notify_one();
                     }
@@ -260,7 +262,7 @@
 }
 
 async fn ask(address: SocketAddr, as_of: [u64; 3]) -> Option<Update> {
-    let path = format!("{}?{}", super::daemon::KNOWLEDGE_PATH, exchange::query(as_of));
+    let path = format!("{}?{}", exchange::KNOWLEDGE_PATH, exchange::query(as_of));
     let body = crate::connection::ask::get(address, &path).await?;
     postcard::from_bytes(&body).ok()
 }
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -2,7 +2,7 @@
 
 use super::metrics::Metrics;
 use super::recent::Recent;
-use crate::border::{Store, Subject, Wire};
+use crate::border::{Store, Wire};
 use crate::connection::pool::Pools;
 use crate::error::EntryError;
 use crate::settings::Settings;
@@ -152,36 +152,6 @@
         self.knowledge.borrow().is_complete() && *self.stop.borrow() == StopPhase::Running
     }
 
-    /// Takes into force what is newly known of a subject.
-    pub fn apply(self: &Rc<Self>, subject: Subject, source: &str) {
-        let now = Instant::now();
-        let knowledge = self.knowledge.borrow().clone();
-        let revision = knowledge.revisions()[subject.index()];
-        log::info!(
-            target: "knowledge",
-            subject = subject.as_str(), source, revision,
-            version = knowledge.configuration.content.version;
-            "changed"
-        );
-        match subject {
-            Subject::Configuration => {
-                let deployment = &knowledge.configuration.content;
-                *self.routes.borrow_mut() = Rc::new(RouteTable::new(deployment));
-                self.roster.borrow_mut().set_deployment(deployment);
-            }
-            Subject::BackendServers => {
-                self.roster.borrow_mut().set_servers(&knowledge.servers.content, now);
-            }
-            Subject::Evacuations => {
-                let evacuations = &knowledge.evacuations.content;
-                let back = self.roster.borrow_mut().set_evacuations(evacuations, now);
-                for (id, address) in back {
-                    crate::request::health::spawn(self, id, address);
-                }
-            }
-        }
-    }
-
     /// What the configuration says of a service.
     pub fn service(&self, name: &str) -> Option<Service> {
         self.knowledge.borrow().configuration.content.services.get(name).cloned()
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process.
 
+mod applying;
 pub mod daemon;
 mod gossip;
 pub mod instance;
@@ -12,4 +13,3 @@
 mod watching;
 
 pub use daemon::run;
-pub use instance::Instance;
--- a/crates/entry/src/process/watching.rs
+++ b/crates/entry/src/process/watching.rs
@@ -1,5 +1,6 @@
 //! Following the platform's store: a list, then one watch after another, for each subject.
 
+use super::applying::apply;
 use super::instance::Instance;
 use crate::border::Subject;
 use crate::error::StoreError;
@@ -76,7 +77,7 @@
     let listed = instance.store.list(subject).await?;
     let changed = instance.knowledge.borrow_mut().listed(subject, listed);
     if changed {
-        instance.apply(subject, "store");
+        apply(instance, subject, "store");
         instance.news.notify_one();
     }
     Ok(())
@@ -92,7 +93,7 @@
     };
     let changed = instance.knowledge.borrow_mut().changed(subject, changes);
     if changed {
-        instance.apply(subject, "store");
+        apply(instance, subject, "store");
         instance.news.notify_one();
         tokio::time::sleep(CHANGES_PAUSE).await;
     }
--- a/crates/entry/src/request/answer.rs
+++ b/crates/entry/src/request/answer.rs
@@ -1,53 +1,20 @@
 //! The first and the last stage: what a request is, and what was made of it.
 
-use super::body::{AnswerBody, CallerBody};
+use super::body::AnswerBody;
+use super::caller_body::CallerBody;
+use super::exchange::{Exchange, InFlight};
+use super::headers::remove_hop_by_hop;
 use super::problem::Problem;
 use super::run;
-use crate::border::CallerHead;
-use crate::process::Instance;
+use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
 use http::header::{CONNECTION, HOST};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
-use steering::deployment::Route;
 use steering::placement::rank::name_hash;
 
-/// What is known of a request for its whole life.
-pub(super) struct Exchange {
-    pub(super) instance: Rc<Instance>,
-    pub(super) route: Arc<Route>,
-    /// Service that runs it.
-    pub(super) service: Arc<str>,
-    pub(super) head: CallerHead,
-    pub(super) method: Method,
-    pub(super) target: Uri,
-    /// Headers that are passed on.
-    pub(super) headers: HeaderMap,
-    pub(super) key_hash: u64,
-    pub(super) started: Instant,
-    /// Time after which nobody waits for the answer.
-    pub(super) deadline: Instant,
-}
-
-/// Counts a request as in flight until it is dropped.
-pub(super) struct InFlight(Rc<Instance>);
-
-impl InFlight {
-    fn enter(instance: &Rc<Instance>) -> Self {
-        instance.in_flight.set(instance.in_flight.get() + 1);
-        Self(instance.clone())
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 /// Answers a caller's request.
 pub async fn answer(instance: Rc<Instance>, request: Request<Incoming>) -> Response<AnswerBody> {
     let in_flight = InFlight::enter(&instance);
@@ -115,28 +82,3 @@
     let of_header = || request.headers().get(HOST).and_then(|host| host.to_str().ok());
     request.uri().authority().map(http::uri::Authority::as_str).or_else(of_header)
 }
-
-/// Removes the headers that concern one connection only (RFC 9110, section 7.6.1).
-pub(super) fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ] {
-        headers.remove(name);
-    }
-}
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -1,10 +1,10 @@
 //! Sending a request to one backend server and judging its answer.
 
-use super::answer::Exchange;
 use super::body::{RequestBody, ServerBody};
+use super::exchange::Exchange;
 use crate::border::ServerHead;
 use crate::connection::pool::{Connection, PoolError};
-use crate::process::Instance;
+use crate::process::instance::Instance;
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, StatusCode, Uri};
 use hyper::client::conn::http1::SendRequest;
--- a/crates/entry/src/request/health.rs
+++ b/crates/entry/src/request/health.rs
@@ -1,7 +1,7 @@
 //! Health checks of backend servers whose state is not known.
 
 use crate::connection::ask;
-use crate::process::Instance;
+use crate::process::instance::Instance;
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/entry/src/request/knowledge.rs
+++ b/crates/entry/src/request/knowledge.rs
@@ -1,9 +1,8 @@
 //! Telling other instances what this one knows of the deployment.
 
 use super::body::{AnswerBody, whole};
-use crate::process::Instance;
-use crate::process::daemon::KNOWLEDGE_PATH;
-use crate::version::exchange;
+use crate::process::instance::Instance;
+use crate::version::exchange::{self, KNOWLEDGE_PATH};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
--- a/crates/entry/src/request/look_up.rs
+++ b/crates/entry/src/request/look_up.rs
@@ -1,7 +1,7 @@
 //! Telling callers which instances to use.
 
 use super::body::{AnswerBody, whole};
-use crate::process::Instance;
+use crate::process::instance::Instance;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! The way of a request, stage by stage:
 //!
 //! 1. [`answer`]: which route it has, what its head tells, and what it may take;
-//! 2. [`body`]: a small body is read whole, so that it can be sent again;
+//! 2. [`caller_body`]: a small body is read whole, so that it can be sent again;
 //! 3. [`run`]: one backend server after another, or two at once, until one answers;
 //! 4. [`attempt`]: sending it to one backend server and judging the answer;
 //! 5. [`pass_on`]: the answer's way back, whole or visibly cut.
@@ -9,6 +9,9 @@
 pub mod answer;
 mod attempt;
 pub mod body;
+pub mod caller_body;
+mod exchange;
+mod headers;
 pub(crate) mod health;
 pub(crate) mod knowledge;
 pub(crate) mod look_up;
--- a/crates/entry/src/request/operators.rs
+++ b/crates/entry/src/request/operators.rs
@@ -2,7 +2,7 @@
 
 use super::body::{AnswerBody, whole};
 use crate::error::EntryError;
-use crate::process::Instance;
+use crate::process::instance::Instance;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/crates/entry/src/request/pass_on.rs
+++ b/crates/entry/src/request/pass_on.rs
@@ -1,8 +1,9 @@
 //! The answer's way back to the caller.
 
-use super::answer::{Exchange, InFlight, remove_hop_by_hop};
 use super::attempt::{Answer, Work, rest_of};
 use super::body::{AnswerBody, BodyError, RequestBody, ServerBody, whole};
+use super::exchange::{Exchange, InFlight};
+use super::headers::remove_hop_by_hop;
 use bytes::Bytes;
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
--- a/crates/entry/src/request/readiness.rs
+++ b/crates/entry/src/request/readiness.rs
@@ -1,7 +1,7 @@
 //! Telling whether callers should be sent here.
 
 use super::body::{AnswerBody, whole};
-use crate::process::Instance;
+use crate::process::instance::Instance;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -1,8 +1,9 @@
 //! Offering a request to backend servers until one answers.
 
-use super::answer::{Exchange, InFlight};
 use super::attempt::{self, Attempt, Work, millis};
-use super::body::{AnswerBody, CallerBody, RequestBody};
+use super::body::{AnswerBody, RequestBody};
+use super::caller_body::CallerBody;
+use super::exchange::{Exchange, InFlight};
 use super::pass_on;
 use super::problem::Problem;
 use crate::process::recent::{Decision, Offer};
--- /dev/null
+++ b/crates/entry/src/version/knowledge.rs
@@ -0,0 +1,197 @@
+//! All that an instance knows of the deployment.
+
+use super::changes::{ServerChanges, ServersUpdate, Update};
+use super::known::Known;
+use crate::border::{Fact, Facts, Subject};
+use steering::deployment::{BackendServers, Deployment, Evacuations};
+
+/// All that an instance knows of the deployment.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// The configuration in force.
+    pub configuration: Known<Deployment>,
+    /// The backend servers.
+    pub servers: Known<BackendServers>,
+    /// The evacuated availability zones.
+    pub evacuations: Known<Evacuations>,
+    /// The last changes of backend servers, for other instances.
+    server_changes: ServerChanges,
+}
+
+impl Knowledge {
+    /// Revision up to which a subject is known.
+    pub fn as_of(&self, subject: Subject) -> u64 {
+        match subject {
+            Subject::Configuration => self.configuration.as_of,
+            Subject::BackendServers => self.servers.as_of,
+            Subject::Evacuations => self.evacuations.as_of,
+        }
+    }
+
+    /// Revisions at which the subjects changed last.
+    pub fn revisions(&self) -> [u64; 3] {
+        [self.configuration.changed_at, self.servers.changed_at, self.evacuations.changed_at]
+    }
+
+    /// Tells whether enough is known to serve callers.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.content.version > 0 && self.servers.as_of > 0
+    }
+
+    /// Takes over a whole list of a subject; returns whether its content changed.
+    pub fn listed(&mut self, subject: Subject, listed: Facts) -> bool {
+        if listed.as_of < self.as_of(subject) {
+            return false;
+        }
+        let empty = match subject {
+            Subject::Configuration => Content::Configuration(None),
+            Subject::BackendServers => Content::Servers(BackendServers::new()),
+            Subject::Evacuations => Content::Evacuations(Evacuations::new()),
+        };
+        let changed_at = listed.changed_at;
+        self.set(apply(empty, listed.facts), listed.as_of, changed_at)
+    }
+
+    /// Takes over changes of a subject after [`Knowledge::as_of`]; returns whether there were any.
+    pub fn changed(&mut self, subject: Subject, changes: Facts) -> bool {
+        if changes.as_of < self.as_of(subject) {
+            return false;
+        }
+        let content = match subject {
+            Subject::Configuration => Content::Configuration(None),
+            Subject::BackendServers => Content::Servers((*self.servers.content).clone()),
+            Subject::Evacuations => Content::Evacuations((*self.evacuations.content).clone()),
+        };
+        let as_of = changes.as_of;
+        self.set(apply(content, changes.facts), as_of, as_of)
+    }
+
+    /// Revisions up to which the subjects are known.
+    pub fn all_as_of(&self) -> [u64; 3] {
+        Subject::ALL.map(|subject| self.as_of(subject))
+    }
+
+    /// Takes over what another instance knows better; returns which subjects changed.
+    pub fn learned(&mut self, update: Update) -> [bool; 3] {
+        let mut changed = [false; 3];
+        if let Some(Known { as_of, changed_at, content }) = update.configuration
+            && as_of > self.configuration.as_of
+        {
+            let content = Content::Configuration(Some((*content).clone()));
+            changed[0] = self.set(content, as_of, changed_at);
+        }
+        let servers = match update.servers {
+            Some(ServersUpdate::Whole(Known { as_of, changed_at, content })) => {
+                Some(((*content).clone(), as_of, changed_at))
+            }
+            Some(ServersUpdate::Changes { as_of, changed_at, changes }) => {
+                let mut servers = (*self.servers.content).clone();
+                for change in changes {
+                    match change.record {
+                        Some(record) => servers.insert(change.id, record),
+                        None => servers.remove(&change.id),
+                    };
+                }
+                Some((servers, as_of, changed_at))
+            }
+            None => None,
+        };
+        if let Some((servers, as_of, changed_at)) = servers
+            && as_of > self.servers.as_of
+        {
+            changed[1] = self.set(Content::Servers(servers), as_of, changed_at);
+        }
+        if let Some(Known { as_of, changed_at, content }) = update.evacuations
+            && as_of > self.evacuations.as_of
+        {
+            let content = Content::Evacuations((*content).clone());
+            changed[2] = self.set(content, as_of, changed_at);
+        }
+        changed
+    }
+
+    /// What an instance lacks that knows the subjects up to these revisions.
+    pub fn update_since(&self, as_of: [u64; 3]) -> Update {
+        let servers = (self.servers.changed_at > as_of[1]).then(|| {
+            match self.server_changes.since(as_of[1]) {
+                Some(changes) => ServersUpdate::Changes {
+                    as_of: self.servers.as_of,
+                    changed_at: self.servers.changed_at,
+                    changes,
+                },
+                None => ServersUpdate::Whole(self.servers.clone()),
+            }
+        });
+        let configuration = &self.configuration;
+        let evacuations = &self.evacuations;
+        Update {
+            configuration: (configuration.changed_at > as_of[0]).then(|| configuration.clone()),
+            servers,
+            evacuations: (evacuations.changed_at > as_of[2]).then(|| evacuations.clone()),
+        }
+    }
+
+    fn set(&mut self, content: Content, as_of: u64, changed_at: u64) -> bool {
+        match content {
+            Content::Configuration(Some(deployment))
+                if deployment.version > self.configuration.content.version =>
+            {
+                self.configuration.replace(deployment, as_of, changed_at);
+                true
+            }
+            Content::Configuration(_) => {
+                self.configuration.as_of = as_of;
+                false
+            }
+            Content::Servers(servers) => {
+                let changed = servers != *self.servers.content;
+                if changed {
+                    self.server_changes.add(&self.servers.content, &servers, as_of);
+                    self.servers.replace(servers, as_of, changed_at);
+                }
+                self.servers.as_of = as_of;
+                changed
+            }
+            Content::Evacuations(evacuations) => {
+                let changed = evacuations != *self.evacuations.content;
+                if changed {
+                    self.evacuations.replace(evacuations, as_of, changed_at);
+                }
+                self.evacuations.as_of = as_of;
+                changed
+            }
+        }
+    }
+}
+
+enum Content {
+    Configuration(Option<Deployment>),
+    Servers(BackendServers),
+    Evacuations(Evacuations),
+}
+
+fn apply(content: Content, facts: Vec<Fact>) -> Content {
+    facts.into_iter().fold(content, |mut content, fact| {
+        match (&mut content, fact) {
+            (Content::Configuration(newest), Fact::Configuration(deployment))
+                if newest.as_ref().is_none_or(|it| it.version < deployment.version) =>
+            {
+                *newest = Some(deployment);
+            }
+            (Content::Servers(servers), Fact::BackendServer(id, server)) => {
+                servers.insert(id, server);
+            }
+            (Content::Servers(servers), Fact::BackendServerGone(id)) => {
+                servers.remove(&id);
+            }
+            (Content::Evacuations(zones), Fact::Evacuated(zone)) => {
+                zones.insert(zone);
+            }
+            (Content::Evacuations(zones), Fact::EvacuationEnded(zone)) => {
+                zones.remove(&zone);
+            }
+            _ => {}
+        }
+        content
+    })
+}
--- a/crates/entry/tests/knowledge.rs
+++ b/crates/entry/tests/knowledge.rs
@@ -2,7 +2,8 @@
 
 use entry::border::{Fact, Facts, Subject};
 use entry::version::Knowledge;
-use entry::version::exchange::{ServersUpdate, query, read_query};
+use entry::version::changes::ServersUpdate;
+use entry::version::exchange::{query, read_query};
 use proptest::prelude::{Strategy, any, prop, prop_assert_eq, proptest};
 use std::sync::Arc;
 use std::time::Duration;
