Promise that a request has not run only when that is known

Found by reading the way of a request anew: an idempotent request whose first exchange broke, and for which no other backend server could be asked, was answered 503, which promises that it has not run; and a 503, 429 or 408 of a backend server that does not say that it did not run the request was passed on. Both are 502 now. The new tests fail without the change (503 with a time to come back, instead of 502).

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -17,6 +17,10 @@
 /// Connections to one backend server that this instance may open in any case.
 const LEAST_CONNECTIONS: usize = 2;
 
+/// Statuses that promise a caller that its request has not run.
+const PROMISES: [StatusCode; 3] =
+    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+
 /// An answer of a backend server.
 pub(super) struct Answer {
     pub(super) status: StatusCode,
@@ -189,6 +193,12 @@
         note(exchange, choice, "not run", status.as_str());
         return Some(Attempt::NotRun);
     }
+    if PROMISES.contains(&status) {
+        // Passed on, it would promise what the backend server did not say.
+        work.ended(Ending::Erred);
+        note(exchange, choice, "broken", status.as_str());
+        return Some(Attempt::Broken);
+    }
     if status.is_success() && !seen.is_signed {
         work.ended(Ending::Failed);
         note(exchange, choice, "broken", "answer without signature");
--- a/crates/entry/src/request/problem.rs
+++ b/crates/entry/src/request/problem.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Tells whether the answer promises that the request has not run and never will.
+    pub fn is_promise(&self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     /// Name in logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -46,6 +46,11 @@
             Err(_) if progress.may_have_run => Err(Problem::TimeoutAfterSend),
             Err(_) => Err(Problem::TimeoutBeforeSend),
         };
+    // What may have run is not refused, whatever kept the next offer from being made.
+    let outcome = outcome.map_err(|problem| match problem.is_promise() && progress.may_have_run {
+        true => Problem::Broken,
+        false => problem,
+    });
     let name = outcome.as_ref().map_or_else(Problem::as_str, |_| "answered");
     remember(&exchange, progress.told, name);
     match outcome {
