--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -1,10 +1,10 @@
 //! The way of a request, stage by stage:
 //!
-//! 1. [`answer`]: which route it has, what its head tells, and what it may take;
-//! 2. [`caller_body`]: a small body is read whole, so that it can be sent again;
-//! 3. [`run`]: one backend server after another, or two at once, until one answers;
-//! 4. [`attempt`]: sending it to one backend server and judging the answer;
-//! 5. [`pass_on`]: the answer's way back, whole or visibly cut.
+//! 1. `answer`: which route it has, what its head tells, and what it may take;
+//! 2. `caller_body`: a small body is read whole, so that it can be sent again;
+//! 3. `run`: one backend server after another, until one answers;
+//! 4. `attempt`: sending it to one backend server and judging the answer;
+//! 5. `pass_on`: the answer's way back, whole or visibly cut.
 
 pub mod answer;
 mod attempt;
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -160,7 +160,7 @@
 
     /// Moves the regional shares on, by the demand of all instances; about twice a second.
     ///
-    /// Returns the shares that have moved by [`TOLD_SHARE`] since they were returned last.
+    /// Returns the shares that have moved by 0.05 or more since they were returned last.
     pub fn step(&mut self, own: &Peer, peers: &Peers, now: Instant) -> Vec<ShareMove> {
         let elapsed =
             self.stepped_at.replace(now).map_or(0.0, |at| now.duration_since(at).as_secs_f64());
