Tell others what later pages of a list held

What the second page holds may be newer than the revision of the first, which counts for the list; when the watch told of the same change once more it was no news, so it was never among the changes that other instances were told, and one that had asked from a revision in between never learned that the server drains. Ruled out: compacted history (none in the log), a store out of reach (429 ended 10 s before), a late instance (it learned five later revisions).

Change: what a list brings counts as changed by the highest revision of its objects.

--- a/crates/entry/src/version/knowledge.rs
+++ b/crates/entry/src/version/knowledge.rs
@@ -146,7 +146,10 @@
             Content::Servers(servers) => {
                 let changed = servers != *self.servers.content;
                 if changed {
-                    self.server_changes.add(&self.servers.content, &servers, as_of);
+                    // Later pages of a list may hold what changed after its revision; it has no
+                    // entry of its own when a watch tells of it once more.
+                    let by = as_of.max(changed_at);
+                    self.server_changes.add(&self.servers.content, &servers, by);
                     self.servers.replace(servers, as_of, changed_at);
                 }
                 self.servers.as_of = as_of;
--- a/crates/entry/tests/knowledge.rs
+++ b/crates/entry/tests/knowledge.rs
@@ -125,3 +125,21 @@
     assert_eq!(other.learned(knowledge.update_since(other.all_as_of())), [false, false, true]);
     assert!(other.evacuations.content.is_empty());
 }
+
+/// The second page of a list is read later than the first, whose revision counts.
+#[test]
+fn what_a_later_page_of_a_list_held_is_told_to_others() {
+    let id: Arc<str> = "i-5".into();
+    let facts = vec![Fact::BackendServer(id.clone(), server(3))];
+    let list = Facts { facts, as_of: 10, changed_at: 12 };
+    let mut first = Knowledge::default();
+    first.listed(Subject::BackendServers, list);
+    // The watch tells of the same change again, which is no news.
+    change(&mut first, 5, Some(3), 12);
+    change(&mut first, 1, Some(9), 20);
+    let mut second = Knowledge::default();
+    let facts = vec![Fact::BackendServer(id, server(9))];
+    second.listed(Subject::BackendServers, Facts { facts, as_of: 11, changed_at: 9 });
+    second.learned(first.update_since(second.all_as_of()));
+    assert_eq!(second.servers.content, first.servers.content);
+}
