--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 /// Largest value, in bytes.
-pub(crate) const MAX_VALUE_BYTES: usize = 1_000_000;
+const MAX_VALUE_BYTES: usize = 1_000_000;
 
 /// Answer to every call during an outage.
 const OUT_OF_SERVICE: StoreError = StoreError::Unavailable(UnavailableCause::Status(503));
--- a/crates/steering/src/placement/rank.rs
+++ b/crates/steering/src/placement/rank.rs
@@ -1,5 +1,6 @@
 //! Rendezvous hashing: an order of candidates for a key that all instances agree on.
 
+use crate::hash;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Hash of a name, the seed of its ranks.
@@ -22,6 +23,5 @@
 
 /// Place of a key in `0.0..1.0`, the same on all instances.
 pub fn unit(key_hash: u64, salt: u64) -> f64 {
-    // The 53 highest bits fill the mantissa of an f64.
-    (rank(key_hash, salt) >> 11) as f64 / (1u64 << 53) as f64
+    hash::unit(rank(key_hash, salt))
 }
