Ask a second backend server when an answer is overdue

Cause: a lost answer, a silent connection or a frozen backend server held a look-up until the timeout of its route: a request was sent again only after its exchange broke.

Change: after 1.25 times the time that 95 % of the service's answers take, a request that may be repeated is offered a second time, within the retry budget; the first answer that is no failure counts, and the other offer is cancelled. The state of a request's offers has a file of its own (progress.rs), as has the choice.

Now only where there is much room.

--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -23,6 +23,8 @@
     pub store_calls: IntCounterVec,
     /// Connections opened to backend servers, by service.
     pub connections: IntCounterVec,
+    /// Overdue answers of requests that may be repeated, by service and what was done about them.
+    pub overdue: IntCounterVec,
     /// Look-ups by outcome.
     pub look_ups: IntCounterVec,
     /// What is known: revisions, backend servers, instances.
@@ -71,6 +73,11 @@
                 "Connections opened to backend servers.",
                 &["service"],
             )?,
+            overdue: counter(
+                "runpin_entry_overdue_total",
+                "Overdue answers by what was done.",
+                &["service", "action"],
+            )?,
             look_ups: counter("runpin_entry_look_ups_total", "Look-ups.", &["outcome"])?,
             registry,
         })
--- /dev/null
+++ b/crates/entry/src/request/choose.rs
@@ -0,0 +1,58 @@
+//! Choosing the backend server that a request is offered to next.
+
+use super::exchange::Exchange;
+use super::problem::Problem;
+use super::progress::Progress;
+use std::time::{Duration, Instant};
+use steering::placement::{Ask, Choice};
+
+/// Part of the latency objective that a request of rank 0 waits for a slot in any case; each
+/// further rank waits for a third less.
+const LEAST_PATIENCE: f64 = 0.4;
+
+/// Part of the latency objective that must be left for sending a request to be worth it.
+const LEAST_TIME: f64 = 0.1;
+
+/// Chooses the next backend server.
+///
+/// # Errors
+///
+/// Says why there is none: no time is left, or none has room in time.
+pub(super) fn choose(exchange: &Exchange, progress: &Progress) -> Result<Choice, Problem> {
+    ask(exchange, progress, false)
+}
+
+/// Chooses one for a request whose answer is overdue where it is.
+///
+/// # Errors
+///
+/// As [`choose`].
+pub(super) fn choose_second(exchange: &Exchange, progress: &Progress) -> Result<Choice, Problem> {
+    ask(exchange, progress, true)
+}
+
+fn ask(exchange: &Exchange, progress: &Progress, is_second: bool) -> Result<Choice, Problem> {
+    let now = Instant::now();
+    let objective = exchange.route.latency_objective;
+    let left = exchange.deadline.saturating_duration_since(now);
+    if left < objective.mul_f64(LEAST_TIME) {
+        return Err(Problem::TimeoutBeforeSend);
+    }
+    let rank = f64::from(exchange.route.priority.min(8));
+    let least = objective.mul_f64(LEAST_PATIENCE * (2.0f64 / 3.0).powf(rank));
+    let ask = Ask {
+        service: &exchange.service,
+        key_hash: exchange.key_hash,
+        kind: exchange.route.kind,
+        allowed_regions: &exchange.route.allowed_regions,
+        excluded: progress.excluded(),
+        objective_left: objective.saturating_sub(exchange.started.elapsed()),
+        least_patience: least.min(left),
+        is_second,
+    };
+    exchange.instance.roster.borrow_mut().choose(&ask, now).map_err(|refusal| {
+        // Callers that were refused together come back apart.
+        let jitter = Duration::from_secs_f64(rand::random::<f64>() * 0.15);
+        Problem::NoRoom { retry_after: refusal.retry_after + jitter }
+    })
+}
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -3,13 +3,16 @@
 //! 1. `answer`: which route it has, what its head tells, and what it may take;
 //! 2. `caller_body`: a small body is read whole, so that it can be sent again;
 //! 3. `run`: one backend server after another, until one answers;
-//! 4. `attempt`: sending it to one backend server and judging the answer;
-//! 5. `pass_on`: the answer's way back, whole or visibly cut.
+//! 4. `choose`: which one is next;
+//! 5. `race`: the offer, and a second one when its answer is overdue;
+//! 6. `attempt`: sending it to one backend server and judging the answer;
+//! 7. `pass_on`: the answer's way back, whole or visibly cut.
 
 pub mod answer;
 mod attempt;
 pub mod body;
 pub mod caller_body;
+mod choose;
 mod exchange;
 mod headers;
 pub(crate) mod health;
@@ -18,6 +21,8 @@
 pub(crate) mod operators;
 mod pass_on;
 mod problem;
+mod progress;
+mod race;
 pub(crate) mod readiness;
 mod run;
 
--- /dev/null
+++ b/crates/entry/src/request/progress.rs
@@ -0,0 +1,87 @@
+//! How far a request has come: the backend servers that it was offered to, and what came of it.
+
+use super::attempt::{Attempt, millis};
+use super::exchange::Exchange;
+use crate::process::recent::{Decision, Offer};
+use std::sync::Arc;
+use steering::placement::Choice;
+
+/// Outcome of an offer whose time was over before it ended.
+const GIVEN_UP: &str = "given up";
+
+/// How far a request has come.
+#[derive(Default)]
+pub(super) struct Progress {
+    /// Offers that may have run it: those that are under way, and those that ended without a word
+    /// that it did not run.
+    may_have_run: u32,
+    /// Backend servers that it was offered to.
+    excluded: Vec<Arc<str>>,
+    /// What is told of the offers.
+    told: Vec<Offer>,
+}
+
+impl Progress {
+    /// Begins an offer; returns its number.
+    pub(super) fn begin(&mut self, choice: &Choice) -> usize {
+        self.may_have_run += 1;
+        self.excluded.push(choice.id.clone());
+        self.told.push(Offer {
+            server: choice.id.clone(),
+            availability_zone: choice.availability_zone.clone(),
+            load: choice.load,
+            slots: choice.slots,
+            cold: choice.cold,
+            ended_ms: 0,
+            outcome: GIVEN_UP,
+        });
+        self.told.len() - 1
+    }
+
+    /// Ends an offer.
+    pub(super) fn end(&mut self, offer: usize, attempt: &Attempt, exchange: &Exchange) {
+        if let Some(told) = self.told.get_mut(offer) {
+            told.ended_ms = millis(exchange.started.elapsed());
+            told.outcome = attempt.as_str();
+        }
+        if matches!(attempt, Attempt::NotSent | Attempt::NotRun) {
+            self.may_have_run -= 1;
+        }
+    }
+
+    /// Backend servers that it was offered to.
+    pub(super) fn offers(&self) -> u32 {
+        u32::try_from(self.told.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a backend server may have run it.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run > 0
+    }
+
+    /// Identities of the backend servers that it was offered to.
+    pub(super) fn excluded(&self) -> &[Arc<str>] {
+        &self.excluded
+    }
+
+    /// Remembers what was made of the request, for operators who ask by its identity.
+    pub(super) fn remember(self, exchange: &Exchange, outcome: &'static str) {
+        let Some(request_id) = &exchange.head.request_id else { return };
+        let took_ms = millis(exchange.started.elapsed());
+        let mut offers = self.told;
+        for offer in offers.iter_mut().filter(|offer| offer.outcome == GIVEN_UP) {
+            offer.ended_ms = took_ms;
+        }
+        let knowledge = exchange.instance.knowledge.borrow();
+        exchange.instance.recent.borrow_mut().add(Decision {
+            request_id: request_id.as_str().into(),
+            route: exchange.route.name.clone(),
+            service: exchange.service.clone(),
+            outcome,
+            offers,
+            configuration_version: knowledge.configuration.content.version,
+            servers_as_of: knowledge.servers.as_of,
+            took_ms,
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request/race.rs
@@ -0,0 +1,121 @@
+//! One offer, and a second one beside it when its answer is overdue.
+
+use super::attempt::{self, Attempt, Work};
+use super::body::RequestBody;
+use super::caller_body::CallerBody;
+use super::choose::choose_second;
+use super::exchange::Exchange;
+use super::progress::Progress;
+use std::future::Future;
+use std::time::Duration;
+use steering::placement::Choice;
+
+/// How an offer ended, with the body if nothing of it was sent.
+type Ended = (usize, Attempt, Option<RequestBody>);
+
+/// Offers a request to the chosen backend server, and to another one that has room if the
+/// answer is overdue and the request may be repeated; the first answer that is no failure counts.
+///
+/// The other offer is then given up, which cancels its work.
+pub(super) async fn offer(
+    exchange: &Exchange,
+    choice: Choice,
+    ready: Option<RequestBody>,
+    body: &mut CallerBody,
+    progress: &mut Progress,
+) -> (Attempt, Option<RequestBody>) {
+    let after = overdue_after(exchange, &choice, progress);
+    let first = begin(exchange, choice, ready, progress);
+    tokio::pin!(first);
+    let in_time = match after {
+        Some(after) => tokio::time::timeout(after, first.as_mut()).await.ok(),
+        None => Some(first.as_mut().await),
+    };
+    let ended = match in_time {
+        Some(ended) => ended,
+        None => {
+            exchange.instance.roster.borrow_mut().was_overdue(&exchange.service);
+            let second = begin_second(exchange, body, progress);
+            let action = if second.is_some() { "sent elsewhere" } else { "waited" };
+            let labels = [&*exchange.service, action];
+            exchange.instance.metrics.overdue.with_label_values(&labels).inc();
+            match second {
+                Some(second) => better_of(exchange, first, second, progress).await,
+                None => first.await,
+            }
+        }
+    };
+    let (offer, attempt, left) = ended;
+    progress.end(offer, &attempt, exchange);
+    (attempt, left)
+}
+
+/// Time after which a second offer is worth it; none if the request may not be repeated.
+fn overdue_after(exchange: &Exchange, choice: &Choice, progress: &Progress) -> Option<Duration> {
+    // The offer itself is not counted yet.
+    let may =
+        exchange.route.kind.is_idempotent() && progress.offers() + 1 < exchange.route.max_attempts;
+    let roster = exchange.instance.roster.borrow();
+    may.then(|| roster.overdue_after(&exchange.service, choice.cold)).flatten()
+}
+
+/// Begins a second offer, if a backend server has room and the budget allows it.
+fn begin_second<'a>(
+    exchange: &'a Exchange,
+    body: &mut CallerBody,
+    progress: &mut Progress,
+) -> Option<impl Future<Output = Ended> + use<'a>> {
+    if !body.can_be_sent() {
+        return None;
+    }
+    let choice = choose_second(exchange, progress).ok()?;
+    // From here on the choice is counted as work, and is given back when it is dropped.
+    let work = Work::new(exchange, &choice);
+    if !exchange.instance.take_retry(&exchange.service) {
+        return None;
+    }
+    let number = progress.begin(&choice);
+    Some(send(exchange, number, choice, work, body.take()))
+}
+
+/// Waits for the first of two offers that is answered without a failure, else for the last.
+async fn better_of(
+    exchange: &Exchange,
+    mut first: std::pin::Pin<&mut impl Future<Output = Ended>>,
+    second: impl Future<Output = Ended>,
+    progress: &mut Progress,
+) -> Ended {
+    tokio::pin!(second);
+    let (ended, first_is_left) = tokio::select! {
+        ended = first.as_mut() => (ended, false),
+        ended = second.as_mut() => (ended, true),
+    };
+    let (offer, attempt, _) = &ended;
+    if matches!(attempt, Attempt::Answered(answer) if !answer.status.is_server_error()) {
+        return ended;
+    }
+    progress.end(*offer, attempt, exchange);
+    if first_is_left { first.await } else { second.await }
+}
+
+fn begin<'a>(
+    exchange: &'a Exchange,
+    choice: Choice,
+    body: Option<RequestBody>,
+    progress: &mut Progress,
+) -> impl Future<Output = Ended> + use<'a> {
+    let work = Work::new(exchange, &choice);
+    let number = progress.begin(&choice);
+    send(exchange, number, choice, work, body)
+}
+
+async fn send(
+    exchange: &Exchange,
+    number: usize,
+    choice: Choice,
+    work: Work,
+    mut body: Option<RequestBody>,
+) -> Ended {
+    let attempt = attempt::send(exchange, &choice, work, &mut body).await;
+    (number, attempt, body)
+}
--- a/crates/steering/src/placement/ask.rs
+++ b/crates/steering/src/placement/ask.rs
@@ -22,6 +22,8 @@
     pub objective_left: Duration,
     /// Time that it may wait for a slot even if its latency objective is missed then.
     pub least_patience: Duration,
+    /// Whether it only goes where there is much room: it is at a backend server already.
+    pub is_second: bool,
 }
 
 /// The backend server that a request goes to.
--- a/crates/steering/src/placement/candidate.rs
+++ b/crates/steering/src/placement/candidate.rs
@@ -3,8 +3,8 @@
 use super::server::Server;
 use std::time::{Duration, Instant};
 
-/// Utilization of a backend server elsewhere up to which it takes what has no place where it
-/// belongs.
+/// Utilization of a backend server up to which it takes what has no place where it belongs, or is
+/// at another one already.
 const SPILL_UTILIZATION: f64 = 0.6;
 
 /// A backend server that may take a request.
@@ -42,6 +42,8 @@
     pub(super) answer_ms: f64,
     /// Whether the request may go elsewhere than where it belongs.
     pub(super) may_spill: bool,
+    /// Whether it only goes where there is much room.
+    pub(super) is_second: bool,
     /// Instances that send to the same backend servers, this one included.
     pub(super) sharers: usize,
     /// The time.
@@ -82,6 +84,10 @@
         waiting / slots * terms.answer_ms
     };
     let homes = || replicas.iter().filter(|it| it.is_home());
+    if terms.is_second {
+        // Another cold answer under load would delay those that others wait for.
+        return homes().find(|it| !it.last && room(it, SPILL_UTILIZATION)).copied();
+    }
     let first = |last: bool| homes().find(|it| it.last == last && room(it, 1.0));
     let patience_ms = terms.patience.as_secs_f64() * 1_000.0;
     let shortest = || {
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -285,7 +285,8 @@
         let failing = 2 * failed_at_home > listed_at_home;
         let may_spill = failing || state.spills >= 1.0;
         let sharers = self.senders.len().max(1);
-        let terms = Terms { replicas, patience, answer_ms, may_spill, sharers, now };
+        let is_second = ask.is_second;
+        let terms = Terms { replicas, patience, answer_ms, may_spill, is_second, sharers, now };
         let Some(best) = best_of(&mut candidates, &state.servers, terms) else {
             let soon = Duration::from_secs_f64(answer_ms / 1_000.0);
             let retry_after = soon.clamp(RETRY_AFTER[0], RETRY_AFTER[1]);
@@ -317,6 +318,22 @@
         }
     }
 
+    /// Time after which the answer of a chosen backend server is overdue; none while too few
+    /// answers of the service came to tell.
+    pub fn overdue_after(&self, service: &str, cold: bool) -> Option<Duration> {
+        self.services.get(service)?.overdue.after(cold)
+    }
+
+    /// Records that an answer of a service is overdue.
+    ///
+    /// The backend server is not held to have failed: measured on both sites, that moves objects to
+    /// where they are cold, and costs more than waiting for the next overdue answer.
+    pub fn was_overdue(&mut self, service: &str) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.overdue.was_overdue();
+        }
+    }
+
     /// Busy slots that the own region's requests for a service would need, at the last step.
     pub fn demand_slots(&self, service: &str) -> f64 {
         self.services.get(service).map_or(0.0, |state| state.demand_slots)
--- a/crates/steering/src/placement/service.rs
+++ b/crates/steering/src/placement/service.rs
@@ -1,6 +1,8 @@
 //! What one instance knows of one service.
 
 use super::keys::SeenKeys;
+use super::overdue::Overdue;
+use super::quantile::Quantile;
 use super::server::Server;
 use super::shares::RegionalShare;
 use crate::deployment::BackendServer;
@@ -12,9 +14,6 @@
 /// request must not seem to grow because its object was moved and is cold where it is now.
 const WARM_QUANTILE: f64 = 0.3;
 
-/// Part by which one answer moves the quantile.
-const QUANTILE_STEP: f64 = 0.05;
-
 /// Weight of a new sample in a service's mean answer time.
 const SAMPLE_WEIGHT: f64 = 0.03;
 
@@ -22,7 +21,7 @@
 const FIRST_ANSWER_MS: f64 = 300.0;
 
 /// A service with its backend servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ServiceState {
     /// Its backend servers; their order means nothing.
     pub(super) servers: Vec<Server>,
@@ -30,7 +29,9 @@
     pub(super) positions: HashMap<Arc<str>, usize>,
     pub(super) answer_ms: Option<f64>,
     /// Answer time that a part of [`WARM_QUANTILE`] of the answers stays below.
-    pub(super) warm_answer_ms: Option<f64>,
+    warm_answer_ms: Quantile,
+    /// When an answer is overdue.
+    pub(super) overdue: Overdue,
     pub(super) movable_per_s: f64,
     pub(super) near_per_s: f64,
     pub(super) share: RegionalShare,
@@ -43,6 +44,26 @@
     pub(super) demand_slots: f64,
 }
 
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self {
+            servers: Vec::new(),
+            positions: HashMap::new(),
+            answer_ms: None,
+            warm_answer_ms: Quantile::new(WARM_QUANTILE),
+            overdue: Overdue::default(),
+            movable_per_s: 0.0,
+            near_per_s: 0.0,
+            share: RegionalShare::default(),
+            keys: SeenKeys::default(),
+            replicas: 0,
+            spills: 0.0,
+            told_share: 0.0,
+            demand_slots: 0.0,
+        }
+    }
+}
+
 impl ServiceState {
     /// Mean time to an answer, in milliseconds.
     pub(super) fn answer_ms(&self) -> f64 {
@@ -51,16 +72,15 @@
 
     /// Time to an answer of a request that is warm and waited for nothing, in milliseconds.
     pub(super) fn warm_answer_ms(&self) -> f64 {
-        self.warm_answer_ms.unwrap_or(FIRST_ANSWER_MS)
+        self.warm_answer_ms.value().unwrap_or(FIRST_ANSWER_MS)
     }
 
     /// Takes over the time to an answer.
     pub(super) fn answered(&mut self, sample_ms: f64) {
         let mean = self.answer_ms.unwrap_or(sample_ms);
         self.answer_ms = Some(mean + (sample_ms - mean) * SAMPLE_WEIGHT);
-        let warm = self.warm_answer_ms.unwrap_or(sample_ms);
-        let part = if sample_ms < warm { WARM_QUANTILE - 1.0 } else { WARM_QUANTILE };
-        self.warm_answer_ms = Some(warm * (1.0 + part * QUANTILE_STEP));
+        self.warm_answer_ms.add(sample_ms);
+        self.overdue.answered(sample_ms);
     }
 
     /// Takes over the list of the service's backend servers; `region_of` an availability zone.
--- a/crates/steering/tests/placement_common/mod.rs
+++ b/crates/steering/tests/placement_common/mod.rs
@@ -116,5 +116,6 @@
         excluded,
         objective_left: Duration::from_millis(500),
         least_patience: Duration::from_millis(50),
+        is_second: false,
     }
 }
