Bound slow callers, and give up silent connections

The time for the head of a request was never enforced (only the rest of a connection), a slow body held its connection for ever, an instance without descriptors went on saying ready, and connections that fell silent without a reset were used for one request after another.

Change: the head has its own time from its first byte, without a timer while no head is on its way; a body has the time of its request (408: nothing was sent); a failed accept makes an instance not ready for 2 s; an answer that is overdue, where the backend server answered nothing meanwhile, drops the resting connections.

Ruled out: the library's limit for heads, which begins while a connection rests.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -1,6 +1,7 @@
 //! Accepting connections of callers, operators and other instances.
 
 use super::dial::watch_over;
+use super::head_timer::{HeadTimer, Progress, TimedBody, TimedStream};
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
 use crate::request::body::AnswerBody;
@@ -9,8 +10,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::Poll;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
@@ -41,6 +44,7 @@
                 }
                 Err(error) => {
                     log::warn!(target: "connection", error:%; "accept failed");
+                    instance.accept_failed_at.set(Some(Instant::now()));
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -60,18 +64,30 @@
     let limits = instance.knowledge.borrow().configuration.content.limits;
     let mut stop = instance.stop.subscribe();
     let for_service = instance.clone();
+    let progress = Rc::new(Progress::default());
+    let of_service = progress.clone();
     let service = service_fn(move |request| {
-        let answering = answer(for_service.clone(), request);
-        async move { Ok::<_, Infallible>(answering.await) }
+        let answering = of_service.head_is_whole();
+        let answer = answer(for_service.clone(), request);
+        async move {
+            let timed = |body| TimedBody { body, _answering: answering };
+            Ok::<_, Infallible>(answer.await.map(timed))
+        }
     });
+    let mut timer = HeadTimer::new(progress.clone(), limits.header_timeout);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(TimedStream::new(stream, progress)), service);
     tokio::pin!(connection);
     let finished = tokio::select! {
-        _ = connection.as_mut() => true,
+        () = poll_fn(|context| match connection.as_mut().poll(context) {
+            // How a connection ends is seen by its requests.
+            Poll::Ready(_) => Poll::Ready(()),
+            Poll::Pending if timer.is_late(context) => Poll::Ready(()),
+            Poll::Pending => Poll::Pending,
+        }) => true,
         _ = stop.wait_for(|phase| *phase == StopPhase::Closed) => false,
     };
     if !finished {
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod ask;
 pub mod dial;
+mod head_timer;
 pub(crate) mod listener;
 pub mod pool;
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -12,11 +12,15 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use steering::deployment::{RouteTable, Service};
 use steering::placement::{Division, Peer, PeerState, Peers, RetryBudget, Roster};
 use tokio::sync::{Notify, watch};
 
+/// Time after a connection could not be accepted in which callers are sent elsewhere: two questions
+/// of the platform for readiness, a second apart.
+const NOT_ACCEPTING: Duration = Duration::from_secs(2);
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum StopPhase {
@@ -59,6 +63,8 @@
     pub answer_until: Cell<Option<Instant>>,
     /// Requests that are being answered.
     pub in_flight: Cell<usize>,
+    /// Time at which a connection could not be accepted last.
+    pub accept_failed_at: Cell<Option<Instant>>,
     /// Whether the last call to the store was answered.
     pub reaches_store: Cell<bool>,
     /// Wakes the heartbeat when there is news of the store for the other instances.
@@ -112,6 +118,7 @@
             stop: watch::Sender::new(StopPhase::Running),
             answer_until: Cell::new(None),
             in_flight: Cell::new(0),
+            accept_failed_at: Cell::new(None),
             reaches_store: Cell::new(true),
             news: Notify::new(),
             learned: Default::default(),
@@ -126,7 +133,7 @@
     pub fn own(&self) -> Peer {
         let mut own = self.own.borrow_mut();
         own.state = match *self.stop.borrow() {
-            StopPhase::Running if self.knowledge.borrow().is_complete() => PeerState::Serving,
+            StopPhase::Running if self.is_ready() => PeerState::Serving,
             StopPhase::Running => PeerState::Joining,
             StopPhase::Leaving | StopPhase::Closed => PeerState::Leaving,
         };
@@ -149,7 +156,14 @@
 
     /// Tells whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        self.knowledge.borrow().is_complete() && *self.stop.borrow() == StopPhase::Running
+        self.knowledge.borrow().is_complete()
+            && *self.stop.borrow() == StopPhase::Running
+            && self.accepts()
+    }
+
+    /// Tells whether connections could be accepted of late.
+    fn accepts(&self) -> bool {
+        self.accept_failed_at.get().is_none_or(|at| at.elapsed() > NOT_ACCEPTING)
     }
 
     /// What the configuration says of a service.
--- a/crates/entry/src/request/answer.rs
+++ b/crates/entry/src/request/answer.rs
@@ -53,11 +53,13 @@
     let mut headers = request.headers().clone();
     remove_hop_by_hop(&mut headers);
     let (method, target) = (request.method().clone(), request.uri().clone());
-    let body = CallerBody::read(request, body_limit).await?;
-    let service = instance.divide(&route).ok_or(Problem::NoRoute)?;
     let waits = head.deadline.unwrap_or(Duration::MAX).min(route.timeout);
     let deadline = started + waits;
     let deadline = instance.answer_until.get().map_or(deadline, |until| until.min(deadline));
+    let body = CallerBody::read(request, body_limit);
+    let body = tokio::time::timeout_at(deadline.into(), body);
+    let body = body.await.map_err(|_| Problem::BodyTimeout)??;
+    let service = instance.divide(&route).ok_or(Problem::NoRoute)?;
     let key_hash = match &head.affinity_key {
         Some(key) if route.affinity => name_hash(key) ^ name_hash(&service),
         _ => rand::random(),
--- a/crates/entry/src/request/problem.rs
+++ b/crates/entry/src/request/problem.rs
@@ -23,6 +23,9 @@
     /// The caller broke off its body.
     #[error("body was cut")]
     BodyCut,
+    /// The caller took too long for its body; the request was not sent anywhere.
+    #[error("body did not come in time")]
+    BodyTimeout,
     /// No backend server may take the request in time; it has not run.
     #[error("no backend server has room")]
     NoRoom {
@@ -53,6 +56,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfiguration
             | Self::NoRoom { .. }
             | Self::NotTaken { .. }
@@ -74,6 +78,7 @@
             Self::NoRoute => "no-route",
             Self::BodyTooLong { .. } => "body-too-long",
             Self::BodyCut => "body-cut",
+            Self::BodyTimeout => "body-timeout",
             Self::NoRoom { .. } => "no-room",
             Self::NotTaken { .. } => "not-taken",
             Self::TimeoutBeforeSend => "timeout-before-send",
--- a/crates/entry/src/request/race.rs
+++ b/crates/entry/src/request/race.rs
@@ -6,8 +6,9 @@
 use super::choose::choose_second;
 use super::exchange::Exchange;
 use super::progress::Progress;
+use crate::process::instance::Instance;
 use std::future::Future;
-use std::time::Duration;
+use std::time::Instant;
 use steering::placement::Choice;
 
 /// How an offer ended, with the body if nothing of it was sent.
@@ -24,7 +25,11 @@
     body: &mut CallerBody,
     progress: &mut Progress,
 ) -> (Attempt, Option<RequestBody>) {
-    let after = overdue_after(exchange, &choice, progress);
+    // The offer itself is not counted yet.
+    let may_repeat =
+        exchange.route.kind.is_idempotent() && progress.offers() + 1 < exchange.route.max_attempts;
+    let (server, sent_at) = (choice.id.clone(), Instant::now());
+    let after = exchange.instance.roster.borrow().overdue_after(&exchange.service, choice.cold);
     let first = begin(exchange, choice, ready, progress);
     tokio::pin!(first);
     let in_time = match after {
@@ -34,8 +39,8 @@
     let ended = match in_time {
         Some(ended) => ended,
         None => {
-            exchange.instance.roster.borrow_mut().was_overdue(&exchange.service);
-            let second = begin_second(exchange, body, progress);
+            is_overdue(&exchange.instance, &exchange.service, &server, sent_at);
+            let second = if may_repeat { begin_second(exchange, body, progress) } else { None };
             let action = if second.is_some() { "sent elsewhere" } else { "waited" };
             let labels = [&*exchange.service, action];
             exchange.instance.metrics.overdue.with_label_values(&labels).inc();
@@ -50,13 +55,16 @@
     (attempt, left)
 }
 
-/// Time after which a second offer is worth it; none if the request may not be repeated.
-fn overdue_after(exchange: &Exchange, choice: &Choice, progress: &Progress) -> Option<Duration> {
-    // The offer itself is not counted yet.
-    let may =
-        exchange.route.kind.is_idempotent() && progress.offers() + 1 < exchange.route.max_attempts;
-    let roster = exchange.instance.roster.borrow();
-    may.then(|| roster.overdue_after(&exchange.service, choice.cold)).flatten()
+/// Takes over that an answer is overdue.
+///
+/// If the backend server has answered nothing since the request was sent, connections to it may
+/// have fallen silent while new ones work: those that rest are not used again.
+fn is_overdue(instance: &Instance, service: &str, server: &str, sent_at: Instant) {
+    let mut roster = instance.roster.borrow_mut();
+    roster.was_overdue(service);
+    if !roster.was_heard_after(server, sent_at) {
+        instance.pools.forget(server);
+    }
 }
 
 /// Begins a second offer, if a backend server has room and the budget allows it.
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -334,6 +334,11 @@
         }
     }
 
+    /// Tells whether a backend server has answered anything after a time.
+    pub fn was_heard_after(&mut self, id: &str, time: Instant) -> bool {
+        self.server_mut(id).is_some_and(|server| server.was_heard_after(time))
+    }
+
     /// Busy slots that the own region's requests for a service would need, at the last step.
     pub fn demand_slots(&self, service: &str) -> f64 {
         self.services.get(service).map_or(0.0, |state| state.demand_slots)
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -140,6 +140,11 @@
         silent || self.has_failed(now) || self.shed_until.is_some_and(|until| until > now)
     }
 
+    /// Tells whether it has answered anything after a time.
+    pub fn was_heard_after(&self, time: Instant) -> bool {
+        self.heard_at > time
+    }
+
     /// Tells whether so many of its answers are failures that it should come last.
     pub fn is_doubtful(&self) -> bool {
         self.error_part > DOUBTFUL_PART
