Keep servers cold after an evacuation as long as their service says

Cause: after an evacuation ended, a backend server that no health check reached counted as cold for a fixed 3 s, the figure of today's sites; a deployment whose cold start takes longer would have been flooded. Change: the time that the configuration states. Test: backend_servers_that_can_not_be_checked_stay_cold_as_long_as_their_service_says (failed before).

--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -10,7 +10,7 @@
 use super::server::{Ending, Server};
 use super::service::ServiceState;
 use crate::deployment::{
-    BackendServer, BackendServers, Deployment, Evacuations, Policies, RequestKind,
+    BackendServer, BackendServers, Deployment, Evacuations, Policies, RequestKind, Service,
 };
 use crate::policy::PolicyError;
 use std::collections::{BTreeMap, HashMap};
@@ -40,6 +40,17 @@
 /// A backend server this many times slower than its service comes last.
 const SLOW_FACTOR: f64 = 2.5;
 
+/// How long backend servers of a service stay cold that the configuration does not name: as those
+/// of today's sites.
+const UNKNOWN_COLD_START: Duration = Duration::from_secs(3);
+
+/// What cold backend servers of a service bear, by the configuration.
+#[derive(Clone, Copy, Debug)]
+struct ColdTerms {
+    rate_per_s: f64,
+    start: Duration,
+}
+
 /// What an instance knows of all backend servers.
 #[derive(Debug)]
 pub struct Roster {
@@ -49,7 +60,7 @@
     pub(super) regions: HashMap<Arc<str>, Arc<str>>,
     pub(super) services: BTreeMap<Arc<str>, ServiceState>,
     pub(super) evacuated: Evacuations,
-    cold_rates: HashMap<Arc<str>, f64>,
+    cold: HashMap<Arc<str>, ColdTerms>,
     /// Hashes of the living instances of the own region, this one included; empty while unknown.
     pub(super) senders: Vec<u64>,
     pub(super) stepped_at: Option<Instant>,
@@ -70,7 +81,7 @@
             regions,
             services: BTreeMap::new(),
             evacuated: Evacuations::new(),
-            cold_rates: HashMap::new(),
+            cold: HashMap::new(),
             senders: Vec::new(),
             stepped_at: None,
             arms: Arms::default(),
@@ -80,11 +91,12 @@
 
     /// Takes over what the configuration says of services.
     pub fn set_deployment(&mut self, deployment: &Deployment) {
-        self.cold_rates = deployment
-            .services
-            .iter()
-            .map(|(name, service)| (name.clone(), service.cold_rate_per_s))
-            .collect();
+        let terms = |service: &Service| ColdTerms {
+            rate_per_s: service.cold_rate_per_s,
+            start: service.cold_start,
+        };
+        let services = deployment.services.iter();
+        self.cold = services.map(|(name, service)| (name.clone(), terms(service))).collect();
     }
 
     /// Takes over policies.  Shares go on from where they are: each new arm begins with the mean of
@@ -137,10 +149,11 @@
         let back: Vec<Arc<str>> = self.evacuated.difference(evacuated).cloned().collect();
         self.evacuated = evacuated.clone();
         let mut unproven = Vec::new();
-        for state in self.services.values_mut() {
+        for (name, state) in &mut self.services {
+            let start = self.cold.get(name).map_or(UNKNOWN_COLD_START, |terms| terms.start);
             for server in &mut state.servers {
                 if back.contains(&server.record.availability_zone) {
-                    server.cold_for(Duration::from_secs(3), now);
+                    server.cold_for(start, now);
                     unproven.push((server.id.clone(), server.record.address));
                 }
             }
@@ -196,7 +209,7 @@
             _ => state.share_of(arm).region_of(place).unwrap_or(&self.region),
         };
         let home = home.clone();
-        let cold_rate = self.cold_rates.get(ask.service).copied().unwrap_or(0.0);
+        let cold_rate = self.cold.get(ask.service).map_or(0.0, |terms| terms.rate_per_s);
         let replicas = state.replicas.max(LEAST_REPLICAS);
         let mut candidates: Vec<Candidate> = Vec::new();
         let (mut listed_at_home, mut failed_at_home) = (0usize, 0usize);
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -82,6 +82,22 @@
     roster.choose(&ask(&service, 1, &[]), now).expect("it is warm");
 }
 
+#[test]
+fn backend_servers_that_can_not_be_checked_stay_cold_as_long_as_their_service_says() {
+    let now = Instant::now();
+    let service = name(placement_common::SERVICE);
+    let mut deployment = placement_common::deployment();
+    let cold_start = Duration::from_secs(8);
+    deployment.services.get_mut(&service).expect("it is there").cold_start = cold_start;
+    let mut roster = roster("one", "north-a", &servers(&[("north-a", 1)], 9), now);
+    roster.set_deployment(&deployment);
+    roster.set_evacuations(&Evacuations::from([name("north-a")]), now);
+    roster.set_evacuations(&Evacuations::new(), now);
+    let almost = now + cold_start - Duration::from_millis(1);
+    roster.choose(&ask(&service, 1, &[]), almost).expect_err("it may be cold");
+    roster.choose(&ask(&service, 1, &[]), now + cold_start).expect("it is warm");
+}
+
 #[test]
 fn a_share_moves_slowly_while_only_demand_changes() {
     let start = Instant::now();
