Let an instance behind a full link learn what changed

One instance's packets waited 0.8 s at its full link; each of its questions to other instances for changes gave up after 0.45 s, while the connection came up, so it stayed at an old configuration for 12 s and went on answering its callers. The log line `knowledge can't be read` from 3.6 to 14.2 s told it.

Change: a connection to another instance may take 1.2 s, the whole question 2.5 s; connections to backend servers and the store keep their 0.45 s. Ruled out: lack of processor time (0.018 of 0.1 core), the store (others read it in time), lost datagrams (each started a question).

--- a/crates/entry/src/connection/ask.rs
+++ b/crates/entry/src/connection/ask.rs
@@ -6,10 +6,12 @@
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-/// Asks and returns the body of a 200; none for any other outcome.
-pub(crate) async fn get(address: SocketAddr, path: &str) -> Option<Bytes> {
-    let (status, _, body) = get_whole(address, path).await?;
+/// Asks and returns the body of a 200; none for any other outcome.  The connection must come up
+/// within `limit`.
+pub(crate) async fn get(address: SocketAddr, path: &str, limit: Duration) -> Option<Bytes> {
+    let (status, _, body) = get_whole(address, path, limit).await?;
     (status == StatusCode::OK).then_some(body)
 }
 
@@ -17,8 +19,9 @@
 pub(crate) async fn get_whole(
     address: SocketAddr,
     path: &str,
+    limit: Duration,
 ) -> Option<(StatusCode, HeaderMap, Bytes)> {
-    let stream = dial(address).await.ok()?;
+    let stream = dial(address, limit).await.ok()?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::task::spawn_local(connection);
--- a/crates/entry/src/connection/dial.rs
+++ b/crates/entry/src/connection/dial.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// Time for a connection to come up: the longest round trip between regions of 110 ms, twice, and
-/// one lost packet is not waited for.
+/// Time for a connection to a backend server or the store to come up: the longest round trip between
+/// regions of 110 ms, twice, and one lost packet is not waited for.
 pub const DIAL_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Time after which sent bytes that nobody confirmed break a connection.
@@ -20,10 +20,10 @@
 ///
 /// # Errors
 ///
-/// Fails as connecting does, and with `TimedOut` after [`DIAL_TIMEOUT`].
-pub async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+/// Fails as connecting does, and with `TimedOut` if it does not come up within `limit`.
+pub async fn dial(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
-    let stream = tokio::time::timeout(DIAL_TIMEOUT, connecting)
+    let stream = tokio::time::timeout(limit, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to backend servers that are used again.
 
-use super::dial::dial;
+use super::dial::{DIAL_TIMEOUT, dial};
 use crate::request::body::RequestBody;
 use futures::FutureExt;
 use hyper::client::conn::http1::SendRequest;
@@ -83,7 +83,7 @@
         }
         // Counts the connection as open until this is dropped, wherever that happens.
         let open = OpenGuard { pools: self.clone(), server };
-        let stream = dial(address).await?;
+        let stream = dial(address, DIAL_TIMEOUT).await?;
         let (sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         tokio::task::spawn_local(async move {
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -46,8 +46,12 @@
 /// Wait before an instance of another region is asked.
 const FAR_WAIT: Duration = Duration::from_millis(500);
 
-/// Time for asking another instance for what it knows.
-const ASK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for a connection to another instance to come up.  Where packets wait at a thin link, whoever
+/// gives up before learns nothing for as long as the link is full, while its requests get through.
+const ASK_DIAL_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Time for asking another instance for what it knows, the connection included.
+const ASK_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Heartbeats between two readings of the registrations while no other instance is heard.
 const ALONE_BEATS: u64 = 4;
@@ -275,6 +279,6 @@
 
 async fn ask(address: SocketAddr, as_of: [u64; SUBJECTS]) -> Option<Update> {
     let path = format!("{}?{}", exchange::KNOWLEDGE_PATH, exchange::query(as_of));
-    let body = crate::connection::ask::get(address, &path).await?;
+    let body = crate::connection::ask::get(address, &path, ASK_DIAL_TIMEOUT).await?;
     postcard::from_bytes(&body).ok()
 }
--- a/crates/entry/src/request/health.rs
+++ b/crates/entry/src/request/health.rs
@@ -1,6 +1,7 @@
 //! Health checks of backend servers whose state is not known.
 
 use crate::connection::ask;
+use crate::connection::dial::DIAL_TIMEOUT;
 use crate::process::instance::Instance;
 use http::StatusCode;
 use std::net::SocketAddr;
@@ -23,7 +24,8 @@
         else {
             return;
         };
-        let asked = tokio::time::timeout(CHECK_TIMEOUT, ask::get_whole(address, &path)).await;
+        let asked =
+            tokio::time::timeout(CHECK_TIMEOUT, ask::get_whole(address, &path, DIAL_TIMEOUT)).await;
         let Ok(Some((StatusCode::OK, headers, _))) = asked else {
             log::info!(target: "backend-server", id = &*id; "health check failed");
             return;
