Let shares settle for four seconds after backend servers came or went

When a zone was evacuated, its region's share took the target of the demand measured before at once, and then moved 0.03 a second while 1,051 requests were refused in eight seconds.

Change: 0.15 a second for four seconds after room changed. Ruled out: a faster rate always (SHIFT), late knowledge.

Test: a_share_settles_fast_after_room_was_lost_and_moves_slowly_again_later.

--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Utilization up to which a region keeps its own traffic.  Measured on days of both sites of
 /// today: 0.7, 0.55 and 0.45 give the repair site 0.965, 0.983 and 0.996; warm answers leave room
@@ -17,6 +17,13 @@
 /// seconds.
 const MOVE_PER_S: f64 = 0.03;
 
+/// Most that a share moves in a second after backend servers came or went: the demand that was
+/// measured until then says little, as answers wait and callers come back.
+const SETTLE_PER_S: f64 = 0.15;
+
+/// Time in which it does: that in which the measured demand is renewed twice.
+const SETTLE: Duration = Duration::from_secs(4);
+
 /// Change of a region's room that counts as backend servers coming or going, not as noise.
 const ROOM_CHANGE: f64 = 0.2;
 
@@ -87,6 +94,8 @@
     split: Split,
     slots: f64,
     moved_at: Option<Instant>,
+    /// Time until which it moves faster.
+    settles_until: Option<Instant>,
 }
 
 impl RegionalShare {
@@ -101,9 +110,12 @@
         if changed {
             self.split = target.clone();
             self.slots = slots;
+            self.settles_until = Some(now + SETTLE);
             return;
         }
-        let most = now.duration_since(moved_at).as_secs_f64() * MOVE_PER_S;
+        let settles = self.settles_until.is_some_and(|until| until >= now);
+        let most_per_s = if settles { SETTLE_PER_S } else { MOVE_PER_S };
+        let most = now.duration_since(moved_at).as_secs_f64() * most_per_s;
         for name in target.keys() {
             self.split.entry(name.clone()).or_insert(0.0);
         }
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -128,6 +128,31 @@
     assert_eq!(share.region_of(0.999).map(|region| &**region), Some("south"));
 }
 
+#[test]
+fn a_share_settles_fast_after_room_was_lost_and_moves_slowly_again_later() {
+    let start = Instant::now();
+    let mut share = RegionalShare::default();
+    let beat = Duration::from_millis(800);
+    let moved = |share: &RegionalShare| share.split().values().sum::<f64>();
+    let whole = loads(&[("north", 8.0, 20.0), ("south", 10.0, 60.0)]);
+    share.step(&target("north", &whole), 20.0, start);
+    // Half of the room goes, and the demand that counts shows only then.
+    let lost = loads(&[("north", 8.0, 10.0), ("south", 10.0, 60.0)]);
+    share.step(&target("north", &lost), 10.0, start + beat);
+    let busy = loads(&[("north", 20.0, 10.0), ("south", 10.0, 60.0)]);
+    let wanted: f64 = target("north", &busy).values().sum();
+    assert!(wanted - moved(&share) > 0.2, "{wanted} {}", moved(&share));
+    for number in 2..6 {
+        share.step(&target("north", &busy), 10.0, start + beat * number);
+    }
+    assert!((moved(&share) - wanted).abs() < 1e-9, "{wanted} {}", moved(&share));
+    let before = moved(&share);
+    let calm = loads(&[("north", 5.0, 10.0), ("south", 10.0, 60.0)]);
+    share.step(&target("north", &calm), 10.0, start + beat * 10);
+    share.step(&target("north", &calm), 10.0, start + beat * 11);
+    assert!(before - moved(&share) <= 0.03 * (beat * 6).as_secs_f64() + 1e-9);
+}
+
 #[test]
 fn no_region_is_sent_more_than_the_common_utilization() {
     for own_slots in [0.0, 6.0, 18.0, 60.0] {
