Ask the budget before a second offer is chosen, and share the options of compare

Cause: found on reading the change. A second offer that the retry budget did not allow was chosen first and given back, which counted as abandoned work and could use up a cold backend server's token. `runpin entry policy compare` repeated the options of `runpin policy compare`; a test slept where it can poll.

--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -184,6 +184,11 @@
         budgets.entry(service.clone()).or_insert_with(new).request(instances);
     }
 
+    /// Tells whether the retry budget of a service holds a repeat.
+    pub fn may_retry(&self, service: &str) -> bool {
+        self.budgets.borrow().get(service).is_some_and(RetryBudget::holds)
+    }
+
     /// Takes one repeat of the retry budget of a service.
     pub fn take_retry(&self, service: &str) -> bool {
         self.budgets.borrow_mut().get_mut(service).is_some_and(RetryBudget::take)
--- a/crates/entry/src/request/race.rs
+++ b/crates/entry/src/request/race.rs
@@ -73,15 +73,13 @@
     body: &mut CallerBody,
     progress: &mut Progress,
 ) -> Option<impl Future<Output = Ended> + use<'a>> {
-    if !body.can_be_sent() {
+    let instance = &exchange.instance;
+    if !body.can_be_sent() || !instance.may_retry(&exchange.service) {
         return None;
     }
     let choice = choose_second(exchange, progress).ok()?;
-    // From here on the choice is counted as work, and is given back when it is dropped.
+    instance.take_retry(&exchange.service);
     let work = Work::new(exchange, &choice);
-    if !exchange.instance.take_retry(&exchange.service) {
-        return None;
-    }
     let number = progress.begin(&choice);
     Some(send(exchange, number, choice, work, body.take()))
 }
--- a/crates/entry/tests/dial.rs
+++ b/crates/entry/tests/dial.rs
@@ -1,6 +1,7 @@
 //! Connections that come up late, as they do behind a link whose packets wait.
 
 use entry::connection::dial::dial;
+use futures::FutureExt;
 use socket2::{Domain, Socket, Type};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
@@ -32,10 +33,11 @@
     let (listener, address, queued) = full_listener();
     let error = dial(address, SHORT).await.expect_err("the queue is full");
     assert_eq!(error.kind(), ErrorKind::TimedOut);
-    let waiting = tokio::spawn(dial(address, LONG));
-    tokio::time::sleep(SHORT).await;
+    let mut waiting = Box::pin(dial(address, LONG));
+    // From here on its first packet is lost.
+    assert!(waiting.as_mut().now_or_never().is_none());
     for _ in &queued {
         listener.accept().expect("one is queued");
     }
-    waiting.await.expect("it ends").expect("there is room now");
+    waiting.await.expect("there is room now");
 }
--- a/crates/runpin/src/command/entry/policy/mod.rs
+++ b/crates/runpin/src/command/entry/policy/mod.rs
@@ -1,11 +1,12 @@
 //! `runpin entry policy`: the steering policies of the instances on the users' platform.
 
 mod apply;
-mod compare;
 mod record;
 mod rollback;
 mod show;
 
+use crate::client::Client;
+use crate::command::policy::compare::{PolicyCompare, compare_at};
 use crate::error::CommandError;
 use crate::exit::Exit;
 use argh::FromArgs;
@@ -24,7 +25,7 @@
     Show(show::Show),
     Apply(apply::Apply),
     Rollback(rollback::Rollback),
-    Compare(compare::Compare),
+    Compare(PolicyCompare),
 }
 
 /// Runs the subcommand.
@@ -33,6 +34,8 @@
         Command::Show(options) => show::run(&options).await,
         Command::Apply(options) => apply::run(&options).await,
         Command::Rollback(options) => rollback::run(&options).await,
-        Command::Compare(options) => compare::run(&options).await,
+        Command::Compare(options) => {
+            compare_at(&Client::without_token(&options.instance)?, &options).await
+        }
     }
 }
--- a/crates/runpin/src/command/policy/compare/mod.rs
+++ b/crates/runpin/src/command/policy/compare/mod.rs
@@ -23,10 +23,10 @@
 /// compare two arms on live traffic at the instances named
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "compare")]
-pub(super) struct PolicyCompare {
+pub(crate) struct PolicyCompare {
     /// address for operators of an instance, IP:PORT; each one named is asked (RUNPIN_INSTANCE)
     #[argh(option)]
-    instance: Vec<SocketAddr>,
+    pub(crate) instance: Vec<SocketAddr>,
     /// time to measure for, in seconds; default 60
     #[argh(option, default = "60.0")]
     duration_s: f64,
@@ -43,23 +43,13 @@
 
 /// Measures both arms for a while and shows what differs.
 pub(super) async fn run(options: &PolicyCompare) -> Result<Exit, CommandError> {
-    let PolicyCompare { duration_s, output, base, trial, .. } = options;
-    let question = Question { duration_s: *duration_s, output: *output, base, trial };
-    compare_arms(&Client::for_reading(&options.instance)?, &question).await
-}
-
-/// Which arms are compared, for how long, and how the result is shown.
-pub(crate) struct Question<'a> {
-    pub(crate) duration_s: f64,
-    pub(crate) output: Output,
-    pub(crate) base: &'a str,
-    pub(crate) trial: &'a str,
+    compare_at(&Client::for_reading(&options.instance)?, options).await
 }
 
 /// Measures both arms at the client's instances and shows what differs.
-pub(crate) async fn compare_arms(
+pub(crate) async fn compare_at(
     client: &Client,
-    options: &Question<'_>,
+    options: &PolicyCompare,
 ) -> Result<Exit, CommandError> {
     let allowed = 1.0..=86_400.0;
     if !allowed.contains(&options.duration_s) {
@@ -67,10 +57,10 @@
     }
     let period = Duration::from_secs_f64(options.duration_s) / PERIODS;
     let window = collect::measure(client, PERIODS, period).await?;
-    let report = judge(&window, options.base, options.trial);
+    let report = judge(&window, &options.base, &options.trial);
     if report.groups.is_empty() {
         let arms = window.arms().collect::<Vec<_>>().join(", ");
-        let (base, trial) = (options.base.to_owned(), options.trial.to_owned());
+        let (base, trial) = (options.base.clone(), options.trial.clone());
         return Err(CommandError::NoRequests { base, trial, arms });
     }
     options.output.show(&report, report.describe())?;
--- a/crates/steering/src/placement/budget.rs
+++ b/crates/steering/src/placement/budget.rs
@@ -26,9 +26,14 @@
         self.tokens = (self.tokens + self.ratio * SAFETY).min(most);
     }
 
+    /// Tells whether the budget holds a repeat.
+    pub fn holds(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Takes one repeat, if the budget holds it.
     pub fn take(&mut self) -> bool {
-        let granted = self.tokens >= 1.0;
+        let granted = self.holds();
         if granted {
             self.tokens -= 1.0;
         }
