Use the library's wrapper for a stream's bytes, and shorten two steps of the shares

Found on reading the change; no behaviour is meant to change. The stream that notes when a caller's bytes come repeated tokio-util's InspectReader, which the workspace has already. The part of the traffic that leaves a region was read from a copied mean of the arms' shares, also without arms; it is summed in place. The sum of all instances' demand is a function of its own.

--- a/crates/entry/src/connection/head_timer.rs
+++ b/crates/entry/src/connection/head_timer.rs
@@ -5,14 +5,13 @@
 use http_body::{Body, Frame, SizeHint};
 use std::cell::Cell;
 use std::future::Future;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::io::AsyncRead;
 use tokio::time::{Instant, Sleep};
+use tokio_util::io::InspectReader;
 
 /// Where a connection is between two requests.
 #[derive(Debug, Default)]
@@ -74,62 +73,17 @@
     }
 }
 
-/// A caller's connection that notes when bytes come.
-pub(super) struct TimedStream {
-    stream: TcpStream,
+/// A caller's connection that notes in `progress` when bytes come.
+pub(super) fn timed<S: AsyncRead>(
+    stream: S,
     progress: Rc<Progress>,
-}
-
-impl TimedStream {
-    /// Notes the bytes of a connection in `progress`.
-    pub(super) fn new(stream: TcpStream, progress: Rc<Progress>) -> Self {
-        Self { stream, progress }
-    }
-}
-
-impl AsyncRead for TimedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.progress.bytes_came();
+) -> InspectReader<S, impl FnMut(&[u8])> {
+    InspectReader::new(stream, move |bytes: &[u8]| {
+        // Nothing comes at the end of the connection.
+        if !bytes.is_empty() {
+            progress.bytes_came();
         }
-        polled
-    }
-}
-
-impl AsyncWrite for TimedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
+    })
 }
 
 /// Drives a connection; [`HeadTimer::is_late`] after it was polled tells to give it up.
--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -1,7 +1,7 @@
 //! Accepting connections of callers, operators and other instances.
 
 use super::dial::watch_over;
-use super::head_timer::{HeadTimer, Progress, TimedBody, TimedStream};
+use super::head_timer::{HeadTimer, Progress, TimedBody, timed};
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
 use crate::request::body::AnswerBody;
@@ -70,8 +70,8 @@
         let answering = of_service.head_is_whole();
         let answer = answer(for_service.clone(), request);
         async move {
-            let timed = |body| TimedBody { body, _answering: answering };
-            Ok::<_, Infallible>(answer.await.map(timed))
+            let until_sent = |body| TimedBody { body, _answering: answering };
+            Ok::<_, Infallible>(answer.await.map(until_sent))
         }
     });
     let mut timer = HeadTimer::new(progress.clone(), limits.header_timeout);
@@ -79,7 +79,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(TimedStream::new(stream, progress)), service);
+        .serve_connection(TokioIo::new(timed(stream, progress)), service);
     tokio::pin!(connection);
     let finished = tokio::select! {
         () = poll_fn(|context| match connection.as_mut().poll(context) {
--- a/crates/steering/src/placement/regions.rs
+++ b/crates/steering/src/placement/regions.rs
@@ -36,16 +36,7 @@
         }
         let mut moves = Vec::new();
         let mut failures = Vec::new();
-        let mut demand: HashMap<(u32, Arc<str>), Demand> = HashMap::new();
-        for peer in peers.alive(now).chain(std::iter::once(own)) {
-            for (service, part) in &peer.demand {
-                let sum = demand.entry((*service, peer.region.clone())).or_default();
-                sum.movable_per_s += part.movable_per_s;
-                sum.near_per_s += part.near_per_s;
-                // Instances of a region meet the same objects, regions have their own.
-                sum.keys = sum.keys.max(part.keys);
-            }
-        }
+        let demand = regional_demand(own, peers, now);
         for (name, state) in &mut self.services {
             state.movable_per_s *= fade;
             state.near_per_s *= fade;
@@ -107,3 +98,18 @@
         moves
     }
 }
+
+/// The demand of all instances, by service and region.
+fn regional_demand(own: &Peer, peers: &Peers, now: Instant) -> HashMap<(u32, Arc<str>), Demand> {
+    let mut demand: HashMap<(u32, Arc<str>), Demand> = HashMap::new();
+    for peer in peers.alive(now).chain(std::iter::once(own)) {
+        for (service, part) in &peer.demand {
+            let sum = demand.entry((*service, peer.region.clone())).or_default();
+            sum.movable_per_s += part.movable_per_s;
+            sum.near_per_s += part.near_per_s;
+            // Instances of a region meet the same objects, regions have their own.
+            sum.keys = sum.keys.max(part.keys);
+        }
+    }
+    demand
+}
--- a/crates/steering/src/placement/service.rs
+++ b/crates/steering/src/placement/service.rs
@@ -95,7 +95,11 @@
 
     /// The part of the movable requests that goes to other regions.
     pub(super) fn moved(&self, arms: &Arms) -> f64 {
-        self.mean_share(arms).split().values().sum()
+        let of = |share: &RegionalShare| share.split().values().sum::<f64>();
+        match self.arm_shares.as_slice() {
+            [] => of(&self.share),
+            shares => shares.iter().zip(0..).map(|(share, arm)| of(share) * arms.part(arm)).sum(),
+        }
     }
 
     /// Begins the shares of new arms with the mean of the present ones.
