Hold the ports of tests, so that no other test's server answers there

Cause: a test freed a port by dropping its listener and took it for one that refuses; the servers of tests beside it in the same process bind free ports too, and got it. What answered then may have run the request, so 502 was right and the test was wrong. The other side of the same fault: a foreign request took the next answer of another test's server. Other tests keep their listeners: none of them frees a port.

--- a/crates/runpind/tests/common/mod.rs
+++ b/crates/runpind/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioExecutor;
 use lab::{BackendOptions, BackendStandIn, PlatformStandIn, RunRecord, serve_platform};
 use platform::{Expected, InstanceEntry, InstanceState, ObjectStore};
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
@@ -123,6 +124,8 @@
     child: Child,
     caller_address: SocketAddr,
     admin_address: SocketAddr,
+    /// Keeps the ports from others for as long as the process may listen on them.
+    _held: [Socket; 3],
 }
 
 /// An answer read to its end.
@@ -133,7 +136,7 @@
 
 impl DaemonProcess {
     pub(crate) async fn start(deployment: &Deployment) -> Self {
-        let [caller_address, peer_address, admin_address] = free_addresses().await;
+        let (held, [caller_address, peer_address, admin_address]) = held_ports();
         deployment.platform.set_entry_instances(vec![InstanceEntry {
             name: "one".into(),
             availability_zone: "n1".into(),
@@ -151,7 +154,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("runpind starts");
-        let daemon = Self { child, caller_address, admin_address };
+        let daemon = Self { child, caller_address, admin_address, _held: held };
         daemon.wait_ready().await;
         daemon
     }
@@ -260,11 +263,20 @@
     Some(Answer { status, text: String::from_utf8_lossy(&body).into_owned() })
 }
 
-async fn free_addresses() -> [SocketAddr; 3] {
-    let mut listeners = Vec::new();
-    for _ in 0..3 {
-        listeners.push(TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
-    }
-    let address = |number: usize| listeners[number].local_addr().expect("address");
-    [address(0), address(1), address(2)]
+/// Ports of a process that is started later.
+///
+/// They stay bound without listening, so that no other socket of the tests beside it gets one of
+/// them; the process may still listen there, as both allow the address to be used again.
+fn held_ports() -> ([Socket; 3], [SocketAddr; 3]) {
+    let sockets: [Socket; 3] = std::array::from_fn(|_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_reuse_address(true).expect("an option of the socket");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).expect("a free port");
+        socket
+    });
+    let addresses = sockets.each_ref().map(|socket| {
+        socket.local_addr().expect("it is bound").as_socket().expect("an IP address")
+    });
+    (sockets, addresses)
 }
