Ask another instance when one does not answer, and believe the store regained after two seconds only

Cause: one question was under way at a time, and one to an instance that stands still kept all others away for 2.5 s. Change: up to three questions, another begins when one is late by 0.4 s; an instance says that it reaches the store when no call has failed for 2 s.

--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -6,10 +6,11 @@
 
 use super::applying::apply;
 use super::instance::Instance;
+use super::questions::Questions;
 use crate::border::{Registration, SUBJECTS, Subject};
 use crate::version::changes::Update;
 use crate::version::exchange;
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +31,10 @@
 /// Wait before an instance of another region is asked.
 const FAR_WAIT: Duration = Duration::from_millis(500);
 
+/// Time after which another instance is asked beside one that has not answered: many times an
+/// exchange within a region, and a tenth of the time in which a change has to be in force.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
+
 /// Time for a connection to another instance to come up.  Where packets wait at a thin link, whoever
 /// gives up before learns nothing for as long as the link is full, while its requests get through.
 const ASK_DIAL_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -184,7 +189,7 @@
 
 async fn receive(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; 2 * telling::DATAGRAM_BYTES];
-    let asking = Rc::new(Cell::new(false));
+    let questions = Rc::new(RefCell::new(Questions::default()));
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
             // An earlier datagram met a closed port; the next may not.
@@ -199,14 +204,23 @@
         let revisions = sender.revisions;
         let address = sender.knowledge_address;
         let near = sender.region == instance.settings.region;
-        if is_behind(&instance, revisions) && !asking.replace(true) {
-            tokio::task::spawn_local(catch_up(
-                instance.clone(),
-                address,
-                near,
-                revisions,
-                asking.clone(),
-            ));
+        if !is_behind(&instance, revisions) {
+            continue;
+        }
+        // Whoever is near and knows it spares the bytes from far away.
+        let (wait, patience) = match (instance.is_watcher(), near) {
+            (true, _) => (WATCH_AHEAD, WATCH_AHEAD + ANSWER_PATIENCE),
+            (false, true) => (NEAR_WAIT.mul_f64(rand::random()), NEAR_WAIT + ANSWER_PATIENCE),
+            (false, false) => (FAR_WAIT, Duration::ZERO),
+        };
+        if questions.borrow_mut().begin(address, patience, Instant::now()) {
+            let instance = instance.clone();
+            let questions = questions.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(wait).await;
+                catch_up(&instance, address, revisions).await;
+                questions.borrow_mut().end(address);
+            });
         }
     }
 }
@@ -216,40 +230,22 @@
     own.iter().zip(revisions).any(|(own, other)| *own < other)
 }
 
-async fn catch_up(
-    instance: Rc<Instance>,
-    address: SocketAddr,
-    near: bool,
-    revisions: [u64; SUBJECTS],
-    asking: Rc<Cell<bool>>,
-) {
-    // Whoever is near and knows it spares the bytes from far away.
-    let wait = match (instance.is_watcher(), near) {
-        (true, _) => WATCH_AHEAD,
-        (false, true) => NEAR_WAIT.mul_f64(rand::random()),
-        (false, false) => FAR_WAIT,
+/// Asks another instance for what this one lacks, if it still does.
+async fn catch_up(instance: &Rc<Instance>, address: SocketAddr, revisions: [u64; SUBJECTS]) {
+    if !is_behind(instance, revisions) {
+        return;
+    }
+    let as_of = instance.knowledge.borrow().all_as_of();
+    let Ok(Some(knowledge)) = tokio::time::timeout(ASK_TIMEOUT, ask(address, as_of)).await else {
+        log::warn!(target: "instances", address:%; "knowledge can't be read");
+        return;
     };
-    tokio::time::sleep(wait).await;
-    if is_behind(&instance, revisions) {
-        let as_of = instance.knowledge.borrow().all_as_of();
-        let asked = tokio::time::timeout(ASK_TIMEOUT, ask(address, as_of)).await;
-        match asked {
-            Ok(Some(knowledge)) => {
-                let changed = instance.knowledge.borrow_mut().learned(knowledge);
-                for subject in Subject::ALL {
-                    if changed[subject.index()] {
-                        apply(&instance, subject, "instance");
-                        instance.learned[subject.index()].notify_one();
-                        instance.news.notify_one();
-                    }
-                }
-            }
-            Ok(None) | Err(_) => {
-                log::warn!(target: "instances", address:%; "knowledge can't be read");
-            }
-        }
+    let changed = instance.knowledge.borrow_mut().learned(knowledge);
+    for subject in Subject::ALL.into_iter().filter(|subject| changed[subject.index()]) {
+        apply(instance, subject, "instance");
+        instance.learned[subject.index()].notify_one();
+        instance.news.notify_one();
     }
-    asking.set(false);
 }
 
 async fn ask(address: SocketAddr, as_of: [u64; SUBJECTS]) -> Option<Update> {
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -23,6 +23,12 @@
 /// of the platform for readiness, a second apart.
 const NOT_ACCEPTING: Duration = Duration::from_secs(2);
 
+/// Time without a failed call after which an instance says that it reaches the store, longer than the
+/// pause between two calls that fail: one that is turned away has other calls still waiting, which
+/// are answered well.  Where each of these counted, two instances that were turned away stayed those
+/// that follow the store for their region, which learned of no change for 2.3 s.
+const STORE_REGAINED: Duration = Duration::from_secs(2);
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum StopPhase {
@@ -71,8 +77,8 @@
     pub in_flight: Cell<usize>,
     /// Time at which a connection could not be accepted last.
     pub accept_failed_at: Cell<Option<Instant>>,
-    /// Whether the last call to the store was answered.
-    pub reaches_store: Cell<bool>,
+    /// Time at which a call to the store failed last.
+    pub store_failed_at: Cell<Option<Instant>>,
     /// Wakes the heartbeat when there is news of the store for the other instances.
     pub news: Notify,
     /// Wakes the watch of a subject whose knowledge came from elsewhere.
@@ -129,7 +135,7 @@
             answer_until: Cell::new(None),
             in_flight: Cell::new(0),
             accept_failed_at: Cell::new(None),
-            reaches_store: Cell::new(true),
+            store_failed_at: Cell::new(None),
             news: Notify::new(),
             learned: Default::default(),
             started_at: Instant::now(),
@@ -148,7 +154,7 @@
             StopPhase::Running => PeerState::Joining,
             StopPhase::Leaving | StopPhase::Closed => PeerState::Leaving,
         };
-        own.reaches_store = self.reaches_store.get();
+        own.reaches_store = self.reaches_store();
         own.revisions = self.knowledge.borrow().revisions();
         own.demand = self.roster.borrow().demand();
         own.clone()
@@ -181,6 +187,11 @@
             && self.accepts()
     }
 
+    /// Tells whether all calls to the store were answered of late, or there was none.
+    pub(crate) fn reaches_store(&self) -> bool {
+        self.store_failed_at.get().is_none_or(|at| at.elapsed() > STORE_REGAINED)
+    }
+
     /// Tells whether connections could be accepted of late.
     fn accepts(&self) -> bool {
         self.accept_failed_at.get().is_none_or(|at| at.elapsed() > NOT_ACCEPTING)
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod listeners;
 pub mod logging;
 pub mod metrics;
+pub mod questions;
 pub mod recent;
 pub mod reload;
 pub mod stop;
--- a/crates/entry/src/process/watching.rs
+++ b/crates/entry/src/process/watching.rs
@@ -5,7 +5,7 @@
 use crate::border::Subject;
 use crate::error::StoreError;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Shortest and longest wait of one watch, at random.  A store that falls silent is noticed by the
 /// first instance whose wait is over, and the others hear of it.
@@ -58,7 +58,6 @@
                 if failures > 0 {
                     log::info!(target: "store", subject = subject.as_str(), failures; "regained");
                 }
-                instance.reaches_store.set(true);
                 listed = true;
                 is_first = false;
                 failures = 0;
@@ -71,7 +70,7 @@
                 if error == StoreError::Compacted {
                     listed = false;
                 } else {
-                    instance.reaches_store.set(false);
+                    instance.store_failed_at.set(Some(Instant::now()));
                 }
                 let doubled = FIRST_PAUSE * (1 << failures.min(6));
                 failures = failures.saturating_add(1);
--- a/crates/entry/src/request/operators.rs
+++ b/crates/entry/src/request/operators.rs
@@ -106,7 +106,7 @@
         evacuated: knowledge.evacuations.content.iter().cloned().collect(),
         instances: peers.alive(Instant::now()).map(|peer| peer.name.clone()).collect(),
         follows_store: instance.is_watcher(),
-        reaches_store: instance.reaches_store.get(),
+        reaches_store: instance.reaches_store(),
         in_flight: instance.in_flight.get(),
         moved_shares: roster.moved_shares().map(|(name, part)| (name.clone(), part)).collect(),
     }
