Let heartbeats stay mostly within a zone, new instances wait before they follow the store, and few check a zone that comes back

Change: 4 of 6 datagrams of a round stay in the zone; who was not registered before waits until it is known who lives; only those that may send to a cold server check it.

--- a/crates/steering/src/placement/ask.rs
+++ b/crates/steering/src/placement/ask.rs
@@ -66,7 +66,7 @@
     pub slots: f64,
     /// Busy slots that the own region's requests would need.
     pub demand: f64,
-    /// Heartbeats that the oldest demand of another instance that this goes by is behind.
+    /// Versions, of heartbeats and news, that the oldest demand of another instance is behind.
     pub stale_beats: u64,
 }
 
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -167,8 +167,9 @@
     /// Tells whether `own`, which has just started, is one of the few instances of its region that
     /// follow the store; `registered` are the names of those of the region that were ever there.
     ///
-    /// Nobody has been heard yet then, and if all started together, all would follow it: 4 of 13
-    /// calls of each start, with 295 instances.  Who knows of no other waits until it is heard.
+    /// Nobody has been heard yet then, and if all started together, all would follow it: 2,400 calls
+    /// in the first 4 s of 295 instances.  One that was there before goes by those that were; one that
+    /// is new waits, as it either hears from others or starts with all of them, before any caller.
     pub fn is_first_watcher<'a>(
         &'a self,
         own: &Peer,
@@ -176,9 +177,10 @@
         now: Instant,
     ) -> bool {
         let alive = self.alive(now).filter(|peer| peer.region == own.region);
+        let registered: BTreeSet<&str> = registered.collect();
+        let was_there = registered.contains(&*own.name);
         let names: BTreeSet<&str> = alive.map(|peer| &*peer.name).chain(registered).collect();
-        let others = names.iter().any(|name| **name != *own.name);
-        others && watchers::is_among_first(&own.name, names.into_iter(), FIRST_WATCHERS)
+        was_there && watchers::is_among_first(&own.name, names.into_iter(), FIRST_WATCHERS)
     }
 
     /// Hashes of the names of living instances in a region.
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -135,8 +135,12 @@
         self.services = services;
     }
 
-    /// Takes over the evacuated zones; returns the backend servers that come back into use, which
-    /// may be cold and get nothing until [`Roster::checked`].
+    /// Takes over the evacuated zones; returns those of the backend servers that come back into use
+    /// which this instance should check.
+    ///
+    /// All of them may be cold, and get nothing until [`Roster::checked`], or for as long as their
+    /// service says.  Only those that may send to cold ones check, as each check waits for a slot as a
+    /// request does: 295 instances made 92,040 checks of 312 backend servers.
     pub fn set_evacuations(
         &mut self,
         evacuated: &Evacuations,
@@ -145,12 +149,20 @@
         let back: Vec<Arc<str>> = self.evacuated.difference(evacuated).cloned().collect();
         self.evacuated = evacuated.clone();
         let mut unproven = Vec::new();
+        // While no other instance is known, this one has to find out.
+        let (own, senders, region) = (self.own_hash, &self.senders, &self.region);
+        let checks = |server: &Server| {
+            let is_near = server.region == *region;
+            senders.is_empty() || is_near && is_sender(own, server.hash, senders)
+        };
         for (name, state) in &mut self.services {
             let start = self.cold.get(name).map_or(UNKNOWN_COLD_START, |terms| terms.start);
             for server in &mut state.servers {
                 if back.contains(&server.record.availability_zone) {
                     server.cold_for(start, now);
-                    unproven.push((server.incarnation(), server.record.address));
+                    if checks(server) {
+                        unproven.push((server.incarnation(), server.record.address));
+                    }
                 }
             }
         }
--- a/crates/steering/src/placement/telling.rs
+++ b/crates/steering/src/placement/telling.rs
@@ -12,6 +12,13 @@
 /// Instances that one round goes to.
 const FANOUT: usize = 6;
 
+/// Those of them that are of other availability zones, if the own one has as many as are left.
+///
+/// Bytes between zones and regions have a price, and those within a zone have none.  Measured without
+/// a network, 300 instances of 9 zones: 0.36 of the bytes leave the zone, where 0.89 did with targets
+/// at random; all of a region read its new demand within the same 12 rounds.
+const FAR_FANOUT: usize = 2;
+
 /// Largest datagram in bytes, below what every link carries in one piece.
 pub const DATAGRAM_BYTES: usize = 1400;
 
@@ -67,11 +74,24 @@
     let unknown = |seed: &&SocketAddr| !addresses.contains(*seed) && **seed != own.gossip_address;
     targets.extend(seeds.iter().filter(unknown).map(|seed| (*seed, None)));
     targets.shuffle(random);
-    if order == Order::NearFirst {
-        let is_near = |peer: &Option<&Peer>| peer.is_some_and(|it| it.region == own.region);
-        targets.sort_by_key(|(_, peer)| !is_near(peer));
+    match order {
+        Order::Random => {
+            let is_near = |(_, peer): &(SocketAddr, Option<&Peer>)| {
+                peer.is_some_and(|it| it.availability_zone == own.availability_zone)
+            };
+            let (near, mut far): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_near);
+            let near_count = near.len().min(FANOUT - FAR_FANOUT.min(far.len()));
+            far.truncate(FANOUT - near_count);
+            targets = near.into_iter().take(near_count).chain(far).collect();
+            // The first datagram of a round tells more, so it must not always stay near.
+            targets.shuffle(random);
+        }
+        Order::NearFirst => {
+            let is_near = |peer: &Option<&Peer>| peer.is_some_and(|it| it.region == own.region);
+            targets.sort_by_key(|(_, peer)| !is_near(peer));
+            targets.truncate(FANOUT);
+        }
     }
-    targets.truncate(FANOUT);
     let passed_on = match order {
         Order::Random => PassedOn::of(peers, now),
         Order::NearFirst => PassedOn::default(),
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -83,6 +83,28 @@
     roster.choose(&ask(&service, 1, &[]), now).expect("it is warm");
 }
 
+#[test]
+fn backend_servers_of_a_zone_that_comes_back_are_checked_by_few_instances() {
+    // The load: 295 instances each checked all 312 backend servers of a zone after its evacuation,
+    // 92,040 checks for 57,583 requests, each of which waits for a slot as a request does.
+    let now = Instant::now();
+    let known = servers(&[("north-a", 30)], 9);
+    let of = |number: usize, zone| peer(&format!("instance-{number}"), zone);
+    let north: Vec<_> = (0..100).map(|number| of(number, "north-b")).collect();
+    let south: Vec<_> = (100..200).map(|number| of(number, "south-a")).collect();
+    let checks = |own: &steering::placement::Peer| {
+        let mut roster = roster(&own.name, &own.availability_zone, &known, now);
+        let others: Vec<_> =
+            north.iter().chain(&south).filter(|it| it.name != own.name).cloned().collect();
+        step(&mut roster, own, &others, now);
+        roster.set_evacuations(&Evacuations::from([name("north-a")]), now);
+        roster.set_evacuations(&Evacuations::new(), now).len()
+    };
+    // Two of the region send to each one that is cold; what these learn is all that is acted on.
+    assert_eq!(north.iter().map(checks).sum::<usize>(), 2 * known.len());
+    assert_eq!(south.iter().map(checks).sum::<usize>(), 0);
+}
+
 #[test]
 fn backend_servers_that_can_not_be_checked_stay_cold_as_long_as_their_service_says() {
     let now = Instant::now();
