--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -74,8 +74,7 @@
 }
 
 /// Part of each service's requests that a region may let go although it bears them, so that no more
-/// than [`MOST_LEAVING`] of the requests of all services leave it: what some have to let go is taken
-/// off first.
+/// than 0.06 of the requests of all services leave it: what some have to let go is taken off first.
 ///
 /// A shift is counted over all services.  One small service at 0.8 of its slots that moved 0.30,
 /// beside two large ones that moved 0.06 each, made 39 in 100 on 1 of 33 calm days.
