Log what tries of one request share, and whether a backend server ended under it

Cause: lines of the log could not tell a request that comes again from servers that end of load. Change: lines about offers without an answer name the caller and a fingerprint of caller, method, target and body; a closed connection is followed by one look at the server, whose outcome is logged. No decision goes by it yet.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -4,6 +4,7 @@
 use super::head_timer::{HeadTimer, Progress, TimedBody, timed};
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
+use crate::request::Caller;
 use crate::request::body::AnswerBody;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -11,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -39,8 +41,8 @@
                 _ = stop.wait_for(|phase| *phase == StopPhase::Closed) => break,
             };
             match accepted {
-                Ok((stream, _)) => {
-                    spawn_local(serve(instance.clone(), stream, answer));
+                Ok((stream, caller)) => {
+                    spawn_local(serve(instance.clone(), stream, caller.ip(), answer));
                 }
                 Err(error) => {
                     log::warn!(target: "connection", error:%; "accept failed");
@@ -52,7 +54,7 @@
     });
 }
 
-async fn serve<A, F>(instance: Rc<Instance>, stream: TcpStream, answer: A)
+async fn serve<A, F>(instance: Rc<Instance>, stream: TcpStream, caller: IpAddr, answer: A)
 where
     A: Fn(Rc<Instance>, Request<Incoming>) -> F + Copy + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
@@ -66,7 +68,8 @@
     let for_service = instance.clone();
     let progress = Rc::new(Progress::default());
     let of_service = progress.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Caller(caller));
         let answering = of_service.head_is_whole();
         let answer = answer(for_service.clone(), request);
         async move {
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -1,6 +1,7 @@
 //! The state of an instance, shared by its tasks on one thread.
 
 use super::arms::ArmCounts;
+use super::looks::Looks;
 use super::metrics::Metrics;
 use super::recent::Recent;
 use crate::border::{Registration, SUBJECTS, Store, Wire};
@@ -63,6 +64,8 @@
     pub registered: RefCell<Vec<Registration>>,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// Requests whose connections closed, while it is found out whether the backend server has ended.
+    pub looks: RefCell<Looks>,
     /// The last requests and what was decided about them.
     pub recent: RefCell<Recent>,
     /// What each arm of the policies did.
@@ -128,6 +131,7 @@
             peers: RefCell::default(),
             registered: RefCell::default(),
             pools: Pools::default(),
+            looks: RefCell::default(),
             recent: RefCell::default(),
             arms: RefCell::default(),
             metrics: Metrics::new()?,
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -3,10 +3,12 @@
 mod applying;
 pub mod arms;
 pub mod daemon;
+pub(crate) mod ended;
 mod gossip;
 pub mod instance;
 pub mod listeners;
 pub mod logging;
+pub mod looks;
 pub mod metrics;
 pub mod questions;
 pub mod recent;
--- a/crates/entry/src/request/answer.rs
+++ b/crates/entry/src/request/answer.rs
@@ -1,6 +1,7 @@
 //! The first and the last stage: what a request is, and what was made of it.
 
 use super::body::AnswerBody;
+use super::caller::Caller;
 use super::caller_body::CallerBody;
 use super::exchange::{Exchange, InFlight};
 use super::headers::remove_hop_by_hop;
@@ -11,6 +12,7 @@
 use http::header::{CONNECTION, HOST};
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use steering::placement::rank::name_hash;
@@ -39,7 +41,8 @@
     request: Request<Incoming>,
 ) -> Result<(Exchange, CallerBody), Problem> {
     let started = Instant::now();
-    let (route, body_limit) = {
+    let caller = Caller::of(&request);
+    let (route, host, body_limit) = {
         let knowledge = instance.knowledge.borrow();
         if !knowledge.is_complete() {
             return Err(Problem::NoConfiguration);
@@ -47,7 +50,7 @@
         let host = host_of(&request).ok_or(Problem::NoRoute)?;
         let routes = instance.routes.borrow().clone();
         let route = routes.find(host, request.uri().path()).cloned().ok_or(Problem::NoRoute)?;
-        (route, knowledge.configuration.content.limits.body_bytes)
+        (route, host.into(), knowledge.configuration.content.limits.body_bytes)
     };
     let head = instance.wire.caller_head(request.headers());
     let mut headers = request.headers().clone();
@@ -69,9 +72,13 @@
         instance: instance.clone(),
         service,
         head,
+        caller,
+        host,
         method,
         target,
         headers,
+        body: body.whole(),
+        fingerprint: OnceCell::new(),
         key_hash,
         arm,
         started,
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -4,6 +4,7 @@
 use super::exchange::Exchange;
 use crate::border::ServerHead;
 use crate::connection::pool::{Connection, PoolError};
+use crate::process::ended::closed_under;
 use crate::process::instance::Instance;
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, StatusCode, Uri};
@@ -146,6 +147,10 @@
             let by_caller = error.error().is_user();
             work.ended(if by_caller { Ending::Abandoned } else { Ending::Failed });
             note(exchange, choice, "broken", &error.error().to_string());
+            if !by_caller {
+                let fingerprint = exchange.fingerprint();
+                closed_under(instance, &work.server, choice.address, fingerprint);
+            }
             return Attempt::Broken;
         }
     };
@@ -245,6 +250,7 @@
         id = exchange.head.request_id.as_deref().unwrap_or(""),
         route = &*exchange.route.name, server = &*choice.id, load = choice.load,
         slots = choice.slots, cold = choice.cold, outcome, why,
+        caller:% = exchange.caller, fingerprint:% = exchange.fingerprint(),
         age_ms = millis(exchange.started.elapsed());
         "attempt"
     );
--- a/crates/entry/src/request/caller_body.rs
+++ b/crates/entry/src/request/caller_body.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// The bytes of the body, if it was read whole.
+    pub fn whole(&self) -> Option<Bytes> {
+        match self {
+            Self::Whole(bytes) => Some(bytes.clone()),
+            Self::Stream(_) => None,
+        }
+    }
+
     /// Tells whether [`CallerBody::take`] gives a body once more.
     pub fn can_be_sent(&self) -> bool {
         !matches!(self, Self::Stream(None))
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -2,11 +2,15 @@
 
 use crate::border::CallerHead;
 use crate::process::instance::Instance;
+use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use std::cell::OnceCell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
 use steering::deployment::Route;
+use steering::suspects::Fingerprint;
 
 /// Outcome of a request that a backend server answered whole.
 pub(super) const ANSWERED: &str = "answered";
@@ -18,10 +22,18 @@
     /// Service that runs it.
     pub(super) service: Arc<str>,
     pub(super) head: CallerHead,
+    /// Host of the caller.
+    pub(super) caller: IpAddr,
+    /// Host that the request names.
+    pub(super) host: Box<str>,
     pub(super) method: Method,
     pub(super) target: Uri,
     /// Headers that are passed on.
     pub(super) headers: HeaderMap,
+    /// The body, if it was read whole.
+    pub(super) body: Option<Bytes>,
+    /// What it shares with other tries of the same request, once that was asked for.
+    pub(super) fingerprint: OnceCell<Fingerprint>,
     pub(super) key_hash: u64,
     /// The arm of the policies that steers it, if there are any.
     pub(super) arm: Option<Arc<str>>,
@@ -31,6 +43,19 @@
 }
 
 impl Exchange {
+    /// What the request shares with other tries of the same: caller, method, target and body.
+    ///
+    /// Its identity and deadline differ from try to try.  Of a body that is passed on as it comes
+    /// nothing is known in time, so all of a caller with the same target are taken for one.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let caller = self.caller.to_string();
+            let target = self.target.path_and_query().map_or("", |it| it.as_str());
+            let head = [&caller, self.method.as_str(), &*self.host, target].map(str::as_bytes);
+            Fingerprint::of(head.into_iter().chain(self.body.as_deref()))
+        })
+    }
+
     /// Counts the request for its route and arm, with what was made of it.
     pub(super) fn count(&self, outcome: &'static str) {
         let metrics = &self.instance.metrics;
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -11,6 +11,7 @@
 pub mod answer;
 mod attempt;
 pub mod body;
+mod caller;
 pub mod caller_body;
 mod choose;
 mod exchange;
@@ -27,3 +28,4 @@
 mod run;
 
 pub use answer::answer;
+pub(crate) use caller::Caller;
--- /dev/null
+++ b/crates/steering/src/suspects/mod.rs
@@ -0,0 +1,5 @@
+//! Requests under which backend servers end.
+
+mod fingerprint;
+
+pub use fingerprint::Fingerprint;
