Hold back requests under which three backend servers ended

Cause: an instance judged each try anew and told no other under what a server had ended. Change: servers found ended under a request are recorded by a fingerprint of caller, method, target and body, told to other instances at once and with heartbeats, and the request is refused from three on, unless it is answered or another one explains the ends. The failing test passes.

--- a/crates/entry/src/process/ended.rs
+++ b/crates/entry/src/process/ended.rs
@@ -5,10 +5,12 @@
 //! without power nobody says anything, and nothing is concluded.
 
 use super::instance::Instance;
+use super::suspicions;
 use crate::connection::dial::{DIAL_TIMEOUT, dial};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 use steering::placement::Incarnation;
 use steering::suspects::Fingerprint;
 
@@ -53,6 +55,11 @@
             id = &*server.id, outcome = found.as_str(), requests = requests.len();
             "closed under requests"
         );
+        if found == Found::Ended {
+            let now = Instant::now();
+            let changes = instance.suspects.borrow_mut().ended_under(&server, &requests, now);
+            suspicions::changed(&instance, &changes, "own");
+        }
     });
 }
 
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -5,8 +5,10 @@
 //! asks for the whole.
 
 use super::applying::apply;
+use super::datagram::{self, Kind};
 use super::instance::Instance;
 use super::questions::Questions;
+use super::suspicions;
 use crate::border::{Registration, SUBJECTS, Subject};
 use crate::version::changes::Update;
 use crate::version::exchange;
@@ -57,6 +59,7 @@
 pub(super) fn run(instance: &Rc<Instance>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     tokio::task::spawn_local(receive(instance.clone(), socket.clone()));
+    suspicions::run(instance, socket.clone());
     tokio::task::spawn_local(beat(instance.clone(), socket));
 }
 
@@ -76,7 +79,7 @@
     );
     for (target, bytes) in round {
         // A datagram that can't be sent is as good as one that is lost.
-        let _ = socket.send_to(&bytes, target).await;
+        let _ = socket.send_to(&datagram::write(Kind::Instances, &bytes), target).await;
     }
 }
 
@@ -173,7 +176,7 @@
                 return;
             }
         };
-        let bytes = telling::introduction(instance.own());
+        let bytes = datagram::write(Kind::Instances, &telling::introduction(instance.own()));
         for other in others.iter().filter(|other| other.name != own.name) {
             // A datagram that can't be sent is as good as one that is lost.
             let _ = socket.send_to(&bytes, other.gossip_address).await;
@@ -196,9 +199,16 @@
             tokio::task::yield_now().await;
             continue;
         };
-        let heard = {
-            let mut peers = instance.peers.borrow_mut();
-            telling::hear(&mut peers, &instance.settings.name, &buffer[..length], Instant::now())
+        let heard = match datagram::read(&buffer[..length]) {
+            Some((Kind::Instances, told)) => {
+                let mut peers = instance.peers.borrow_mut();
+                telling::hear(&mut peers, &instance.settings.name, told, Instant::now())
+            }
+            Some((Kind::Suspects, told)) => {
+                suspicions::hear(&instance, told);
+                None
+            }
+            None => None,
         };
         let Some(sender) = heard else { continue };
         let revisions = sender.revisions;
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -18,6 +18,7 @@
 use steering::deployment::{RouteTable, Service};
 use steering::placement::peers::LOST_AFTER;
 use steering::placement::{Division, Peer, PeerState, Peers, RetryBudget, Roster};
+use steering::suspects::Suspects;
 use tokio::sync::{Notify, watch};
 
 /// Time after a connection could not be accepted in which callers are sent elsewhere: two questions
@@ -64,6 +65,10 @@
     pub registered: RefCell<Vec<Registration>>,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// Requests under which backend servers ended.
+    pub suspects: RefCell<Suspects>,
+    /// Wakes the task that tells other instances of these.
+    pub suspicion: Notify,
     /// Requests whose connections closed, while it is found out whether the backend server has ended.
     pub looks: RefCell<Looks>,
     /// The last requests and what was decided about them.
@@ -131,6 +136,8 @@
             peers: RefCell::default(),
             registered: RefCell::default(),
             pools: Pools::default(),
+            suspects: RefCell::default(),
+            suspicion: Notify::new(),
             looks: RefCell::default(),
             recent: RefCell::default(),
             arms: RefCell::default(),
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -27,6 +27,8 @@
     pub overdue: IntCounterVec,
     /// Policies that gave no shares, by arm.
     pub policy_failures: IntCounterVec,
+    /// Requests that were held back, or released, as backend servers ended under them.
+    pub suspects: IntCounterVec,
     /// Look-ups by outcome.
     pub look_ups: IntCounterVec,
     /// What is known: revisions, backend servers, instances.
@@ -85,6 +87,11 @@
                 "Policies that gave no shares.",
                 &["arm"],
             )?,
+            suspects: counter(
+                "runpin_entry_suspects_total",
+                "Requests held back or released.",
+                &["event"],
+            )?,
             look_ups: counter("runpin_entry_look_ups_total", "Look-ups.", &["outcome"])?,
             registry,
         })
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod applying;
 pub mod arms;
 pub mod daemon;
+mod datagram;
 pub(crate) mod ended;
 mod gossip;
 pub mod instance;
@@ -14,6 +15,7 @@
 pub mod recent;
 pub mod reload;
 pub mod stop;
+pub(crate) mod suspicions;
 mod watching;
 
 pub use daemon::run;
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -6,6 +6,7 @@
 use crate::connection::pool::{Connection, PoolError};
 use crate::process::ended::closed_under;
 use crate::process::instance::Instance;
+use crate::process::suspicions;
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, StatusCode, Uri};
 use hyper::client::conn::http1::SendRequest;
@@ -18,6 +19,9 @@
 /// Connections to one backend server that this instance may open in any case.
 const LEAST_CONNECTIONS: usize = 2;
 
+/// Longest body of a request that is remembered as sound; its fingerprint takes some microseconds.
+const SHORT_BYTES: usize = 1024;
+
 /// Statuses that promise a caller that its request has not run.
 const PROMISES: [StatusCode; 3] =
     [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
@@ -148,8 +152,7 @@
             work.ended(if by_caller { Ending::Abandoned } else { Ending::Failed });
             note(exchange, choice, "broken", &error.error().to_string());
             if !by_caller {
-                let fingerprint = exchange.fingerprint();
-                closed_under(instance, &work.server, choice.address, fingerprint);
+                closed_under(instance, &work.server, choice.address, exchange.fingerprint());
             }
             return Attempt::Broken;
         }
@@ -165,6 +168,7 @@
     match ServerBody::read(incoming, &parts.headers).await {
         Ok(body) => {
             let erred = parts.status.is_server_error();
+            answered(exchange);
             work.ended(if erred {
                 Ending::Erred
             } else {
@@ -176,11 +180,26 @@
         Err(error) => {
             work.ended(Ending::Failed);
             note(exchange, choice, "cut", &error.to_string());
+            closed_under(instance, &work.server, choice.address, exchange.fingerprint());
             Attempt::Broken
         }
     }
 }
 
+/// Takes over that a backend server began the request and lives.
+///
+/// While no request is suspected, only those with a short body are remembered: a long one costs more
+/// to read once more than a caller gains who repeats it as often as several servers have it.
+fn answered(exchange: &Exchange) {
+    let is_short = exchange.body.as_ref().is_some_and(|body| body.len() <= SHORT_BYTES);
+    let instance = &exchange.instance;
+    if is_short || !instance.suspects.borrow().is_empty() {
+        let request = exchange.fingerprint();
+        let changes = instance.suspects.borrow_mut().ran_well(request, Instant::now());
+        suspicions::changed(instance, &changes, "own");
+    }
+}
+
 /// Tells whether an answer is none for the caller.
 fn judge(
     exchange: &Exchange,
--- a/crates/entry/src/request/choose.rs
+++ b/crates/entry/src/request/choose.rs
@@ -5,6 +5,7 @@
 use super::progress::Progress;
 use std::time::{Duration, Instant};
 use steering::placement::{Ask, Choice};
+use steering::suspects::Held;
 
 /// Part of the latency objective that a request of rank 0 waits for a slot in any case; each
 /// further rank waits for a third less.
@@ -38,6 +39,15 @@
 
 fn ask(exchange: &Exchange, progress: &Progress, is_second: bool) -> Result<Choice, Problem> {
     let now = Instant::now();
+    if let Some(Held { ended }) = held(exchange, now) {
+        log::info!(
+            target: "request",
+            id = exchange.head.request_id.as_deref().unwrap_or(""), caller:% = exchange.caller,
+            route = &*exchange.route.name, fingerprint:% = exchange.fingerprint(), ended;
+            "held back"
+        );
+        return Err(Problem::HeldBack);
+    }
     let objective = exchange.route.latency_objective;
     let left = exchange.deadline.saturating_duration_since(now);
     if left < objective.mul_f64(LEAST_TIME) {
@@ -61,3 +71,9 @@
         Problem::NoRoom { retry_after: refusal.retry_after + jitter }
     })
 }
+
+/// Tells whether the request is held back, as backend servers ended under it.
+fn held(exchange: &Exchange, now: Instant) -> Option<Held> {
+    let mut suspects = exchange.instance.suspects.borrow_mut();
+    if suspects.is_empty() { None } else { suspects.asked(exchange.fingerprint(), now) }
+}
--- a/crates/entry/src/request/operators.rs
+++ b/crates/entry/src/request/operators.rs
@@ -44,9 +44,17 @@
     follows_store: bool,
     reaches_store: bool,
     in_flight: usize,
+    held_back: Vec<HeldBack>,
     moved_shares: BTreeMap<Arc<str>, f64>,
 }
 
+/// A request that is held back, as backend servers ended under it.
+#[derive(Serialize)]
+struct HeldBack {
+    fingerprint: String,
+    ended: usize,
+}
+
 /// What each arm did since an instance started.
 #[derive(Serialize)]
 struct Arms {
@@ -108,10 +116,17 @@
         follows_store: instance.is_watcher(),
         reaches_store: instance.reaches_store(),
         in_flight: instance.in_flight.get(),
+        held_back: held_back(instance),
         moved_shares: roster.moved_shares().map(|(name, part)| (name.clone(), part)).collect(),
     }
 }
 
+fn held_back(instance: &Instance) -> Vec<HeldBack> {
+    let suspects = instance.suspects.borrow();
+    let held = suspects.held();
+    held.map(|(request, ended)| HeldBack { fingerprint: request.to_string(), ended }).collect()
+}
+
 fn arms(instance: &Instance) -> Arms {
     let own = instance.own();
     let incarnation = format!("{}-{}", own.name, own.started_ms);
--- a/crates/entry/src/request/problem.rs
+++ b/crates/entry/src/request/problem.rs
@@ -38,6 +38,9 @@
         /// Time after which there may be room.
         retry_after: Duration,
     },
+    /// Backend servers ended under the same request; this try was sent to none.
+    #[error("backend servers ended under this request")]
+    HeldBack,
     /// The time for the request was over before it was sent.
     #[error("time was over before the request was sent")]
     TimeoutBeforeSend,
@@ -60,6 +63,7 @@
             Self::NoConfiguration
             | Self::NoRoom { .. }
             | Self::NotTaken { .. }
+            | Self::HeldBack
             | Self::TimeoutBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimeoutAfterSend => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
@@ -81,6 +85,7 @@
             Self::BodyTimeout => "body-timeout",
             Self::NoRoom { .. } => "no-room",
             Self::NotTaken { .. } => "not-taken",
+            Self::HeldBack => "held-back",
             Self::TimeoutBeforeSend => "timeout-before-send",
             Self::TimeoutAfterSend => "timeout-after-send",
             Self::Broken => "broken",
@@ -96,6 +101,7 @@
         let after = match self {
             Self::NoRoom { retry_after } | Self::NotTaken { retry_after } => Some(*retry_after),
             Self::NoConfiguration => Some(Duration::from_millis(300)),
+            Self::HeldBack => Some(steering::suspects::RETRY_AFTER),
             _ => None,
         };
         let value = after.map(|after| HeaderValue::try_from(format!("{:.3}", after.as_secs_f64())));
--- a/crates/steering/src/suspects/mod.rs
+++ b/crates/steering/src/suspects/mod.rs
@@ -1,5 +1,22 @@
-//! Requests under which backend servers end.
+//! Requests under which backend servers end, and what instances tell each other of them.
+//!
+//! A request may end every backend server that begins to run it.  Its caller, target and body are
+//! the same each time it comes, at whichever instance, so a [`Fingerprint`] of these stands for it.
+//! Each instance records the servers that ended under a request, tells others, and sends a request
+//! to no server any more under which [`HELD_FROM`] ended.  A sound request is there by chance when
+//! servers end; three things tell it apart:
+//!
+//! - it is answered, now and then, by some server, which wipes out what was recorded before;
+//! - what ended servers beside it ended others too, which explains each end that was recorded;
+//! - servers that die for reasons of their own are rarely three that had the same request.
 
+mod ends;
 mod fingerprint;
+mod sound;
+mod table;
+mod told;
 
+pub use ends::{End, ServerHash};
 pub use fingerprint::Fingerprint;
+pub use table::{Changes, HELD_FROM, Held, MOST_ENDS, MOST_SUSPECTS, RETRY_AFTER, Suspects};
+pub use told::{FANOUT, MESSAGE_BYTES, STEADY_FANOUT};
--- /dev/null
+++ b/crates/steering/src/suspects/sound.rs
@@ -0,0 +1,40 @@
+//! Requests that backend servers answered of late.
+
+use super::fingerprint::Fingerprint;
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Time for which an answer shows that a request is sound: many answers of one that is asked for so
+/// often that several servers have it when they die together.
+const SOUND_FOR: Duration = Duration::from_secs(10);
+
+/// Answers that are remembered, in under 200 kB: those of ten seconds of a busy instance.
+const MOST: usize = 2_048;
+
+/// Requests that backend servers answered of late.
+#[derive(Debug, Default)]
+pub(super) struct Sound {
+    answered_at: HashMap<Fingerprint, Instant>,
+    order: VecDeque<Fingerprint>,
+}
+
+impl Sound {
+    /// Remembers an answer, and forgets the oldest if there are too many.
+    pub(super) fn answered(&mut self, request: Fingerprint, now: Instant) {
+        if self.answered_at.insert(request, now).is_some() {
+            return;
+        }
+        self.order.push_back(request);
+        if self.order.len() > MOST
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.answered_at.remove(&oldest);
+        }
+    }
+
+    /// Tells whether the request was answered a short while ago.
+    pub(super) fn holds(&self, request: Fingerprint, now: Instant) -> bool {
+        let at = self.answered_at.get(&request);
+        at.is_some_and(|at| now.saturating_duration_since(*at) < SOUND_FOR)
+    }
+}
