Tell a request by what it carries, and by its caller only beside that

Cause: one request came from client hosts of all regions, so each host's needed three servers of its own. Change: two fingerprints, of the content and of the content with the caller; the second still holds one caller's back whose target others use soundly. Ends are not counted against a request that another one explains, whose servers died together with others, or that was answered of late.

--- a/crates/entry/src/process/ended.rs
+++ b/crates/entry/src/process/ended.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 use steering::placement::Incarnation;
-use steering::suspects::Fingerprint;
+use steering::suspects::Fingerprints;
 
 /// What a backend server turned out to be after it closed a connection under a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,9 +41,9 @@
     instance: &Rc<Instance>,
     server: &Incarnation,
     address: SocketAddr,
-    fingerprint: Fingerprint,
+    request: Fingerprints,
 ) {
-    if !instance.looks.borrow_mut().add(server, fingerprint) {
+    if !instance.looks.borrow_mut().add(server, request) {
         return;
     }
     let (instance, server) = (instance.clone(), server.clone());
--- a/crates/entry/src/request/answer.rs
+++ b/crates/entry/src/request/answer.rs
@@ -78,7 +78,7 @@
         target,
         headers,
         body: body.whole(),
-        fingerprint: OnceCell::new(),
+        fingerprints: OnceCell::new(),
         key_hash,
         arm,
         started,
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -152,7 +152,7 @@
             work.ended(if by_caller { Ending::Abandoned } else { Ending::Failed });
             note(exchange, choice, "broken", &error.error().to_string());
             if !by_caller {
-                closed_under(instance, &work.server, choice.address, exchange.fingerprint());
+                closed_under(instance, &work.server, choice.address, exchange.fingerprints());
             }
             return Attempt::Broken;
         }
@@ -180,7 +180,7 @@
         Err(error) => {
             work.ended(Ending::Failed);
             note(exchange, choice, "cut", &error.to_string());
-            closed_under(instance, &work.server, choice.address, exchange.fingerprint());
+            closed_under(instance, &work.server, choice.address, exchange.fingerprints());
             Attempt::Broken
         }
     }
@@ -194,7 +194,7 @@
     let is_short = exchange.body.as_ref().is_some_and(|body| body.len() <= SHORT_BYTES);
     let instance = &exchange.instance;
     if is_short || !instance.suspects.borrow().is_empty() {
-        let request = exchange.fingerprint();
+        let request = exchange.fingerprints();
         let changes = instance.suspects.borrow_mut().ran_well(request, Instant::now());
         suspicions::changed(instance, &changes, "own");
     }
@@ -269,7 +269,7 @@
         id = exchange.head.request_id.as_deref().unwrap_or(""),
         route = &*exchange.route.name, server = &*choice.id, load = choice.load,
         slots = choice.slots, cold = choice.cold, outcome, why,
-        caller:% = exchange.caller, fingerprint:% = exchange.fingerprint(),
+        caller:% = exchange.caller, fingerprint:% = exchange.fingerprints().content,
         age_ms = millis(exchange.started.elapsed());
         "attempt"
     );
--- a/crates/entry/src/request/choose.rs
+++ b/crates/entry/src/request/choose.rs
@@ -39,11 +39,11 @@
 
 fn ask(exchange: &Exchange, progress: &Progress, is_second: bool) -> Result<Choice, Problem> {
     let now = Instant::now();
-    if let Some(Held { ended }) = held(exchange, now) {
+    if let Some(Held { fingerprint, ended }) = held(exchange, now) {
         log::info!(
             target: "request",
             id = exchange.head.request_id.as_deref().unwrap_or(""), caller:% = exchange.caller,
-            route = &*exchange.route.name, fingerprint:% = exchange.fingerprint(), ended;
+            route = &*exchange.route.name, fingerprint:%, ended;
             "held back"
         );
         return Err(Problem::HeldBack);
@@ -75,5 +75,5 @@
 /// Tells whether the request is held back, as backend servers ended under it.
 fn held(exchange: &Exchange, now: Instant) -> Option<Held> {
     let mut suspects = exchange.instance.suspects.borrow_mut();
-    if suspects.is_empty() { None } else { suspects.asked(exchange.fingerprint(), now) }
+    if suspects.is_empty() { None } else { suspects.asked(exchange.fingerprints(), now) }
 }
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use steering::deployment::Route;
-use steering::suspects::Fingerprint;
+use steering::suspects::Fingerprints;
 
 /// Outcome of a request that a backend server answered whole.
 pub(super) const ANSWERED: &str = "answered";
@@ -33,7 +33,7 @@
     /// The body, if it was read whole.
     pub(super) body: Option<Bytes>,
     /// What it shares with other tries of the same request, once that was asked for.
-    pub(super) fingerprint: OnceCell<Fingerprint>,
+    pub(super) fingerprints: OnceCell<Fingerprints>,
     pub(super) key_hash: u64,
     /// The arm of the policies that steers it, if there are any.
     pub(super) arm: Option<Arc<str>>,
@@ -43,16 +43,16 @@
 }
 
 impl Exchange {
-    /// What the request shares with other tries of the same: caller, method, target and body.
+    /// What the request shares with other tries of the same: method, target and body, and caller.
     ///
     /// Its identity and deadline differ from try to try.  Of a body that is passed on as it comes
-    /// nothing is known in time, so all of a caller with the same target are taken for one.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let caller = self.caller.to_string();
+    /// nothing is known in time, so all with the same target are taken for one.
+    pub(super) fn fingerprints(&self) -> Fingerprints {
+        *self.fingerprints.get_or_init(|| {
             let target = self.target.path_and_query().map_or("", |it| it.as_str());
-            let head = [&caller, self.method.as_str(), &*self.host, target].map(str::as_bytes);
-            Fingerprint::of(head.into_iter().chain(self.body.as_deref()))
+            let head = [self.method.as_str(), &*self.host, target].map(str::as_bytes);
+            let parts: Vec<&[u8]> = head.into_iter().chain(self.body.as_deref()).collect();
+            Fingerprints::new(self.caller.to_string().as_bytes(), &parts)
         })
     }
 
--- a/crates/steering/src/suspects/ends.rs
+++ b/crates/steering/src/suspects/ends.rs
@@ -74,8 +74,19 @@
         is_news
     }
 
+    /// Tells whether the server is one that ended under it.
+    pub(super) fn has(&self, server: ServerHash) -> bool {
+        self.ends.iter().any(|end| end.server == server)
+    }
+
+    /// The times of its first and its last end.
+    pub(super) fn span(&self) -> Option<(Instant, Instant)> {
+        let times = || self.ends.iter().map(|end| end.at);
+        times().min().zip(times().max())
+    }
+
     /// Tells whether each of its ends is one of `other`'s too.
     pub(super) fn is_within(&self, other: &Self) -> bool {
-        self.ends.iter().all(|end| other.ends.iter().any(|it| it.server == end.server))
+        self.ends.iter().all(|end| other.has(end.server))
     }
 }
--- a/crates/steering/src/suspects/fingerprint.rs
+++ b/crates/steering/src/suspects/fingerprint.rs
@@ -27,6 +27,30 @@
     }
 }
 
+/// What tries of one request share, whoever sends them, and if the same caller does.
+///
+/// What ends a backend server is what a request carries, and a caller may have several hosts; but one
+/// target may do so for a single caller only, and be answered well for all others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Fingerprints {
+    /// Of what the request carries.
+    pub content: Fingerprint,
+    /// Of what it carries, and who sends it.
+    pub with_caller: Fingerprint,
+}
+
+impl Fingerprints {
+    /// The fingerprints of a request that carries these parts.
+    pub fn new(caller: &[u8], content: &[&[u8]]) -> Self {
+        let content = Fingerprint::of(content.iter().copied());
+        Self { content, with_caller: Fingerprint::of([caller, &content.0]) }
+    }
+
+    pub(super) fn all(self) -> [Fingerprint; 2] {
+        [self.content, self.with_caller]
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", u64::from_be_bytes(self.0))
--- a/crates/steering/src/suspects/sound.rs
+++ b/crates/steering/src/suspects/sound.rs
@@ -8,8 +8,8 @@
 /// often that several servers have it when they die together.
 const SOUND_FOR: Duration = Duration::from_secs(10);
 
-/// Answers that are remembered, in under 200 kB: those of ten seconds of a busy instance.
-const MOST: usize = 2_048;
+/// Answers that are remembered, in under 300 kB: two for each answer of ten seconds of a busy instance.
+const MOST: usize = 4_096;
 
 /// Requests that backend servers answered of late.
 #[derive(Debug, Default)]
--- a/crates/steering/src/suspects/table.rs
+++ b/crates/steering/src/suspects/table.rs
@@ -1,7 +1,7 @@
 //! The requests under which backend servers ended, and which of them are held back.
 
 use super::ends::{End, ServerHash, Suspect};
-use super::fingerprint::Fingerprint;
+use super::fingerprint::{Fingerprint, Fingerprints};
 use super::sound::Sound;
 use crate::placement::Incarnation;
 use std::collections::{HashMap, HashSet};
@@ -15,6 +15,10 @@
 /// by chance has fewer soon, and two that both end servers seldom differ by as many.
 const EXPLAINS_FROM: usize = 2;
 
+/// Time within which servers end together: power and links take those of a zone within a tenth of a
+/// second, and each end is found out by one more connection, up to 0.45 s later.
+const TOGETHER: Duration = Duration::from_millis(500);
+
 /// Ends that are recorded for one request.
 pub const MOST_ENDS: usize = 16;
 
@@ -31,6 +35,8 @@
 /// A request that is held back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Held {
+    /// What it is held back by.
+    pub fingerprint: Fingerprint,
     /// Backend servers that ended under it, as far as they are recorded.
     pub ended: usize,
 }
@@ -76,13 +82,13 @@
     pub fn ended_under(
         &mut self,
         server: &Incarnation,
-        requests: &[Fingerprint],
+        requests: &[Fingerprints],
         now: Instant,
     ) -> Changes {
         let end = End { server: ServerHash::from(server), at: now };
         let mut is_news = false;
-        for request in requests {
-            let suspect = self.entry(*request, now);
+        for request in requests.iter().flat_map(|it| it.all()) {
+            let suspect = self.entry(request, now);
             suspect.seen_at = now;
             is_news |= suspect.add(end, MOST_ENDS, now);
         }
@@ -92,10 +98,14 @@
     }
 
     /// Records that a backend server answered a request: whatever ended before did not end of it.
-    pub fn ran_well(&mut self, request: Fingerprint, now: Instant) -> Changes {
-        self.sound.answered(request, now);
-        let suspect = self.by_request.get_mut(&request);
-        if !suspect.is_some_and(|suspect| suspect.ran_well(now, now)) {
+    pub fn ran_well(&mut self, request: Fingerprints, now: Instant) -> Changes {
+        let mut is_news = false;
+        for request in request.all() {
+            self.sound.answered(request, now);
+            let suspect = self.by_request.get_mut(&request);
+            is_news |= suspect.is_some_and(|suspect| suspect.ran_well(now, now));
+        }
+        if !is_news {
             return Changes::default();
         }
         let mut changes = self.settle();
@@ -107,11 +117,14 @@
     ///
     /// One that was answered here a short while ago is not: of several servers that die together,
     /// each may have had one that is asked for often.
-    pub fn asked(&mut self, request: Fingerprint, now: Instant) -> Option<Held> {
-        let suspect = self.by_request.get_mut(&request)?;
-        suspect.seen_at = now;
-        let is_held = self.held.contains(&request) && !self.sound.holds(request, now);
-        is_held.then_some(Held { ended: suspect.ends.len() })
+    pub fn asked(&mut self, request: Fingerprints, now: Instant) -> Option<Held> {
+        let [content, with_caller] = request.all().map(|fingerprint| {
+            let suspect = self.by_request.get_mut(&fingerprint)?;
+            suspect.seen_at = now;
+            let is_held = self.held.contains(&fingerprint) && !self.sound.holds(fingerprint, now);
+            is_held.then_some(Held { fingerprint, ended: suspect.ends.len() })
+        });
+        content.or(with_caller)
     }
 
     /// Forgets requests that did not come for long.
@@ -140,7 +153,7 @@
     pub(super) fn settle(&mut self) -> Changes {
         let under_many = self.by_request.iter().filter(|(_, it)| it.ends.len() >= HELD_FROM);
         let held: HashSet<Fingerprint> = under_many
-            .filter(|(_, suspect)| !self.is_explained(suspect))
+            .filter(|(_, suspect)| !self.is_explained(suspect) && !self.is_one_loss(suspect))
             .map(|(request, _)| *request)
             .collect();
         let newly = held.difference(&self.held);
@@ -160,4 +173,13 @@
         let others = self.by_request.values().filter(|other| other.ends.len() >= more);
         others.into_iter().any(|other| suspect.is_within(other))
     }
+
+    /// Tells whether its servers all ended together, and others with them that did not have it.
+    fn is_one_loss(&self, suspect: &Suspect) -> bool {
+        let Some((first, last)) = suspect.span() else { return false };
+        let is_near = |end: &End| first <= end.at + TOGETHER && end.at <= last + TOGETHER;
+        let mut ends = self.by_request.values().flat_map(|other| &other.ends);
+        last.saturating_duration_since(first) <= TOGETHER
+            && ends.any(|end| is_near(end) && !suspect.has(end.server))
+    }
 }
--- a/crates/steering/src/suspects/told.rs
+++ b/crates/steering/src/suspects/told.rs
@@ -21,7 +21,7 @@
 
 /// Time for which something new is told by everyone: it reaches hundreds of instances in four
 /// heartbeats, and one heartbeat of 30 may be lost to each.
-const FRESH_FOR: Duration = Duration::from_secs(10);
+const FRESH_FOR: Duration = Duration::from_secs(5);
 
 /// Parts of a second in which ages are told; below what a message takes between regions, and a
 /// request is sent in 60 ms at the soonest after what makes it seem later.
--- /dev/null
+++ b/crates/steering/tests/suspects.rs
@@ -0,0 +1,331 @@
+//! Requests under which backend servers end, judged without a network.
+
+use proptest::prelude::{any, prop, proptest};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::{Duration, Instant};
+use steering::placement::Incarnation;
+use steering::placement::peers::BEAT;
+use steering::suspects::{
+    FANOUT, Fingerprints, HELD_FROM, MESSAGE_BYTES, MOST_SUSPECTS, STEADY_FANOUT, Suspects,
+};
+
+/// Between two ends that are not of one loss.
+const APART: Duration = Duration::from_secs(1);
+
+fn server(number: usize) -> Incarnation {
+    Incarnation { id: format!("i-{number}").into(), born_ms: 0 }
+}
+
+/// A request for a path, of one caller.
+fn request(path: &str) -> Fingerprints {
+    of_caller("caller", path)
+}
+
+fn of_caller(caller: &str, path: &str) -> Fingerprints {
+    Fingerprints::new(caller.as_bytes(), &[b"GET", path.as_bytes(), b""])
+}
+
+/// Servers that end one after another under a request, from a number on.
+fn end(
+    suspects: &mut Suspects,
+    servers: std::ops::Range<usize>,
+    paths: &[&str],
+    now: &mut Instant,
+) {
+    let requests: Vec<Fingerprints> = paths.iter().map(|path| request(path)).collect();
+    for number in servers {
+        suspects.ended_under(&server(number), &requests, *now);
+        *now += APART;
+    }
+}
+
+fn is_held(suspects: &mut Suspects, path: &str, now: Instant) -> bool {
+    suspects.asked(request(path), now).is_some()
+}
+
+#[test]
+fn a_request_is_held_back_from_the_third_server_on_that_ends_under_it() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    end(&mut suspects, 0..2, &["/bad"], &mut now);
+    assert!(!is_held(&mut suspects, "/bad", now));
+    end(&mut suspects, 1..2, &["/bad"], &mut now);
+    assert!(!is_held(&mut suspects, "/bad", now), "the same server once more");
+    end(&mut suspects, 2..3, &["/bad"], &mut now);
+    assert!(is_held(&mut suspects, "/bad", now));
+    assert!(!is_held(&mut suspects, "/other", now));
+}
+
+#[test]
+fn a_start_of_a_server_under_its_identity_counts_anew() {
+    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    for born_ms in 0..3 {
+        let start = Incarnation { id: "i-0".into(), born_ms };
+        suspects.ended_under(&start, &[request("/bad")], now);
+    }
+    assert!(is_held(&mut suspects, "/bad", now));
+}
+
+#[test]
+fn it_is_the_same_request_from_another_host_but_not_with_another_body() {
+    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    for (number, host) in ["a", "b", "c"].into_iter().enumerate() {
+        suspects.ended_under(&server(number), &[of_caller(host, "/bad")], now);
+    }
+    assert!(suspects.asked(of_caller("d", "/bad"), now).is_some());
+    let other_body = Fingerprints::new(b"a", &[b"GET", b"/bad", b"other"]);
+    assert!(suspects.asked(other_body, now).is_none());
+}
+
+#[test]
+fn a_request_that_is_answered_for_others_is_held_back_for_the_caller_whose_servers_end() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    for number in 0..4 {
+        suspects.ended_under(&server(number), &[of_caller("bad", "/shared")], now);
+        now += APART;
+        suspects.ran_well(of_caller("sound", "/shared"), now);
+        now += APART;
+    }
+    assert!(suspects.asked(of_caller("bad", "/shared"), now).is_some());
+    assert!(suspects.asked(of_caller("sound", "/shared"), now).is_none());
+    assert!(suspects.asked(of_caller("new", "/shared"), now).is_none());
+}
+
+#[test]
+fn an_answer_wipes_out_what_ended_before_it() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    end(&mut suspects, 0..2, &["/sound"], &mut now);
+    suspects.ran_well(request("/sound"), now);
+    now += APART;
+    end(&mut suspects, 2..4, &["/sound"], &mut now);
+    assert!(!is_held(&mut suspects, "/sound", now));
+    now += Duration::from_secs(20);
+    end(&mut suspects, 4..5, &["/sound"], &mut now);
+    assert!(is_held(&mut suspects, "/sound", now), "three since it was answered");
+}
+
+#[test]
+fn an_answer_that_one_instance_saw_releases_the_request_at_all() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    let mut now = Instant::now();
+    end(&mut one, 0..3, &["/sound"], &mut now);
+    let mut random = SmallRng::seed_from_u64(1);
+    two.hear(&one.tell(&mut random, now).expect("there is news"), now).expect("it can be read");
+    assert!(is_held(&mut two, "/sound", now));
+    now += APART;
+    let changes = one.ran_well(request("/sound"), now);
+    assert!(changes.is_urgent && !changes.released.is_empty());
+    two.hear(&one.tell(&mut random, now).expect("there is news"), now).expect("it can be read");
+    assert!(!is_held(&mut two, "/sound", now));
+    // What others told before the answer does not come back.
+    one.hear(&two.tell(&mut random, now).expect("there is news"), now).expect("it can be read");
+    assert!(!is_held(&mut one, "/sound", now));
+}
+
+#[test]
+fn a_request_that_another_one_explains_is_released() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    end(&mut suspects, 0..3, &["/bad", "/beside"], &mut now);
+    assert!(is_held(&mut suspects, "/beside", now), "nothing tells them apart yet");
+    end(&mut suspects, 3..5, &["/bad"], &mut now);
+    assert!(is_held(&mut suspects, "/bad", now));
+    assert!(!is_held(&mut suspects, "/beside", now));
+    end(&mut suspects, 5..6, &["/beside"], &mut now);
+    assert!(is_held(&mut suspects, "/beside", now), "one end more that is not explained");
+}
+
+#[test]
+fn servers_that_die_together_with_others_are_one_loss() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    for number in 0..4 {
+        suspects.ended_under(&server(number), &[request("/often")], now);
+        suspects.ended_under(&server(10 + number), &[request(&format!("/{number}"))], now);
+        now += Duration::from_millis(20);
+    }
+    assert!(!is_held(&mut suspects, "/often", now));
+    now += APART;
+    end(&mut suspects, 20..21, &["/often"], &mut now);
+    assert!(is_held(&mut suspects, "/often", now), "one more end, at another time");
+}
+
+#[test]
+fn a_request_alone_may_end_three_servers_at_once() {
+    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    for number in 0..3 {
+        suspects.ended_under(&server(number), &[request("/bad"), request("/beside")], now);
+    }
+    assert!(is_held(&mut suspects, "/bad", now));
+}
+
+#[test]
+fn a_request_that_was_answered_of_late_is_sent_on() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    suspects.ran_well(request("/often"), now);
+    end(&mut suspects, 0..3, &["/often"], &mut now);
+    assert!(!is_held(&mut suspects, "/often", now));
+    assert!(is_held(&mut suspects, "/often", now + Duration::from_secs(10)));
+}
+
+#[test]
+fn a_request_is_forgotten_only_when_it_has_not_come_for_long() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    end(&mut suspects, 0..3, &["/bad"], &mut now);
+    for _ in 0..10 {
+        now += Duration::from_secs(500);
+        suspects.prune(now);
+        assert!(is_held(&mut suspects, "/bad", now));
+    }
+    suspects.prune(now + Duration::from_secs(601));
+    assert!(suspects.is_empty());
+}
+
+#[test]
+fn many_broken_requests_take_bounded_room_and_leave_what_is_held() {
+    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    end(&mut suspects, 0..3, &["/bad"], &mut now);
+    for number in 0..20_000 {
+        suspects.ended_under(&server(number / 20), &[request(&format!("/{number}"))], now);
+        now += Duration::from_millis(1);
+    }
+    assert!(suspects.len() <= MOST_SUSPECTS, "{}", suspects.len());
+    assert!(is_held(&mut suspects, "/bad", now));
+    let mut random = SmallRng::seed_from_u64(1);
+    let message = suspects.tell(&mut random, now).expect("there is news");
+    assert!(message.len() <= MESSAGE_BYTES, "{}", message.len());
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_heard_without_harm(bytes in prop::collection::vec(any::<u8>(), 0..1400)) {
+        let mut suspects = Suspects::default();
+        suspects.hear(&bytes, Instant::now());
+        assert!(suspects.len() <= MOST_SUSPECTS);
+    }
+}
+
+/// Instances that tell each other by the real exchange, in steps of 10 ms.
+struct Fleet {
+    instances: Vec<Suspects>,
+    random: SmallRng,
+    now: Instant,
+    /// Messages on their way: when they arrive, and where.
+    on_the_way: Vec<(Instant, usize, Vec<u8>)>,
+    beat_at: Vec<Instant>,
+    bytes: usize,
+}
+
+/// One way between two regions.
+const FAR: Duration = Duration::from_millis(60);
+
+/// Part of the messages that are lost.
+const LOSS: f64 = 0.03;
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let mut random = SmallRng::seed_from_u64(5);
+        let now = Instant::now();
+        let beat_at = (0..count).map(|_| now + BEAT.mul_f64(random.random())).collect();
+        let instances = (0..count).map(|_| Suspects::default()).collect();
+        Self { instances, random, now, on_the_way: Vec::new(), beat_at, bytes: 0 }
+    }
+
+    fn tell(&mut self, sender: usize, count: usize) {
+        for _ in 0..count {
+            let Some(bytes) = self.instances[sender].tell(&mut self.random, self.now) else {
+                return;
+            };
+            self.bytes += bytes.len();
+            let target = self.random.random_range(0..self.instances.len());
+            if !self.random.random_bool(LOSS) {
+                self.on_the_way.push((self.now + FAR, target, bytes));
+            }
+        }
+    }
+
+    /// Lets a server end under requests of which an instance learns.
+    fn end(&mut self, number: usize, instance: usize, requests: &[Fingerprints]) {
+        let now = self.now;
+        if self.instances[instance].ended_under(&server(number), requests, now).is_urgent {
+            self.tell(instance, FANOUT);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += Duration::from_millis(10);
+        let now = self.now;
+        let (due, rest) = self.on_the_way.drain(..).partition(|(at, ..)| *at <= now);
+        self.on_the_way = rest;
+        let due: Vec<(Instant, usize, Vec<u8>)> = due;
+        for (_, target, bytes) in due {
+            let heard = self.instances[target].hear(&bytes, now).expect("it can be read");
+            if heard.is_urgent {
+                self.tell(target, FANOUT);
+            }
+        }
+        for instance in 0..self.instances.len() {
+            if self.beat_at[instance] <= now {
+                self.beat_at[instance] += BEAT;
+                let is_fresh = self.instances[instance].has_fresh(now);
+                self.tell(instance, if is_fresh { FANOUT } else { STEADY_FANOUT });
+            }
+        }
+    }
+
+    fn hold(&mut self, path: &str) -> usize {
+        let now = self.now;
+        self.instances.iter_mut().filter_map(|it| it.asked(request(path), now)).count()
+    }
+}
+
+/// Lets three servers end, each seen by another instance and with other requests beside, while
+/// others end so often that much is told; returns how long it takes until all hold the request back.
+fn until_held(count: usize) -> (Duration, Fleet) {
+    let mut fleet = Fleet::new(count);
+    let mut began = fleet.now;
+    for number in 0..HELD_FROM {
+        for other in 0..5 {
+            let paths = (0..10).map(|path| request(&format!("/other/{number}/{other}/{path}")));
+            let requests: Vec<Fingerprints> = paths.collect();
+            let seen_by = fleet.random.random_range(0..count);
+            fleet.end(100 + number * 10 + other, seen_by, &requests);
+            (0..13).for_each(|_| fleet.step());
+        }
+        let beside = (0..10).map(|beside| request(&format!("/{number}/{beside}")));
+        let requests: Vec<Fingerprints> = beside.chain([request("/bad")]).collect();
+        began = fleet.now;
+        fleet.end(number, (number * 5) % count, &requests);
+    }
+    while fleet.hold("/bad") < count {
+        fleet.step();
+        assert!(fleet.now - began < Duration::from_secs(20), "{} hold it", fleet.hold("/bad"));
+    }
+    (fleet.now - began, fleet)
+}
+
+#[test]
+fn all_instances_hold_a_request_back_within_the_time_in_which_they_learn_anything() {
+    for count in [2, 12, 85, 300] {
+        let (took, fleet) = until_held(count);
+        assert!(took < Duration::from_secs(3), "{count} instances: {took:?}");
+        let per_instance = fleet.bytes / count;
+        assert!(per_instance < 100_000, "{count} instances: {per_instance} bytes told");
+    }
+}
+
+#[test]
+fn one_that_starts_later_learns_what_is_held_back() {
+    let (_, mut fleet) = until_held(12);
+    for _ in 0..3_000 {
+        fleet.step();
+    }
+    let before = fleet.bytes;
+    fleet.instances[3] = Suspects::default();
+    let began = fleet.now;
+    while fleet.hold("/bad") < 12 {
+        fleet.step();
+        assert!(fleet.now - began < Duration::from_secs(4), "{} hold it", fleet.hold("/bad"));
+    }
+    (0..1_000).for_each(|_| fleet.step());
+    let per_s = (fleet.bytes - before) / 12 / 10;
+    assert!(per_s < 400, "{per_s} bytes a second an instance, for one request held back");
+}
