--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 mod candidate;
 pub mod cold;
+mod demand;
 pub mod division;
 pub mod incarnation;
 pub mod keys;
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -6,12 +6,9 @@
 use super::cold::is_sender;
 use super::incarnation::{Incarnation, ServerRef};
 use super::load::LoadReport;
-use super::objects::ObjectGroups;
-use super::peers::Demand;
 use super::rank::{name_hash, unit, weighted_rank};
 use super::server::{Ending, Server};
 use super::service::ServiceState;
-use super::shares::MOST_LEAVING;
 use crate::deployment::{
     BackendServer, BackendServers, Deployment, Evacuations, Policies, RequestKind, Service,
 };
@@ -21,13 +18,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Part of the requests that may go elsewhere than where they belong while nothing fails, as far as
-/// the moved shares leave room for it in [`MOST_LEAVING`].
-const SPILL_RATIO: f64 = 0.04;
-
-/// Most requests that go elsewhere in a row.
-const MOST_SPILLS: f64 = 3.0;
-
 /// Salt of the place of a key among the regions.
 const REGION_SALT: u64 = 0x7265_6769_6f6e;
 
@@ -177,42 +167,6 @@
         }
     }
 
-    /// Counts a request of a caller, and its object.
-    pub fn asked(&mut self, service: &Arc<str>, kind: RequestKind, key_hash: u64, now: Instant) {
-        let state = self.services.entry(service.clone()).or_default();
-        state.keys.seen(key_hash, now);
-        state.objects.seen(key_hash, now);
-        // Callers that come back after a refusal meet the same full backend servers: beside a moved
-        // share, 4 in 100 more broke the allowed shift on 8 of 40 calm days, within the bound on 1 of 73.
-        let left = (MOST_LEAVING - state.moved(&self.arms)).clamp(0.0, SPILL_RATIO);
-        state.spills = (state.spills + left).min(MOST_SPILLS);
-        match kind {
-            RequestKind::Upload => state.near_per_s += 1.0 / DEMAND_WINDOW_S,
-            _ => state.movable_per_s += 1.0 / DEMAND_WINDOW_S,
-        }
-    }
-
-    /// The demand of this instance by service, for the other ones.
-    pub fn demand(&self) -> Vec<(u32, Demand)> {
-        self.services
-            .iter()
-            .map(|(name, state)| {
-                let movable_per_s = state.movable_per_s as f32;
-                let near_per_s = state.near_per_s as f32;
-                let keys = state.keys.count().map(|keys| keys.try_into().unwrap_or(u32::MAX));
-                let warm_ms = state.own_warm_answer_ms().map(|warm_ms| warm_ms as f32);
-                (demand_key(name), Demand { movable_per_s, near_per_s, keys, warm_ms })
-            })
-            .collect()
-    }
-
-    /// The objects that the region's requests concern, by service, for the other instances.
-    pub fn objects(&self) -> Vec<(u32, ObjectGroups)> {
-        let told =
-            |(name, state): (&Arc<str>, &ServiceState)| (demand_key(name), state.objects.told());
-        self.services.iter().map(told).collect()
-    }
-
     /// Chooses the backend server of a request.
     ///
     /// # Errors
