Know whether a server ended before its request is offered elsewhere

Cause: a request was offered again at once when its connection closed, so a fourth server ended before the third was known to have; after a loss of all instances that is more than the rule allows. Test: 4 servers ended before, 3 after.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -152,7 +152,7 @@
             work.ended(if by_caller { Ending::Abandoned } else { Ending::Failed });
             note(exchange, choice, "broken", &error.error().to_string());
             if !by_caller {
-                closed_under(instance, &work.server, choice.address, exchange.fingerprints());
+                closed(exchange, choice, work).await;
             }
             return Attempt::Broken;
         }
@@ -180,12 +180,24 @@
         Err(error) => {
             work.ended(Ending::Failed);
             note(exchange, choice, "cut", &error.to_string());
-            closed_under(instance, &work.server, choice.address, exchange.fingerprints());
+            closed(exchange, choice, work).await;
             Attempt::Broken
         }
     }
 }
 
+/// Takes over that the connection closed under the request, and waits for what is found out about the
+/// backend server if the request may be offered elsewhere.
+async fn closed(exchange: &Exchange, choice: &Choice, work: Work) {
+    let server = work.server.clone();
+    // Others should not be sent there meanwhile.
+    drop(work);
+    let known = closed_under(&exchange.instance, &server, choice.address, exchange.fingerprints());
+    if exchange.route.kind.is_idempotent() {
+        known.await;
+    }
+}
+
 /// Takes over that a backend server began the request and lives.
 ///
 /// While no request is suspected, only those with a short body are remembered: a long one costs more
