Ask what is so after a suspension, and let deadlines and connections go by all time

Cause: all ages went by the steady clock, which stands still while a machine is suspended: a request was sent with time it no longer had, over connections that servers had closed, by beliefs that were seconds old. Change: one clock that compares both at each reading; deadlines, connections at rest and ends of servers go by all time; from 0.3 s on nothing is sent until another instance or the store has answered, 1 s at most.

--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers that are used again.
 
 use super::dial::{DIAL_TIMEOUT, dial};
+use crate::process::clock::Clock;
 use crate::request::body::RequestBody;
 use futures::FutureExt;
 use hyper::client::conn::http1::SendRequest;
@@ -10,7 +11,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use steering::Time;
 use steering::placement::Incarnation;
 
 /// Rest of a connection whose backend server did not say how long it keeps it.
@@ -35,7 +37,7 @@
 
 struct Idle {
     sender: SendRequest<RequestBody>,
-    until: Instant,
+    until: Time,
 }
 
 #[derive(Default)]
@@ -45,8 +47,9 @@
 }
 
 /// The connections to all backend servers, by incarnation.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pools {
+    clock: Rc<Clock>,
     by_server: Rc<RefCell<HashMap<Incarnation, Pool>>>,
 }
 
@@ -59,6 +62,11 @@
 }
 
 impl Pools {
+    /// Begins without any connection.  Those that rest go by the time that backend servers see.
+    pub fn new(clock: Rc<Clock>) -> Self {
+        Self { clock, by_server: Rc::default() }
+    }
+
     /// Takes a connection that rests, or opens one while there are fewer than `limit`.
     ///
     /// # Errors
@@ -97,7 +105,7 @@
     fn take_idle(&self, server: &Incarnation) -> Option<SendRequest<RequestBody>> {
         let mut pools = self.by_server.borrow_mut();
         let pool = pools.get_mut(server)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         pool.idle.retain(|idle| idle.until > now && !idle.sender.is_closed());
         while let Some(Idle { mut sender, .. }) = pool.idle.pop() {
             // One that is not ready at once has not got rid of its last exchange.
@@ -119,8 +127,9 @@
         if sender.is_closed() || rest.is_zero() {
             return;
         }
+        let until = self.clock.now() + rest;
         if let Some(pool) = self.by_server.borrow_mut().get_mut(server) {
-            pool.idle.push(Idle { sender, until: Instant::now() + rest });
+            pool.idle.push(Idle { sender, until });
         }
     }
 
--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -3,7 +3,7 @@
 use super::instance::Instance;
 use super::listeners::Listeners;
 use super::reload::SettingsFile;
-use super::{gossip, stop, watching};
+use super::{gossip, stop, waking, watching};
 use crate::border::{Store, Subject, Wire};
 use crate::connection::listener;
 use crate::error::EntryError;
@@ -58,6 +58,7 @@
     listener::listen(instance, peers, request::knowledge::answer);
     listener::listen(instance, operators, request::operators::answer);
     gossip::run(instance, gossip);
+    spawn_local(waking::run(instance.clone()));
     for subject in Subject::ALL {
         spawn_local(watching::follow(instance.clone(), subject));
     }
--- a/crates/entry/src/process/ended.rs
+++ b/crates/entry/src/process/ended.rs
@@ -10,7 +10,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use steering::placement::Incarnation;
 use steering::suspects::Fingerprints;
 
@@ -69,7 +69,7 @@
         "closed under requests"
     );
     if found == Found::Ended {
-        let now = Instant::now();
+        let now = instance.clock.now();
         let changes = instance.suspects.borrow_mut().ended_under(&server, &look.requests, now);
         suspicions::changed(&instance, &changes, "own");
     }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -250,6 +250,11 @@
         log::warn!(target: "instances", address:%; "knowledge can't be read");
         return;
     };
+    take_over(instance, knowledge);
+}
+
+/// Takes over what another instance knows better.
+pub(super) fn take_over(instance: &Rc<Instance>, knowledge: Update) {
     let changed = instance.knowledge.borrow_mut().learned(knowledge);
     for subject in Subject::ALL.into_iter().filter(|subject| changed[subject.index()]) {
         apply(instance, subject, "instance");
@@ -258,7 +263,8 @@
     }
 }
 
-async fn ask(address: SocketAddr, as_of: [u64; SUBJECTS]) -> Option<Update> {
+/// Asks another instance for what it knows since these revisions.
+pub(super) async fn ask(address: SocketAddr, as_of: [u64; SUBJECTS]) -> Option<Update> {
     let path = format!("{}?{}", exchange::KNOWLEDGE_PATH, exchange::query(as_of));
     let body = crate::connection::ask::get(address, &path, ASK_DIAL_TIMEOUT).await?;
     postcard::from_bytes(&body).ok()
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -1,6 +1,7 @@
 //! The state of an instance, shared by its tasks on one thread.
 
 use super::arms::ArmCounts;
+use super::clock::{Clock, Clocks, MachineClocks};
 use super::looks::Looks;
 use super::metrics::Metrics;
 use super::recent::Recent;
@@ -15,6 +16,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use steering::Time;
 use steering::deployment::{RouteTable, Service};
 use steering::placement::peers::LOST_AFTER;
 use steering::placement::{Division, Peer, PeerState, Peers, RetryBudget, Roster};
@@ -79,8 +81,12 @@
     pub metrics: Metrics,
     /// How far a planned stop has come.
     pub stop: watch::Sender<StopPhase>,
+    /// The clock that suspensions of the machine don't stop.
+    pub clock: Rc<Clock>,
+    /// Suspensions after which it was asked what is so now.
+    pub settled: watch::Sender<u64>,
     /// Time by which requests have to be answered that come during a planned stop.
-    pub answer_until: Cell<Option<Instant>>,
+    pub answer_until: Cell<Option<Time>>,
     /// Requests that are being answered.
     pub in_flight: Cell<usize>,
     /// Time at which a connection could not be accepted last.
@@ -108,6 +114,21 @@
         wire: Box<dyn Wire>,
         store: Box<dyn Store>,
     ) -> Result<Rc<Self>, EntryError> {
+        Self::with_clocks(settings, wire, store, Box::new(MachineClocks))
+    }
+
+    /// Begins without any knowledge, with these clocks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics can't be registered.
+    pub fn with_clocks(
+        settings: Settings,
+        wire: Box<dyn Wire>,
+        store: Box<dyn Store>,
+        clocks: Box<dyn Clocks>,
+    ) -> Result<Rc<Self>, EntryError> {
+        let clock = Rc::new(Clock::new(clocks));
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = Peer {
             name: settings.name.clone(),
@@ -136,7 +157,8 @@
             roster: RefCell::new(roster),
             peers: RefCell::default(),
             registered: RefCell::default(),
-            pools: Pools::default(),
+            pools: Pools::new(clock.clone()),
+            clock,
             suspects: RefCell::default(),
             suspicion: Notify::new(),
             looks: RefCell::default(),
@@ -144,6 +166,7 @@
             arms: RefCell::default(),
             metrics: Metrics::new()?,
             stop: watch::Sender::new(StopPhase::Running),
+            settled: watch::Sender::new(0),
             answer_until: Cell::new(None),
             in_flight: Cell::new(0),
             accept_failed_at: Cell::new(None),
@@ -198,6 +221,23 @@
         self.knowledge.borrow().is_complete()
             && *self.stop.borrow() == StopPhase::Running
             && self.accepts()
+            && self.is_settled()
+    }
+
+    /// Tells whether what is known is as of after the last suspension.
+    pub fn is_settled(&self) -> bool {
+        *self.settled.borrow() >= self.clock.doubted()
+    }
+
+    /// Waits until what is known is as of after the last suspension, or nobody told in time.
+    pub(crate) async fn until_settled(&self) {
+        if self.is_settled() {
+            return;
+        }
+        let doubted = self.clock.doubted();
+        let mut settled = self.settled.subscribe();
+        // The sender lives as long as the instance.  Rare, so kept out of the futures of all requests.
+        let _ = Box::pin(settled.wait_for(|settled| *settled >= doubted)).await;
     }
 
     /// Tells whether all calls to the store were answered of late, or there was none.
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod applying;
 pub mod arms;
+pub mod clock;
 pub mod daemon;
 mod datagram;
 pub(crate) mod ended;
@@ -16,6 +17,7 @@
 pub mod reload;
 pub mod stop;
 pub(crate) mod suspicions;
+mod waking;
 mod watching;
 
 pub use daemon::run;
--- a/crates/entry/src/process/stop.rs
+++ b/crates/entry/src/process/stop.rs
@@ -1,7 +1,7 @@
 //! A planned stop: callers first go elsewhere, then requests on the way are finished.
 
 use super::instance::{Instance, StopPhase};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Part of the grace in which new connections are still served: callers that hold an older answer
 /// of a look-up still come.
@@ -19,14 +19,14 @@
 
 /// Runs the stop to its end.
 pub async fn run(instance: &Instance) {
-    let started = Instant::now();
+    let started = instance.clock.now();
     let grace = instance.settings.stop_grace;
     log::info!(target: "process", in_flight = instance.in_flight.get(); "stopping");
     instance.answer_until.set(Some(started + grace.mul_f64(ANSWERED_PART)));
     instance.stop.send_replace(StopPhase::Leaving);
     tokio::time::sleep(grace.mul_f64(LEAVING_PART)).await;
     instance.stop.send_replace(StopPhase::Closed);
-    while started.elapsed() < grace.mul_f64(END_PART) {
+    while instance.clock.now().since(started) < grace.mul_f64(END_PART) {
         tokio::time::sleep(LOOK).await;
         if instance.in_flight.get() == 0 {
             break;
--- a/crates/entry/src/process/suspicions.rs
+++ b/crates/entry/src/process/suspicions.rs
@@ -31,12 +31,13 @@
             continue;
         }
         let now = Instant::now();
-        let forgotten = instance.suspects.borrow_mut().prune(now);
+        let time = instance.clock.now();
+        let forgotten = instance.suspects.borrow_mut().prune(time);
         changed(&instance, &forgotten, "age");
-        let is_fresh = is_urgent || instance.suspects.borrow().has_fresh(now);
+        let is_fresh = is_urgent || instance.suspects.borrow().has_fresh(time);
         let count = if is_fresh { FANOUT } else { STEADY_FANOUT };
         for target in targets(&instance, count, now) {
-            let told = instance.suspects.borrow().tell(&mut rand::rng(), now);
+            let told = instance.suspects.borrow().tell(&mut rand::rng(), time);
             let Some(told) = told else { break };
             // A datagram that can't be sent is as good as one that is lost.
             let _ = socket.send_to(&datagram::write(Kind::Suspects, &told), target).await;
@@ -53,7 +54,7 @@
 
 /// Takes over what another instance tells.
 pub(super) fn hear(instance: &Instance, told: &[u8]) {
-    let changes = instance.suspects.borrow_mut().hear(told, Instant::now());
+    let changes = instance.suspects.borrow_mut().hear(told, instance.clock.now());
     match changes {
         Some(changes) => changed(instance, &changes, "instance"),
         None => log::warn!(target: "suspects", bytes = told.len(); "can't be read"),
--- a/crates/entry/src/request/answer.rs
+++ b/crates/entry/src/request/answer.rs
@@ -7,6 +7,7 @@
 use super::headers::remove_hop_by_hop;
 use super::problem::Problem;
 use super::run;
+use super::within::within;
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
 use http::header::{CONNECTION, HOST};
@@ -14,7 +15,7 @@
 use hyper::body::Incoming;
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use steering::placement::rank::name_hash;
 
 /// Answers a caller's request.
@@ -40,7 +41,7 @@
     instance: &Rc<Instance>,
     request: Request<Incoming>,
 ) -> Result<(Exchange, CallerBody), Problem> {
-    let started = Instant::now();
+    let started = instance.clock.now();
     let caller = Caller::of(&request);
     let (route, host, body_limit) = {
         let knowledge = instance.knowledge.borrow();
@@ -60,8 +61,7 @@
     let deadline = started + waits;
     let deadline = instance.answer_until.get().map_or(deadline, |until| until.min(deadline));
     let body = CallerBody::read(request, body_limit);
-    let body = tokio::time::timeout_at(deadline.into(), body);
-    let body = body.await.map_err(|_| Problem::BodyTimeout)??;
+    let body = within(instance, deadline, body).await.ok_or(Problem::BodyTimeout)??;
     let service = instance.divide(&route).ok_or(Problem::NoRoute)?;
     let key_hash = match &head.affinity_key {
         Some(key) if route.affinity => name_hash(key) ^ name_hash(&service),
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -207,7 +207,7 @@
     let instance = &exchange.instance;
     if is_short || !instance.suspects.borrow().is_empty() {
         let request = exchange.fingerprints();
-        let changes = instance.suspects.borrow_mut().ran_well(request, Instant::now());
+        let changes = instance.suspects.borrow_mut().ran_well(request, instance.clock.now());
         suspicions::changed(instance, &changes, "own");
     }
 }
@@ -262,8 +262,7 @@
     let target = exchange.target.path_and_query().cloned();
     *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
     *request.headers_mut() = exchange.headers.clone();
-    let left = exchange.deadline.saturating_duration_since(Instant::now());
-    exchange.instance.wire.prepare(request.headers_mut(), left, &choice.id);
+    exchange.instance.wire.prepare(request.headers_mut(), exchange.left(), &choice.id);
     Some(request)
 }
 
@@ -282,7 +281,7 @@
         route = &*exchange.route.name, server = &*choice.id, load = choice.load,
         slots = choice.slots, cold = choice.cold, outcome, why,
         caller:% = exchange.caller, fingerprint:% = exchange.fingerprints().content,
-        age_ms = millis(exchange.started.elapsed());
+        age_ms = millis(exchange.age());
         "attempt"
     );
 }
--- a/crates/entry/src/request/choose.rs
+++ b/crates/entry/src/request/choose.rs
@@ -39,7 +39,7 @@
 
 fn ask(exchange: &Exchange, progress: &Progress, is_second: bool) -> Result<Choice, Problem> {
     let now = Instant::now();
-    if let Some(Held { fingerprint, ended }) = held(exchange, now) {
+    if let Some(Held { fingerprint, ended }) = held(exchange) {
         log::info!(
             target: "request",
             id = exchange.head.request_id.as_deref().unwrap_or(""), caller:% = exchange.caller,
@@ -49,7 +49,7 @@
         return Err(Problem::HeldBack);
     }
     let objective = exchange.route.latency_objective;
-    let left = exchange.deadline.saturating_duration_since(now);
+    let left = exchange.left();
     if left < objective.mul_f64(LEAST_TIME) {
         return Err(Problem::TimeoutBeforeSend);
     }
@@ -61,7 +61,7 @@
         kind: exchange.route.kind,
         allowed_regions: &exchange.route.allowed_regions,
         excluded: progress.excluded(),
-        objective_left: objective.saturating_sub(exchange.started.elapsed()),
+        objective_left: objective.saturating_sub(exchange.age()),
         least_patience: least.min(left),
         is_second,
     };
@@ -73,7 +73,11 @@
 }
 
 /// Tells whether the request is held back, as backend servers ended under it.
-fn held(exchange: &Exchange, now: Instant) -> Option<Held> {
+fn held(exchange: &Exchange) -> Option<Held> {
     let mut suspects = exchange.instance.suspects.borrow_mut();
-    if suspects.is_empty() { None } else { suspects.asked(exchange.fingerprints(), now) }
+    if suspects.is_empty() {
+        None
+    } else {
+        suspects.asked(exchange.fingerprints(), exchange.instance.clock.now())
+    }
 }
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -8,7 +8,8 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::Duration;
+use steering::Time;
 use steering::deployment::Route;
 use steering::suspects::Fingerprints;
 
@@ -37,9 +38,9 @@
     pub(super) key_hash: u64,
     /// The arm of the policies that steers it, if there are any.
     pub(super) arm: Option<Arc<str>>,
-    pub(super) started: Instant,
+    pub(super) started: Time,
     /// Time after which nobody waits for the answer.
-    pub(super) deadline: Instant,
+    pub(super) deadline: Time,
 }
 
 impl Exchange {
@@ -56,11 +57,21 @@
         })
     }
 
+    /// Time since it came.
+    pub(super) fn age(&self) -> Duration {
+        self.instance.clock.now().since(self.started)
+    }
+
+    /// Time that its caller still waits.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.since(self.instance.clock.now())
+    }
+
     /// Counts the request for its route and arm, with what was made of it.
     pub(super) fn count(&self, outcome: &'static str) {
         let metrics = &self.instance.metrics;
         metrics.requests.with_label_values(&[&*self.route.name, outcome]).inc();
-        let took = self.started.elapsed();
+        let took = self.age();
         if outcome == ANSWERED {
             metrics.latency.with_label_values(&[&*self.route.name]).observe(took.as_secs_f64());
         }
--- a/crates/entry/src/request/knowledge.rs
+++ b/crates/entry/src/request/knowledge.rs
@@ -15,7 +15,7 @@
     let knowledge = instance.knowledge.borrow();
     let as_of = exchange::read_query(request.uri().query());
     let status = match request.uri().path() {
-        KNOWLEDGE_PATH if knowledge.is_complete() => {
+        KNOWLEDGE_PATH if knowledge.is_complete() && instance.is_settled() => {
             match postcard::to_allocvec(&knowledge.update_since(as_of)) {
                 Ok(bytes) => return Response::new(whole(bytes)),
                 Err(error) => {
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -26,6 +26,7 @@
 mod race;
 pub(crate) mod readiness;
 mod run;
+mod within;
 
 pub use answer::answer;
 pub(crate) use caller::Caller;
--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -45,7 +45,7 @@
     /// Ends an offer.
     pub(super) fn end(&mut self, offer: usize, attempt: &Attempt, exchange: &Exchange) {
         if let Some(told) = self.told.get_mut(offer) {
-            told.ended_ms = millis(exchange.started.elapsed());
+            told.ended_ms = millis(exchange.age());
             told.outcome = attempt.as_str();
         }
         if matches!(attempt, Attempt::NotSent | Attempt::NotRun | Attempt::Refused) {
@@ -77,7 +77,7 @@
     /// Remembers what was made of the request, for operators who ask by its identity.
     pub(super) fn remember(self, exchange: &Exchange, outcome: &'static str) {
         let Some(request_id) = &exchange.head.request_id else { return };
-        let took_ms = millis(exchange.started.elapsed());
+        let took_ms = millis(exchange.age());
         let mut offers = self.told;
         for offer in offers.iter_mut().filter(|offer| offer.outcome == GIVEN_UP) {
             offer.ended_ms = took_ms;
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -9,7 +9,9 @@
 use super::problem::Problem;
 use super::progress::Progress;
 use super::race;
+use super::within::within;
 use http::{Response, StatusCode};
+use std::time::Instant;
 
 /// Backend servers that a request is offered to before it is refused; all but the attempts that
 /// its route allows did not run it.
@@ -24,17 +26,17 @@
     let instance = exchange.instance.clone();
     instance.earn_retry(&exchange.service);
     {
-        let Exchange { service, route, key_hash, started, .. } = &exchange;
-        instance.roster.borrow_mut().asked(service, route.kind, *key_hash, *started);
+        let Exchange { service, route, key_hash, .. } = &exchange;
+        instance.roster.borrow_mut().asked(service, route.kind, *key_hash, Instant::now());
     }
-    let deadline = tokio::time::Instant::from_std(exchange.deadline);
     let mut progress = Progress::default();
-    let outcome =
-        match tokio::time::timeout_at(deadline, offer(&exchange, body, &mut progress)).await {
-            Ok(outcome) => outcome,
-            Err(_) if progress.may_have_run() => Err(Problem::TimeoutAfterSend),
-            Err(_) => Err(Problem::TimeoutBeforeSend),
-        };
+    // Moved into what watches the time, it would take its room twice.
+    let offered = Box::pin(offer(&exchange, body, &mut progress));
+    let outcome = match within(&instance, exchange.deadline, offered).await {
+        Some(outcome) => outcome,
+        None if progress.may_have_run() => Err(Problem::TimeoutAfterSend),
+        None => Err(Problem::TimeoutBeforeSend),
+    };
     // What may have run is not refused, whatever kept the next offer from being made.
     let outcome =
         outcome.map_err(|problem| match problem.is_promise() && progress.may_have_run() {
@@ -56,7 +58,7 @@
                 route, service = &*exchange.service, outcome, offers,
                 version = instance.knowledge.borrow().configuration.content.version,
                 servers_revision = instance.knowledge.borrow().servers.as_of,
-                age_ms = millis(exchange.started.elapsed());
+                age_ms = millis(exchange.age());
                 "gave up"
             );
             problem.response()
@@ -74,7 +76,11 @@
     loop {
         let choice = match next.take() {
             Some(choice) => choice,
-            None => choose(exchange, progress)?,
+            None => {
+                // A backend server may have begun to leave, or a zone been evacuated, in a suspension.
+                exchange.instance.until_settled().await;
+                choose(exchange, progress)?
+            }
         };
         let (attempt, left) = race::offer(exchange, choice, ready, &mut body, progress).await;
         ready = left;
--- a/crates/steering/src/suspects/ends.rs
+++ b/crates/steering/src/suspects/ends.rs
@@ -1,9 +1,9 @@
 //! The backend servers that ended under one request.
 
+use crate::Time;
 use crate::placement::Incarnation;
 use crate::placement::rank::{name_hash, rank};
 use serde::{Deserialize, Serialize};
-use std::time::Instant;
 
 /// One start of one backend server, in four bytes: two of 16 under one request are alike once in 36
 /// million requests, and then count as one.
@@ -22,7 +22,7 @@
     /// Which one.
     pub server: ServerHash,
     /// When an instance found that it had ended, as far as this one can tell.
-    pub at: Instant,
+    pub at: Time,
 }
 
 /// What is known of one request under which backend servers ended.
@@ -30,15 +30,15 @@
 pub(super) struct Suspect {
     pub(super) ends: Vec<End>,
     /// When it came last, to any instance that told of it.
-    pub(super) seen_at: Instant,
+    pub(super) seen_at: Time,
     /// When a backend server answered it last: what ended before did not end of it.
-    pub(super) well_at: Option<Instant>,
+    pub(super) well_at: Option<Time>,
     /// When something of this became known here.
-    pub(super) changed_at: Instant,
+    pub(super) changed_at: Time,
 }
 
 impl Suspect {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(now: Time) -> Self {
         Self { ends: Vec::new(), seen_at: now, well_at: None, changed_at: now }
     }
 
@@ -46,7 +46,7 @@
     /// returns whether it was news.
     ///
     /// An end that is told on seems later by each way it took, so the earliest time holds.
-    pub(super) fn add(&mut self, end: End, most: usize, now: Instant) -> bool {
+    pub(super) fn add(&mut self, end: End, most: usize, now: Time) -> bool {
         if self.well_at.is_some_and(|well_at| end.at <= well_at) {
             return false;
         }
@@ -63,7 +63,7 @@
     }
 
     /// Records that the request ran well at a time; returns whether that was news.
-    pub(super) fn ran_well(&mut self, at: Instant, now: Instant) -> bool {
+    pub(super) fn ran_well(&mut self, at: Time, now: Time) -> bool {
         let before = self.ends.len();
         self.ends.retain(|end| end.at > at);
         self.well_at = self.well_at.max(Some(at));
@@ -80,7 +80,7 @@
     }
 
     /// The times of its first and its last end.
-    pub(super) fn span(&self) -> Option<(Instant, Instant)> {
+    pub(super) fn span(&self) -> Option<(Time, Time)> {
         let times = || self.ends.iter().map(|end| end.at);
         times().min().zip(times().max())
     }
--- a/crates/steering/src/suspects/table.rs
+++ b/crates/steering/src/suspects/table.rs
@@ -3,9 +3,10 @@
 use super::ends::{End, ServerHash, Suspect};
 use super::fingerprint::{Fingerprint, Fingerprints};
 use super::sound::Sound;
+use crate::Time;
 use crate::placement::Incarnation;
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Backend servers that must have ended under a request before it is held back: a sound one that is
 /// offered twice in a try loses two at most while one other request ends servers.
@@ -83,7 +84,7 @@
         &mut self,
         server: &Incarnation,
         requests: &[Fingerprints],
-        now: Instant,
+        now: Time,
     ) -> Changes {
         let end = End { server: ServerHash::from(server), at: now };
         let mut is_news = false;
@@ -98,7 +99,7 @@
     }
 
     /// Records that a backend server answered a request: whatever ended before did not end of it.
-    pub fn ran_well(&mut self, request: Fingerprints, now: Instant) -> Changes {
+    pub fn ran_well(&mut self, request: Fingerprints, now: Time) -> Changes {
         let mut is_news = false;
         for request in request.all() {
             self.sound.answered(request, now);
@@ -117,7 +118,7 @@
     ///
     /// One that was answered here a short while ago is not: of several servers that die together,
     /// each may have had one that is asked for often.
-    pub fn asked(&mut self, request: Fingerprints, now: Instant) -> Option<Held> {
+    pub fn asked(&mut self, request: Fingerprints, now: Time) -> Option<Held> {
         let [content, with_caller] = request.all().map(|fingerprint| {
             let suspect = self.by_request.get_mut(&fingerprint)?;
             suspect.seen_at = now;
@@ -128,15 +129,14 @@
     }
 
     /// Forgets requests that did not come for long.
-    pub fn prune(&mut self, now: Instant) -> Changes {
+    pub fn prune(&mut self, now: Time) -> Changes {
         let before = self.by_request.len();
-        self.by_request
-            .retain(|_, suspect| now.saturating_duration_since(suspect.seen_at) < FORGOTTEN_AFTER);
+        self.by_request.retain(|_, suspect| now.since(suspect.seen_at) < FORGOTTEN_AFTER);
         if self.by_request.len() == before { Changes::default() } else { self.settle() }
     }
 
     /// The record of a request; makes room for a new one by the one that is least worth keeping.
-    pub(super) fn entry(&mut self, request: Fingerprint, now: Instant) -> &mut Suspect {
+    pub(super) fn entry(&mut self, request: Fingerprint, now: Time) -> &mut Suspect {
         if self.by_request.len() >= MOST_SUSPECTS && !self.by_request.contains_key(&request) {
             let worth = |(request, suspect): (&Fingerprint, &Suspect)| {
                 (self.held.contains(request), suspect.ends.len(), suspect.changed_at)
@@ -179,7 +179,6 @@
         let Some((first, last)) = suspect.span() else { return false };
         let is_near = |end: &End| first <= end.at + TOGETHER && end.at <= last + TOGETHER;
         let mut ends = self.by_request.values().flat_map(|other| &other.ends);
-        last.saturating_duration_since(first) <= TOGETHER
-            && ends.any(|end| is_near(end) && !suspect.has(end.server))
+        last.since(first) <= TOGETHER && ends.any(|end| is_near(end) && !suspect.has(end.server))
     }
 }
--- a/crates/steering/src/suspects/told.rs
+++ b/crates/steering/src/suspects/told.rs
@@ -3,10 +3,11 @@
 use super::ends::{End, ServerHash, Suspect};
 use super::fingerprint::Fingerprint;
 use super::table::{Changes, HELD_FROM, MOST_ENDS, Suspects};
+use crate::Time;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Instances that are told at once of what is new, and each heartbeat for as long as it is fresh.
 pub const FANOUT: usize = 6;
@@ -37,9 +38,9 @@
 }
 
 impl Told {
-    fn new(request: Fingerprint, suspect: &Suspect, now: Instant) -> Self {
-        let age = |at: Instant| {
-            let age_s = now.saturating_duration_since(at).as_secs_f64();
+    fn new(request: Fingerprint, suspect: &Suspect, now: Time) -> Self {
+        let age = |at: Time| {
+            let age_s = now.since(at).as_secs_f64();
             (age_s * AGE_PARTS_PER_S).round() as u32
         };
         Self {
@@ -53,7 +54,7 @@
 
 impl Suspects {
     /// Tells whether something is known that others may not know yet.
-    pub fn has_fresh(&self, now: Instant) -> bool {
+    pub fn has_fresh(&self, now: Time) -> bool {
         self.by_request.values().any(|suspect| is_fresh(suspect, now))
     }
 
@@ -61,7 +62,7 @@
     ///
     /// Requests under which more servers ended go first, as a sum over instances may hold them back;
     /// of alike ones, others each time.
-    pub fn tell(&self, random: &mut impl Rng, now: Instant) -> Option<Vec<u8>> {
+    pub fn tell(&self, random: &mut impl Rng, now: Time) -> Option<Vec<u8>> {
         let mut told: Vec<(&Fingerprint, &Suspect)> = self.by_request.iter().collect();
         told.retain(|(_, suspect)| is_fresh(suspect, now) || suspect.ends.len() >= HELD_FROM);
         told.shuffle(random);
@@ -81,7 +82,7 @@
     }
 
     /// Takes over what another instance tells; none if it can't be read.
-    pub fn hear(&mut self, message: &[u8], now: Instant) -> Option<Changes> {
+    pub fn hear(&mut self, message: &[u8], now: Time) -> Option<Changes> {
         let mut rest = message;
         let mut is_urgent = false;
         while !rest.is_empty() {
@@ -96,10 +97,10 @@
     }
 
     /// Takes over one request; tells whether one more end may hold it back anywhere.
-    fn take(&mut self, told: Told, now: Instant) -> bool {
+    fn take(&mut self, told: Told, now: Time) -> bool {
         let at = |age: u32| {
             let age = Duration::from_secs_f64(f64::from(age) / AGE_PARTS_PER_S);
-            now.checked_sub(age).unwrap_or(now)
+            now - age
         };
         let suspect = self.entry(told.request, now);
         suspect.seen_at = suspect.seen_at.max(at(told.seen));
@@ -115,6 +116,6 @@
     }
 }
 
-fn is_fresh(suspect: &Suspect, now: Instant) -> bool {
-    now.saturating_duration_since(suspect.changed_at) < FRESH_FOR
+fn is_fresh(suspect: &Suspect, now: Time) -> bool {
+    now.since(suspect.changed_at) < FRESH_FOR
 }
--- a/crates/steering/src/time.rs
+++ b/crates/steering/src/time.rs
@@ -1,6 +1,6 @@
 //! Points in time on the clock of one instance.
 
-use std::ops::{Add, Sub};
+use std::ops::{Add, AddAssign, Sub};
 use std::time::Duration;
 
 /// A point in time: nanoseconds since the instance's machine started, suspend included.
@@ -42,6 +42,12 @@
     }
 }
 
+impl AddAssign<Duration> for Time {
+    fn add_assign(&mut self, duration: Duration) {
+        *self = *self + duration;
+    }
+}
+
 impl Sub<Duration> for Time {
     type Output = Time;
 
--- a/crates/steering/tests/adoption.rs
+++ b/crates/steering/tests/adoption.rs
@@ -134,7 +134,7 @@
             }
             Step::Answer { .. } => Vec::new(),
             Step::Wait { ms } => {
-                self.now = self.now + Duration::from_millis(ms);
+                self.now += Duration::from_millis(ms);
                 self.instance.tick(self.now)
             }
             Step::Restart => {
--- a/crates/steering/tests/call_budget.rs
+++ b/crates/steering/tests/call_budget.rs
@@ -35,7 +35,7 @@
         let mut calls = Vec::new();
 
         for pause_ms in pauses_ms {
-            now = now + Duration::from_millis(pause_ms);
+            now += Duration::from_millis(pause_ms);
             if let Ok(permit) = budget.ask(now) {
                 calls.push(now + permit.wait);
             }
@@ -60,7 +60,7 @@
         let mut probe = None;
 
         for (pause_ms, end) in events {
-            now = now + Duration::from_millis(pause_ms);
+            now += Duration::from_millis(pause_ms);
             match (probe.take(), budget.ask(now)) {
                 (Some(_), Ok(_)) => prop_assert!(false, "two probes at once"),
                 (Some(permit), Err(refusal)) => {
@@ -103,7 +103,7 @@
 
     let end = now + Duration::from_secs(3_600);
     while now < end {
-        now = now + Duration::from_millis(10);
+        now += Duration::from_millis(10);
         if let Ok(permit) = budget.ask(now) {
             probes += 1;
             budget.ended(now, permit, CallEnd::Failed, &mut random);
--- a/crates/steering/tests/membership.rs
+++ b/crates/steering/tests/membership.rs
@@ -94,7 +94,7 @@
 
     fleet.exchange(0, 1, false, false);
     let at_once = fleet.state(0, 1);
-    fleet.now = fleet.now + Duration::from_secs(11);
+    fleet.now += Duration::from_secs(11);
     fleet.exchange(0, 1, false, false);
     let later = fleet.state(0, 1);
 
@@ -113,7 +113,7 @@
 
     fleet.exchange(2, 0, false, false);
     let heard = fleet.state(0, 2);
-    fleet.now = fleet.now + Duration::from_secs(61);
+    fleet.now += Duration::from_secs(61);
     let silent = fleet.state(0, 2);
 
     assert_eq!((heard, silent), (Some(MemberState::Serving), Some(MemberState::Draining)));
@@ -259,7 +259,7 @@
                 fleet.deliver(sent);
             }
         }
-        Step::Wait(ms) => fleet.now = fleet.now + Duration::from_millis(ms),
+        Step::Wait(ms) => fleet.now += Duration::from_millis(ms),
         Step::Round => fleet.round(),
         Step::Stop(number) => fleet.nodes[number].alive = false,
         Step::Restart { number, generation } => fleet.restart(number, generation),
--- a/crates/steering/tests/membership_fleet/mod.rs
+++ b/crates/steering/tests/membership_fleet/mod.rs
@@ -119,7 +119,7 @@
 
     /// Has every instance that has to describe itself do so, and exchanges once with each target.
     pub(crate) fn round(&mut self) {
-        self.now = self.now + PERIOD;
+        self.now += PERIOD;
         for number in 0..self.nodes.len() {
             if !self.nodes[number].alive {
                 continue;
--- a/crates/steering/tests/shares_sites.rs
+++ b/crates/steering/tests/shares_sites.rs
@@ -117,7 +117,7 @@
             85..98 => 3_000,
             _ => 50_000,
         };
-        self.now = self.now + Duration::from_millis(self.random.random_range(0..longest_ms));
+        self.now += Duration::from_millis(self.random.random_range(0..longest_ms));
         let now = self.now;
         self.nodes.iter_mut().for_each(|node| node.end_late_exchanges(now));
     }
--- a/crates/steering/tests/suspects.rs
+++ b/crates/steering/tests/suspects.rs
@@ -3,13 +3,19 @@
 use proptest::prelude::{any, prop, proptest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use steering::Time;
 use steering::placement::Incarnation;
 use steering::placement::peers::BEAT;
 use steering::suspects::{
     FANOUT, Fingerprints, HELD_FROM, MESSAGE_BYTES, MOST_SUSPECTS, STEADY_FANOUT, Suspects,
 };
 
+/// A machine that has been up for an hour.
+fn start() -> Time {
+    Time::from_ms(3_600_000)
+}
+
 /// Between two ends that are not of one loss.
 const APART: Duration = Duration::from_secs(1);
 
@@ -27,12 +33,7 @@
 }
 
 /// Servers that end one after another under a request, from a number on.
-fn end(
-    suspects: &mut Suspects,
-    servers: std::ops::Range<usize>,
-    paths: &[&str],
-    now: &mut Instant,
-) {
+fn end(suspects: &mut Suspects, servers: std::ops::Range<usize>, paths: &[&str], now: &mut Time) {
     let requests: Vec<Fingerprints> = paths.iter().map(|path| request(path)).collect();
     for number in servers {
         suspects.ended_under(&server(number), &requests, *now);
@@ -40,13 +41,13 @@
     }
 }
 
-fn is_held(suspects: &mut Suspects, path: &str, now: Instant) -> bool {
+fn is_held(suspects: &mut Suspects, path: &str, now: Time) -> bool {
     suspects.asked(request(path), now).is_some()
 }
 
 #[test]
 fn a_request_is_held_back_from_the_third_server_on_that_ends_under_it() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     end(&mut suspects, 0..2, &["/bad"], &mut now);
     assert!(!is_held(&mut suspects, "/bad", now));
     end(&mut suspects, 1..2, &["/bad"], &mut now);
@@ -58,7 +59,7 @@
 
 #[test]
 fn a_start_of_a_server_under_its_identity_counts_anew() {
-    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    let (mut suspects, now) = (Suspects::default(), start());
     for born_ms in 0..3 {
         let start = Incarnation { id: "i-0".into(), born_ms };
         suspects.ended_under(&start, &[request("/bad")], now);
@@ -68,7 +69,7 @@
 
 #[test]
 fn it_is_the_same_request_from_another_host_but_not_with_another_body() {
-    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    let (mut suspects, now) = (Suspects::default(), start());
     for (number, host) in ["a", "b", "c"].into_iter().enumerate() {
         suspects.ended_under(&server(number), &[of_caller(host, "/bad")], now);
     }
@@ -79,7 +80,7 @@
 
 #[test]
 fn a_request_that_is_answered_for_others_is_held_back_for_the_caller_whose_servers_end() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     for number in 0..4 {
         suspects.ended_under(&server(number), &[of_caller("bad", "/shared")], now);
         now += APART;
@@ -93,7 +94,7 @@
 
 #[test]
 fn an_answer_wipes_out_what_ended_before_it() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     end(&mut suspects, 0..2, &["/sound"], &mut now);
     suspects.ran_well(request("/sound"), now);
     now += APART;
@@ -107,7 +108,7 @@
 #[test]
 fn an_answer_that_one_instance_saw_releases_the_request_at_all() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
-    let mut now = Instant::now();
+    let mut now = start();
     end(&mut one, 0..3, &["/sound"], &mut now);
     let mut random = SmallRng::seed_from_u64(1);
     two.hear(&one.tell(&mut random, now).expect("there is news"), now).expect("it can be read");
@@ -124,7 +125,7 @@
 
 #[test]
 fn a_request_that_another_one_explains_is_released() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     end(&mut suspects, 0..3, &["/bad", "/beside"], &mut now);
     assert!(is_held(&mut suspects, "/beside", now), "nothing tells them apart yet");
     end(&mut suspects, 3..5, &["/bad"], &mut now);
@@ -136,7 +137,7 @@
 
 #[test]
 fn servers_that_die_together_with_others_are_one_loss() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     for number in 0..4 {
         suspects.ended_under(&server(number), &[request("/often")], now);
         suspects.ended_under(&server(10 + number), &[request(&format!("/{number}"))], now);
@@ -150,7 +151,7 @@
 
 #[test]
 fn a_request_alone_may_end_three_servers_at_once() {
-    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    let (mut suspects, now) = (Suspects::default(), start());
     for number in 0..3 {
         suspects.ended_under(&server(number), &[request("/bad"), request("/beside")], now);
     }
@@ -159,7 +160,7 @@
 
 #[test]
 fn a_request_that_was_answered_of_late_is_sent_on() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     suspects.ran_well(request("/often"), now);
     end(&mut suspects, 0..3, &["/often"], &mut now);
     assert!(!is_held(&mut suspects, "/often", now));
@@ -168,7 +169,7 @@
 
 #[test]
 fn a_request_is_forgotten_only_when_it_has_not_come_for_long() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     end(&mut suspects, 0..3, &["/bad"], &mut now);
     for _ in 0..10 {
         now += Duration::from_secs(500);
@@ -181,7 +182,7 @@
 
 #[test]
 fn many_broken_requests_take_bounded_room_and_leave_what_is_held() {
-    let (mut suspects, mut now) = (Suspects::default(), Instant::now());
+    let (mut suspects, mut now) = (Suspects::default(), start());
     end(&mut suspects, 0..3, &["/bad"], &mut now);
     for number in 0..20_000 {
         suspects.ended_under(&server(number / 20), &[request(&format!("/{number}"))], now);
@@ -198,7 +199,7 @@
     #[test]
     fn any_bytes_are_heard_without_harm(bytes in prop::collection::vec(any::<u8>(), 0..1400)) {
         let mut suspects = Suspects::default();
-        suspects.hear(&bytes, Instant::now());
+        suspects.hear(&bytes, start());
         assert!(suspects.len() <= MOST_SUSPECTS);
     }
 }
@@ -207,10 +208,10 @@
 struct Fleet {
     instances: Vec<Suspects>,
     random: SmallRng,
-    now: Instant,
+    now: Time,
     /// Messages on their way: when they arrive, and where.
-    on_the_way: Vec<(Instant, usize, Vec<u8>)>,
-    beat_at: Vec<Instant>,
+    on_the_way: Vec<(Time, usize, Vec<u8>)>,
+    beat_at: Vec<Time>,
     bytes: usize,
 }
 
@@ -223,7 +224,7 @@
 impl Fleet {
     fn new(count: usize) -> Self {
         let mut random = SmallRng::seed_from_u64(5);
-        let now = Instant::now();
+        let now = start();
         let beat_at = (0..count).map(|_| now + BEAT.mul_f64(random.random())).collect();
         let instances = (0..count).map(|_| Suspects::default()).collect();
         Self { instances, random, now, on_the_way: Vec::new(), beat_at, bytes: 0 }
@@ -255,7 +256,7 @@
         let now = self.now;
         let (due, rest) = self.on_the_way.drain(..).partition(|(at, ..)| *at <= now);
         self.on_the_way = rest;
-        let due: Vec<(Instant, usize, Vec<u8>)> = due;
+        let due: Vec<(Time, usize, Vec<u8>)> = due;
         for (_, target, bytes) in due {
             let heard = self.instances[target].hear(&bytes, now).expect("it can be read");
             if heard.is_urgent {
@@ -297,9 +298,9 @@
     }
     while fleet.hold("/bad") < count {
         fleet.step();
-        assert!(fleet.now - began < Duration::from_secs(20), "{} hold it", fleet.hold("/bad"));
+        assert!(fleet.now.since(began) < Duration::from_secs(20), "{} hold it", fleet.hold("/bad"));
     }
-    (fleet.now - began, fleet)
+    (fleet.now.since(began), fleet)
 }
 
 #[test]
@@ -323,7 +324,7 @@
     let began = fleet.now;
     while fleet.hold("/bad") < 12 {
         fleet.step();
-        assert!(fleet.now - began < Duration::from_secs(4), "{} hold it", fleet.hold("/bad"));
+        assert!(fleet.now.since(began) < Duration::from_secs(4), "{} hold it", fleet.hold("/bad"));
     }
     (0..1_000).for_each(|_| fleet.step());
     let per_s = (fleet.bytes - before) / 12 / 10;
