Count ends that came together with others by half against a request

Change: an end within 0.25 s of that of a server that did not have the request counts by half; room for 1,024 fingerprints, as each request has two. Tests: a repeated request in three losses is sent on (failed before), two requests that end servers side by side are both held back. The test of the spreading is as strict, with other figures: its request ended three servers while fifteen others ended within half a second of each, which no one can tell from a repeated request in several losses; it now has three ends apart from the others', and six among them.

--- a/crates/steering/src/suspects/mod.rs
+++ b/crates/steering/src/suspects/mod.rs
@@ -13,6 +13,7 @@
 
 mod ends;
 mod fingerprint;
+mod losses;
 mod sound;
 mod table;
 mod told;
--- a/crates/steering/src/suspects/table.rs
+++ b/crates/steering/src/suspects/table.rs
@@ -2,6 +2,7 @@
 
 use super::ends::{End, ServerHash, Suspect};
 use super::fingerprint::{Fingerprint, Fingerprints};
+use super::losses::Losses;
 use super::sound::Sound;
 use crate::Time;
 use crate::placement::Incarnation;
@@ -16,15 +17,11 @@
 /// by chance has fewer soon, and two that both end servers seldom differ by as many.
 const EXPLAINS_FROM: usize = 2;
 
-/// Time within which servers end together: power and links take those of a zone within a tenth of a
-/// second, and each end is found out by one more connection, up to 0.45 s later.
-const TOGETHER: Duration = Duration::from_millis(500);
-
 /// Ends that are recorded for one request.
 pub const MOST_ENDS: usize = 16;
 
-/// Requests that are recorded: 20 servers that end at once with 20 requests each, in 200 kB.
-pub const MOST_SUSPECTS: usize = 512;
+/// Fingerprints that are recorded: 25 servers that end at once with 20 requests each, in 300 kB.
+pub const MOST_SUSPECTS: usize = 1_024;
 
 /// Time after which a request is forgotten that did not come again: a broken caller that tries
 /// each minute still meets an instance that knows, and what ends servers no more is soon released.
@@ -151,9 +148,11 @@
 
     /// Decides anew which requests are held back, and tells what changed.
     pub(super) fn settle(&mut self) -> Changes {
+        let losses = Losses::of(self.by_request.values());
         let under_many = self.by_request.iter().filter(|(_, it)| it.ends.len() >= HELD_FROM);
         let held: HashSet<Fingerprint> = under_many
-            .filter(|(_, suspect)| !self.is_explained(suspect) && !self.is_one_loss(suspect))
+            .filter(|(_, suspect)| losses.weight(suspect) >= HELD_FROM as f64)
+            .filter(|(_, suspect)| !losses.is_one(suspect) && !self.is_explained(suspect))
             .map(|(request, _)| *request)
             .collect();
         let newly = held.difference(&self.held);
@@ -173,12 +172,4 @@
         let others = self.by_request.values().filter(|other| other.ends.len() >= more);
         others.into_iter().any(|other| suspect.is_within(other))
     }
-
-    /// Tells whether its servers all ended together, and others with them that did not have it.
-    fn is_one_loss(&self, suspect: &Suspect) -> bool {
-        let Some((first, last)) = suspect.span() else { return false };
-        let is_near = |end: &End| first <= end.at + TOGETHER && end.at <= last + TOGETHER;
-        let mut ends = self.by_request.values().flat_map(|other| &other.ends);
-        last.since(first) <= TOGETHER && ends.any(|end| is_near(end) && !suspect.has(end.server))
-    }
 }
