Read and log what backend servers say of their condition in answers

Cause under examination: nothing tells which instance was told of a limit, a leaving or a rest, nor what it sent after. Change: the answer's head gives the limit, whether the server leaves and the rest that it wants; an instance keeps them beside the server and logs each change with the request whose answer told it, and every second heartbeat what it sent to servers that name a limit. No decision uses them yet.

--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steering::deployment::{BackendServer, Deployment, KeyDigest, Policies};
+use steering::placement::Condition;
 use steering::placement::load::LoadReport;
 
 /// What can be asked of the store and watched.
@@ -165,7 +166,7 @@
 }
 
 /// What the head of a backend server's answer tells.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerHead {
     /// Whether it answers the request that was sent.
     pub is_for_request: bool,
@@ -177,6 +178,8 @@
     pub replaced: bool,
     /// Load, if it came along.
     pub load: Option<LoadReport>,
+    /// What the backend server says of its condition.
+    pub condition: Condition,
 }
 
 /// What a health check told.
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -8,7 +8,7 @@
 use super::datagram::{self, Kind};
 use super::instance::Instance;
 use super::questions::Questions;
-use super::{fleet, suspicions};
+use super::{conditions, fleet, suspicions};
 use crate::border::{Registration, SUBJECTS, Subject};
 use crate::version::changes::Update;
 use crate::version::exchange;
@@ -154,6 +154,7 @@
         for (service, Placed { stayed, moved, spilled }) in counts {
             log::info!(target: "shares", service = &*service, stayed, moved, spilled; "placed");
         }
+        conditions::log_limited(instance);
     }
 }
 
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod applying;
 pub mod arms;
 pub mod clock;
+pub(crate) mod conditions;
 pub mod daemon;
 mod datagram;
 pub(crate) mod ended;
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -6,7 +6,7 @@
 use crate::connection::pool::{Connection, PoolError};
 use crate::process::ended::closed_under;
 use crate::process::instance::Instance;
-use crate::process::suspicions;
+use crate::process::{conditions, suspicions};
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, StatusCode, Uri};
 use hyper::client::conn::http1::SendRequest;
@@ -161,6 +161,9 @@
     let request_id = exchange.head.request_id.as_deref();
     let seen = instance.wire.server_head(parts.status, &parts.headers, request_id);
     work.report = seen.load;
+    if seen.is_for_request && !seen.replaced {
+        conditions::told(instance, &work.server, seen.condition, request_id);
+    }
     if let Some(attempt) = judge(exchange, choice, parts.status, &seen, &mut work) {
         return attempt;
     }
--- a/crates/steering/src/placement/ask.rs
+++ b/crates/steering/src/placement/ask.rs
@@ -81,6 +81,19 @@
     pub spilled: u64,
 }
 
+/// Requests that were sent to a backend server that names a limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limited {
+    /// Its identity.
+    pub id: Arc<str>,
+    /// Requests a second that it takes from all instances together.
+    pub per_s: f64,
+    /// Requests that this instance sent since that was taken last.
+    pub sent: u64,
+    /// Time since an answer named the limit.
+    pub heard_ago: Duration,
+}
+
 /// No backend server may take a request now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 mod candidate;
 pub mod cold;
+pub mod condition;
 mod demand;
 pub mod division;
 pub mod incarnation;
@@ -34,8 +35,9 @@
 mod warmth;
 
 pub use arms::PolicyFailure;
-pub use ask::{Ask, Choice, Placed, Refusal, ShareMove};
+pub use ask::{Ask, Choice, Limited, Placed, Refusal, ShareMove};
 pub use budget::RetryBudget;
+pub use condition::{Condition, ConditionChange, Limit};
 pub use division::Division;
 pub use incarnation::{Incarnation, ServerRef};
 pub use peers::{Peer, PeerState, Peers};
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -1,9 +1,10 @@
 //! The backend servers that an instance knows, and its choice among them.
 
 use super::arms::{Arms, PolicyFailure};
-use super::ask::{Ask, Choice, Placed, Refusal};
+use super::ask::{Ask, Choice, Limited, Placed, Refusal};
 use super::candidate::{Candidate, Terms, best_of};
 use super::cold::is_sender;
+use super::condition::{Condition, ConditionChange};
 use super::incarnation::{Incarnation, ServerRef};
 use super::load::LoadReport;
 use super::rank::{name_hash, unit, weighted_rank};
@@ -292,6 +293,32 @@
         }
     }
 
+    /// Takes over what an answer of a backend server says of its condition; returns what changed.
+    pub fn told<'a>(
+        &mut self,
+        server: impl Into<ServerRef<'a>>,
+        said: Condition,
+        now: Instant,
+    ) -> Vec<ConditionChange> {
+        let server = self.server_mut(server.into());
+        server.map_or_else(Vec::new, |server| server.condition.told(said, now))
+    }
+
+    /// Takes what was sent to backend servers that name a limit.
+    pub fn take_limited(&mut self, now: Instant) -> Vec<Limited> {
+        let servers = self.services.values_mut().flat_map(|state| &mut state.servers);
+        let limited = servers.filter_map(|server| {
+            let limit = server.condition.limit.as_mut()?;
+            Some(Limited {
+                id: server.id.clone(),
+                per_s: limit.per_s,
+                sent: std::mem::take(&mut limit.sent),
+                heard_ago: now.duration_since(limit.heard_at),
+            })
+        });
+        limited.filter(|limited| limited.sent > 0).collect()
+    }
+
     /// Takes the counts of the services of which requests left the region.
     pub fn take_placed(&mut self) -> Vec<(Arc<str>, Placed)> {
         let services = self.services.iter_mut();
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -1,6 +1,7 @@
 //! What one instance knows of one backend server.
 
 use super::cold::ColdPace;
+use super::condition::KnownCondition;
 use super::incarnation::Incarnation;
 use super::load::{Load, LoadReport};
 use super::rank::{name_hash, rank};
@@ -84,6 +85,8 @@
     pub load: Load,
     /// Pace while it is cold.
     pub pace: ColdPace,
+    /// What it said of its condition in answers.
+    pub condition: KnownCondition,
     cold_until: Option<Instant>,
     failures: u32,
     failed_until: Option<Instant>,
@@ -109,6 +112,7 @@
             incarnation_hash,
             load: Load::default(),
             pace: ColdPace::new(now),
+            condition: KnownCondition::default(),
             cold_until: None,
             failures: 0,
             failed_until: None,
@@ -212,6 +216,7 @@
             self.heard_at = now;
         }
         self.load.in_flight += 1;
+        self.condition.sent();
         if self.is_cold(now) {
             self.pace.spend();
         }
