--- /dev/null
+++ b/crates/steering/tests/placement_limits.rs
@@ -0,0 +1,164 @@
+//! What a backend server gets from all instances together that names a limit in its answers.
+//!
+//! **What was seen.** Two servers named limits of 6 and 2.3 requests a second and got 64 and 43 in 4 s,
+//! as many as before.
+//!
+//! **How it came about.** Each instance of the region went on placing the server's objects there.  Were each
+//! to heed the limit by itself, four instances would send four times as much, and a hundred a hundred times.
+
+mod placement_common;
+
+use placement_common::{ask, name, peer, roster, servers, step};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::time::{Duration, Instant};
+use steering::placement::{Condition, Ending, Limit, Peer, Roster};
+
+/// Time in which instances in touch heed a limit that a server began to name, in milliseconds.
+const CONTACT_MS: u64 = 4_000;
+
+/// Time from which on an instance that was told is counted, in milliseconds.
+const TOLD_MS: u64 = 500;
+
+/// Length of a window, in milliseconds.
+const WINDOW_MS: u64 = 4_000;
+
+/// How long the model runs, in milliseconds.
+const END_MS: u64 = 16_000;
+
+/// Pause between two requests of all callers together, and time to an answer, in milliseconds.
+const PAUSE_MS: u64 = 5;
+const ANSWER_MS: u64 = 100;
+
+/// Time between two heartbeats, in milliseconds.
+const BEAT_MS: u64 = 800;
+
+/// The server that names a limit; five others of its region don't.
+const LIMITED: &str = "north-a-0";
+
+/// Requests that a window may hold.
+fn allowed(limit_per_s: f64) -> usize {
+    (1.5 * limit_per_s * WINDOW_MS as f64 / 1_000.0) as usize + 5
+}
+
+/// An instance, and when an answer told it of the limit first.
+struct Instance {
+    peer: Peer,
+    roster: Roster,
+    told_ms: Option<u64>,
+}
+
+/// Requests that arrived at the limited server.
+#[derive(Debug, Default)]
+struct Arrivals {
+    /// Times of those that came from instances that had been told before.
+    after_told_ms: Vec<u64>,
+    refused: usize,
+}
+
+impl Arrivals {
+    /// Most requests in a window after the time in which instances heed a limit.
+    fn most(&self) -> usize {
+        let late = || self.after_told_ms.iter().filter(|at| **at >= CONTACT_MS);
+        let within =
+            |from: &u64| late().filter(|at| (*from..*from + WINDOW_MS).contains(at)).count();
+        late().map(within).max().unwrap_or(0)
+    }
+}
+
+/// Plays callers of one region whose first server names a limit from the start on; `hears` tells which
+/// instances hear each other.
+fn play(instances: usize, limit_per_s: f64, hears: impl Fn(usize, usize) -> bool) -> Arrivals {
+    let start = Instant::now();
+    let known = servers(&[("north-a", 3), ("north-b", 3)], 9);
+    let of = |number: usize| peer(&format!("instance-{number}"), "north-a");
+    let others = |number: usize| -> Vec<Peer> {
+        let heard = (0..instances).filter(|other| *other != number && hears(number, *other));
+        heard.map(of).collect()
+    };
+    let mut fleet: Vec<Instance> = (0..instances)
+        .map(|number| {
+            let roster = roster(&of(number).name, "north-a", &known, start);
+            Instance { peer: of(number), roster, told_ms: None }
+        })
+        .collect();
+    let mut random = StdRng::seed_from_u64(7);
+    let service = name(placement_common::SERVICE);
+    let mut arrivals = Arrivals::default();
+    let mut answers: Vec<(u64, usize, std::sync::Arc<str>)> = Vec::new();
+    for at_ms in (0..END_MS).step_by(PAUSE_MS as usize) {
+        let now = start + Duration::from_millis(at_ms);
+        if at_ms.is_multiple_of(BEAT_MS) {
+            for (number, instance) in fleet.iter_mut().enumerate() {
+                step(&mut instance.roster, &instance.peer, &others(number), now);
+            }
+        }
+        answers.retain(|(due_ms, number, server)| {
+            if *due_ms > at_ms {
+                return true;
+            }
+            let instance = &mut fleet[*number];
+            let after = Duration::from_millis(ANSWER_MS);
+            let ending = Ending::Answered { after, known_warm: false };
+            instance.roster.ended(server, ending, None, now);
+            if **server == *LIMITED {
+                let said =
+                    Condition { limit: Limit::PerSecond(limit_per_s), ..Condition::default() };
+                instance.roster.told(server, said, now);
+                instance.told_ms.get_or_insert(at_ms);
+            }
+            false
+        });
+        let number = random.random_range(0..instances);
+        let instance = &mut fleet[number];
+        let Ok(choice) = instance.roster.choose(&ask(&service, random.random(), &[]), now) else {
+            arrivals.refused += 1;
+            continue;
+        };
+        if *choice.id == *LIMITED && instance.told_ms.is_some_and(|told| told + TOLD_MS <= at_ms) {
+            arrivals.after_told_ms.push(at_ms);
+        }
+        answers.push((at_ms + ANSWER_MS, number, choice.id));
+    }
+    arrivals
+}
+
+/// Limits from none at all to more than the server would get.
+const LIMITS_PER_S: [f64; 6] = [0.0, 0.3, 2.3, 5.4, 12.0, 60.0];
+
+#[test]
+fn a_named_limit_binds_the_sum_over_the_instances_of_a_region() {
+    for instances in [1, 4, 25, 100] {
+        for limit_per_s in LIMITS_PER_S {
+            let arrivals = play(instances, limit_per_s, |_, _| true);
+            let most = arrivals.most();
+            let allowed = allowed(limit_per_s);
+            assert!(
+                most <= allowed,
+                "{most} of {allowed}: {instances} instances, {limit_per_s} a second"
+            );
+            assert_eq!(arrivals.refused, 0, "five others have room");
+        }
+    }
+}
+
+#[test]
+fn a_named_limit_binds_the_sum_while_views_differ() {
+    for limit_per_s in LIMITS_PER_S {
+        // Two halves that don't hear each other.
+        let most = play(12, limit_per_s, |one, other| one % 2 == other % 2).most();
+        let allowed = allowed(limit_per_s);
+        assert!(most <= allowed, "{most} of {allowed}: {limit_per_s} a second");
+    }
+}
+
+#[test]
+fn a_server_that_names_a_limit_gets_a_good_part_of_it() {
+    for limit_per_s in [2.3, 5.4, 12.0] {
+        let arrivals = play(4, limit_per_s, |_, _| true);
+        let late = arrivals.after_told_ms.iter().filter(|at| **at >= CONTACT_MS).count();
+        let time_s = (END_MS - CONTACT_MS) as f64 / 1_000.0;
+        let part = late as f64 / time_s / limit_per_s;
+        assert!(part > 0.5, "{part} of {limit_per_s} a second");
+    }
+}
