Put claims about a limit in order by number, not by time

What callers saw: nothing new; limits were exceeded again a minute after the first ones, and instances were busy with each other. Cause: of two claims the one whose answer seemed later counted, by an age that does not hold its way; each claim grew younger from one instance to the next, and limited and unlimited went round without end. Why this holds: a claim has a number, one more than the highest known to whom an answer contradicted; the highest is the same everywhere, and only answers make new ones.

--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -2,6 +2,7 @@
 
 use super::senders::{Pace, Role};
 use crate::spreading::FRESH_FOR;
+use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
 /// Change of a named rate, as a part of it, below which it is told as the same.
@@ -48,6 +49,15 @@
     pub sent: u64,
 }
 
+/// What an instance claims of a backend server's limit.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitClaim {
+    /// One more than the highest that was known to whom an answer contradicted.
+    pub number: u32,
+    /// Requests a second that it takes from all instances together; none if any number.
+    pub per_s: Option<f64>,
+}
+
 /// What is known of a backend server's condition.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KnownCondition {
@@ -56,6 +66,8 @@
     /// Time of the latest answer that is known to have told whether there is a limit; none if there
     /// was none for long.
     pub limit_told_at: Option<Instant>,
+    /// Number of the claim that is known of the limit.
+    claim: u32,
     /// Whether it said that it leaves.
     pub is_leaving: bool,
     /// Time until which it wants nothing from this instance.
@@ -80,7 +92,7 @@
     /// Takes over what an answer to this instance says; returns what changed.
     pub fn told(&mut self, said: Condition, now: Instant) -> Vec<ConditionChange> {
         let mut changes: Vec<ConditionChange> =
-            self.limit_told(said.limit, now, now).into_iter().collect();
+            self.limit_told(said.limit, now).into_iter().collect();
         if said.is_leaving && !self.is_leaving {
             self.is_leaving = true;
             changes.push(ConditionChange::Leaves);
@@ -93,60 +105,94 @@
         changes
     }
 
-    /// Takes over what an answer, here or at another instance, said of the limit at a time; the latest
-    /// answer counts.
-    pub fn limit_told(
+    /// Takes over what an answer to this instance says of the limit.
+    ///
+    /// What contradicts the claim that is known makes a new one, with the next number: claims of instances
+    /// whose clocks and distances differ can't be put in order by time.
+    fn limit_told(&mut self, said: Limit, now: Instant) -> Option<ConditionChange> {
+        let known = self.limit.map(|known| known.per_s);
+        let (is_known, said) = match (said, known) {
+            (Limit::Untold, _) => return None,
+            (Limit::Unlimited, _) => (known.is_none(), None),
+            (Limit::PerSecond(per_s), known) => {
+                let moved = known.map_or(f64::INFINITY, |known| (per_s - known).abs());
+                (moved <= SAME_RATE * per_s, Some(per_s))
+            }
+        };
+        if is_known {
+            self.confirm_limit(now, now);
+            return None;
+        }
+        self.take_claim(LimitClaim { number: self.claim + 1, per_s: said }, now, now)
+    }
+
+    /// Takes over what another instance claims, as an answer said at a time; of two claims the later by
+    /// number counts, of two with the same number the lower limit.
+    pub fn limit_claimed(
         &mut self,
-        said: Limit,
+        claim: LimitClaim,
         at: Instant,
         now: Instant,
     ) -> Option<ConditionChange> {
-        let is_late = self.limit_told_at.is_some_and(|known| known > at);
-        let before = self.limit.map(|known| known.per_s);
-        if is_late || said == Limit::Untold || now.duration_since(at) > SURE_FOR {
+        let known = self.limit.map(|known| known.per_s);
+        let or_most = |per_s: Option<f64>| per_s.unwrap_or(f64::INFINITY);
+        let is_same = claim.number == self.claim;
+        if is_same && claim.per_s == known {
+            self.confirm_limit(at, now);
             return None;
         }
-        if said == Limit::Unlimited && before.is_none() {
-            self.forget_limit(now);
+        let is_later = claim.number > self.claim;
+        let is_lower = is_same && or_most(claim.per_s) < or_most(known);
+        if is_later || is_lower { self.take_claim(claim, at, now) } else { None }
+    }
+
+    fn take_claim(
+        &mut self,
+        claim: LimitClaim,
+        at: Instant,
+        now: Instant,
+    ) -> Option<ConditionChange> {
+        let before = self.limit;
+        let before_per_s = before.map(|known| known.per_s);
+        self.claim = claim.number;
+        self.limit_told_at = Some(at);
+        self.limit = claim.per_s.map(|per_s| match before {
+            Some(known) => NamedLimit { per_s, ..known },
+            None => NamedLimit { per_s, pace: Pace::new(now), sent: 0 },
+        });
+        if before_per_s == claim.per_s {
             return None;
         }
-        self.limit_told_at = Some(at);
-        let change = match said {
-            Limit::PerSecond(per_s) => {
-                let pace = self.limit.map_or_else(|| Pace::new(now), |known| known.pace);
-                let sent = self.limit.map_or(0, |known| known.sent);
-                self.limit = Some(NamedLimit { per_s, pace, sent });
-                let moved = before.map_or(f64::INFINITY, |before| (per_s - before).abs());
-                (moved > SAME_RATE * per_s).then_some(ConditionChange::Limited(before, per_s))
-            }
-            Limit::Untold | Limit::Unlimited => {
-                self.limit = None;
-                before.map(ConditionChange::Unlimited)
-            }
-        };
-        if change.is_some() {
-            self.changed_at = Some(now);
+        self.changed_at = Some(now);
+        match (claim.per_s, before_per_s) {
+            (Some(per_s), before) => Some(ConditionChange::Limited(before, per_s)),
+            (None, Some(before)) => Some(ConditionChange::Unlimited(before)),
+            (None, None) => None,
         }
-        change
     }
 
-    /// Forgets that there was a limit when nobody tells of it any more.
-    fn forget_limit(&mut self, now: Instant) {
-        if self.changed_at.is_some_and(|at| now.duration_since(at) > SURE_FOR) {
+    /// Takes over that the limit that is known, or that there is none, still held at a time.
+    fn confirm_limit(&mut self, at: Instant, now: Instant) {
+        if self.limit.is_some() {
+            self.limit_told_at = self.limit_told_at.max(Some(at));
+        } else if self.changed_at.is_some_and(|at| now.duration_since(at) > SURE_FOR) {
             self.limit_told_at = None;
         }
     }
 
+    /// What this instance claims of the limit, and when an answer said so; none if there is nothing
+    /// that others have to know.
+    pub fn claim(&self, now: Instant) -> Option<(LimitClaim, Instant)> {
+        let at = self.limit_told_at.filter(|at| now.duration_since(*at) < SURE_FOR)?;
+        let per_s = self.limit.map(|known| known.per_s);
+        Some((LimitClaim { number: self.claim, per_s }, at))
+    }
+
     /// Tells whether others may not know yet what this instance knows.
     pub fn is_fresh(&self, now: Instant) -> bool {
         self.changed_at.is_some_and(|at| now.duration_since(at) < FRESH_FOR)
     }
 
-    /// Tells whether other instances have to be told of it.
-    pub fn matters(&self, now: Instant) -> bool {
-        self.limit_told_at.is_some_and(|at| now.duration_since(at) < SURE_FOR)
-    }
-
     /// Tells whether this instance may send it one request more, as far as its limit goes.
     ///
     /// The limit binds the sum over all instances, and each of them was told the whole of it: only few
--- a/crates/steering/src/placement/conditions.rs
+++ b/crates/steering/src/placement/conditions.rs
@@ -1,10 +1,10 @@
 //! What backend servers say of their condition, as instances tell each other of it.
 //!
 //! Few instances send to a backend server that names a limit, and so hear when it ends; the others learn
-//! it from them.  Of several answers that the same instance or others had, the latest counts.
+//! it from them.  Whoever gets an answer that contradicts what is known makes a new claim with the next number.
 
 use super::ask::Limited;
-use super::condition::{Condition, ConditionChange, KnownCondition, Limit};
+use super::condition::{Condition, ConditionChange, KnownCondition, LimitClaim};
 use super::incarnation::ServerRef;
 use super::roster::Roster;
 use super::server::Server;
@@ -16,33 +16,30 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Longest way of a message: an answer must not seem later from one instance to the next, or what was
+/// true once would be passed on for ever.
+const LONGEST_WAY: Duration = Duration::from_millis(250);
+
 /// One backend server, as an instance tells of it.
 #[derive(Debug, Deserialize, Serialize)]
 struct Told {
     /// Hash of its incarnation.
     server: u64,
-    /// Time since the latest answer that told whether there is a limit.
+    limit: LimitClaim,
+    /// Time since the latest answer that is known to have said so.
     limit_age: Age,
-    /// The limit in requests a second, if there is one.
-    limit_per_s: Option<f32>,
 }
 
 impl Told {
     fn new(server: &Server, now: Instant) -> Option<Self> {
-        let KnownCondition { limit, limit_told_at, .. } = server.condition;
-        Some(Self {
-            server: server.incarnation_hash,
-            limit_age: now.duration_since(limit_told_at?).into(),
-            limit_per_s: limit.map(|limit| limit.per_s as f32),
-        })
+        let (limit, at) = server.condition.claim(now)?;
+        let limit_age = now.duration_since(at).into();
+        Some(Self { server: server.incarnation_hash, limit, limit_age })
     }
 
-    fn limit(&self) -> Limit {
-        match self.limit_per_s {
-            Some(per_s) if per_s.is_finite() && per_s >= 0.0 => Limit::PerSecond(per_s.into()),
-            Some(_) => Limit::Untold,
-            None => Limit::Unlimited,
-        }
+    /// Tells whether the limit can be one.
+    fn is_valid(&self) -> bool {
+        self.limit.per_s.is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0)
     }
 }
 
@@ -61,7 +58,8 @@
     /// Tells whether something became known of conditions that others may not know yet; none if there
     /// is nothing that they have to know.
     pub fn has_fresh_conditions(&self, now: Instant) -> Option<bool> {
-        let mut that_matter = self.all_servers().filter(|it| it.condition.matters(now)).peekable();
+        let mut that_matter =
+            self.all_servers().filter(|it| it.condition.claim(now).is_some()).peekable();
         that_matter.peek()?;
         Some(that_matter.any(|it| it.condition.is_fresh(now)))
     }
@@ -71,7 +69,7 @@
     /// What is new goes first; of the rest, others each time.
     pub fn tell_conditions(&self, random: &mut impl Rng, now: Instant) -> Option<Vec<u8>> {
         let mut servers: Vec<&Server> =
-            self.all_servers().filter(|it| it.condition.matters(now)).collect();
+            self.all_servers().filter(|it| it.condition.claim(now).is_some()).collect();
         servers.shuffle(random);
         servers.sort_by_key(|server| !server.condition.is_fresh(now));
         spreading::write(servers.into_iter().filter_map(|server| Told::new(server, now)))
@@ -85,14 +83,15 @@
         now: Instant,
     ) -> Option<Vec<(Arc<str>, ConditionChange)>> {
         let told: Vec<Told> = spreading::read(message)?;
-        let told: HashMap<u64, Told> = told.into_iter().map(|it| (it.server, it)).collect();
+        let valid = told.into_iter().filter(Told::is_valid);
+        let told: HashMap<u64, Told> = valid.map(|it| (it.server, it)).collect();
         let mut changes = Vec::new();
         for server in self.services.values_mut().flat_map(|state| &mut state.servers) {
             let Some(told) = told.get(&server.incarnation_hash) else { continue };
-            let age = Duration::from(told.limit_age);
+            let age = Duration::from(told.limit_age) + LONGEST_WAY;
             // What is older than the clock of this machine is too old to count.
             let Some(at) = now.checked_sub(age) else { continue };
-            let change = server.condition.limit_told(told.limit(), at, now);
+            let change = server.condition.limit_claimed(told.limit, at, now);
             changes.extend(change.map(|change| (server.id.clone(), change)));
         }
         Some(changes)
