Send nothing to servers that say in answers that they leave

What callers saw: nothing yet; requests went to a server that was about to end, for 13 s, as the store that would have told was silent. Cause: whether a server may get work was taken from the store's list alone. Why this holds: an answer that says so counts from then on, for that start of the server, whatever the store's older entry says; other instances are told with what they tell each other of limits.

--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -93,9 +93,8 @@
     pub fn told(&mut self, said: Condition, now: Instant) -> Vec<ConditionChange> {
         let mut changes: Vec<ConditionChange> =
             self.limit_told(said.limit, now).into_iter().collect();
-        if said.is_leaving && !self.is_leaving {
-            self.is_leaving = true;
-            changes.push(ConditionChange::Leaves);
+        if said.is_leaving {
+            changes.extend(self.leaves(now));
         }
         if let Some(rest) = said.rest {
             let is_new = self.rests_until.is_none_or(|until| until <= now);
@@ -105,6 +104,15 @@
         changes
     }
 
+    /// Takes over that it leaves, which it does not take back.
+    pub fn leaves(&mut self, now: Instant) -> Option<ConditionChange> {
+        if std::mem::replace(&mut self.is_leaving, true) {
+            return None;
+        }
+        self.changed_at = Some(now);
+        Some(ConditionChange::Leaves)
+    }
+
     /// Takes over what an answer to this instance says of the limit.
     ///
     /// What contradicts the claim that is known makes a new one, with the next number: claims of instances
@@ -188,6 +196,11 @@
         Some((LimitClaim { number: self.claim, per_s }, at))
     }
 
+    /// Tells whether other instances have to know of it.
+    pub fn matters(&self, now: Instant) -> bool {
+        self.is_leaving || self.claim(now).is_some()
+    }
+
     /// Tells whether others may not know yet what this instance knows.
     pub fn is_fresh(&self, now: Instant) -> bool {
         self.changed_at.is_some_and(|at| now.duration_since(at) < FRESH_FOR)
--- a/crates/steering/src/placement/conditions.rs
+++ b/crates/steering/src/placement/conditions.rs
@@ -25,21 +25,39 @@
 struct Told {
     /// Hash of its incarnation.
     server: u64,
-    limit: LimitClaim,
+    limit: Option<ToldLimit>,
+    is_leaving: bool,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct ToldLimit {
+    claim: LimitClaim,
     /// Time since the latest answer that is known to have said so.
-    limit_age: Age,
+    age: Age,
 }
 
 impl Told {
+    /// What others have to know of a backend server; none if there is nothing.
     fn new(server: &Server, now: Instant) -> Option<Self> {
-        let (limit, at) = server.condition.claim(now)?;
-        let limit_age = now.duration_since(at).into();
-        Some(Self { server: server.incarnation_hash, limit, limit_age })
+        let claim = server.condition.claim(now);
+        let limit =
+            claim.map(|(claim, at)| ToldLimit { claim, age: now.duration_since(at).into() });
+        let is_leaving = server.condition.is_leaving;
+        let matters = is_leaving || limit.is_some();
+        matters.then_some(Self { server: server.incarnation_hash, limit, is_leaving })
     }
+}
 
-    /// Tells whether the limit can be one.
-    fn is_valid(&self) -> bool {
-        self.limit.per_s.is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0)
+impl ToldLimit {
+    /// Takes it over, if it can be one.
+    fn apply(self, known: &mut KnownCondition, now: Instant) -> Option<ConditionChange> {
+        let is_valid = |per_s: f64| per_s.is_finite() && per_s >= 0.0;
+        if !self.claim.per_s.is_none_or(is_valid) {
+            return None;
+        }
+        // What is older than the clock of this machine is too old to count.
+        let at = now.checked_sub(Duration::from(self.age) + LONGEST_WAY)?;
+        known.limit_claimed(self.claim, at, now)
     }
 }
 
@@ -58,8 +76,7 @@
     /// Tells whether something became known of conditions that others may not know yet; none if there
     /// is nothing that they have to know.
     pub fn has_fresh_conditions(&self, now: Instant) -> Option<bool> {
-        let mut that_matter =
-            self.all_servers().filter(|it| it.condition.claim(now).is_some()).peekable();
+        let mut that_matter = self.all_servers().filter(|it| it.condition.matters(now)).peekable();
         that_matter.peek()?;
         Some(that_matter.any(|it| it.condition.is_fresh(now)))
     }
@@ -69,7 +86,7 @@
     /// What is new goes first; of the rest, others each time.
     pub fn tell_conditions(&self, random: &mut impl Rng, now: Instant) -> Option<Vec<u8>> {
         let mut servers: Vec<&Server> =
-            self.all_servers().filter(|it| it.condition.claim(now).is_some()).collect();
+            self.all_servers().filter(|it| it.condition.matters(now)).collect();
         servers.shuffle(random);
         servers.sort_by_key(|server| !server.condition.is_fresh(now));
         spreading::write(servers.into_iter().filter_map(|server| Told::new(server, now)))
@@ -83,16 +100,14 @@
         now: Instant,
     ) -> Option<Vec<(Arc<str>, ConditionChange)>> {
         let told: Vec<Told> = spreading::read(message)?;
-        let valid = told.into_iter().filter(Told::is_valid);
-        let told: HashMap<u64, Told> = valid.map(|it| (it.server, it)).collect();
+        let told: HashMap<u64, Told> = told.into_iter().map(|it| (it.server, it)).collect();
         let mut changes = Vec::new();
         for server in self.services.values_mut().flat_map(|state| &mut state.servers) {
             let Some(told) = told.get(&server.incarnation_hash) else { continue };
-            let age = Duration::from(told.limit_age) + LONGEST_WAY;
-            // What is older than the clock of this machine is too old to count.
-            let Some(at) = now.checked_sub(age) else { continue };
-            let change = server.condition.limit_claimed(told.limit, at, now);
-            changes.extend(change.map(|change| (server.id.clone(), change)));
+            let known = &mut server.condition;
+            let limit = told.limit.and_then(|limit| limit.apply(known, now));
+            let leaves = if told.is_leaving { known.leaves(now) } else { None };
+            changes.extend(limit.into_iter().chain(leaves).map(|it| (server.id.clone(), it)));
         }
         Some(changes)
     }
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -360,6 +360,9 @@
 }
 
 /// Tells whether a backend server is meant to get work.
+///
+/// Its own word that it leaves counts beside the store's, which may be late, or down.
 pub(super) fn may_work(server: &Server, evacuated: &Evacuations) -> bool {
-    !server.record.draining && !evacuated.contains(&server.record.availability_zone)
+    let leaves = server.record.draining || server.condition.is_leaving;
+    !leaves && !evacuated.contains(&server.record.availability_zone)
 }
