Keep what a server said of its condition while the list lacks it

What callers would have seen: a request sent to a server that leaves, or more than its limit, after the store's entries lapsed and came back. Cause: what was known of a server was dropped with its entry. Why this holds: what binds requests is kept for a minute under the incarnation, and taken up again if that is listed again; an entry that lapsed comes back within seconds.

--- a/crates/steering/src/placement/service.rs
+++ b/crates/steering/src/placement/service.rs
@@ -2,6 +2,7 @@
 
 use super::arms::Arms;
 use super::ask::Placed;
+use super::condition::KnownCondition;
 use super::keys::SeenKeys;
 use super::objects::RegionObjects;
 use super::overdue::Overdue;
@@ -12,7 +13,7 @@
 use crate::deployment::BackendServer;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Part of the answers that are taken to be warm and to have waited for nothing: the work of a
 /// request must not seem to grow because its object was moved and is cold where it is now.
@@ -24,6 +25,17 @@
 /// Mean answer time of a service until one is known, in milliseconds.
 const FIRST_ANSWER_MS: f64 = 300.0;
 
+/// Time for which the condition of a backend server is kept that is listed no more: entries that lapsed
+/// while the store was down come back within seconds.
+const ABSENT_FOR: Duration = Duration::from_secs(60);
+
+/// What was known of a backend server that is listed no more.
+#[derive(Debug)]
+struct Absent {
+    condition: KnownCondition,
+    since: Instant,
+}
+
 /// A service with its backend servers.
 #[derive(Debug)]
 pub(super) struct ServiceState {
@@ -31,6 +43,8 @@
     pub(super) servers: Vec<Server>,
     /// Position of each in `servers`, by identity.
     pub(super) positions: HashMap<Arc<str>, usize>,
+    /// Backend servers that are listed no more, by the hash of their incarnation.
+    absent: HashMap<u64, Absent>,
     pub(super) answer_ms: Option<f64>,
     /// Answer time that a part of [`WARM_QUANTILE`] of the answers stays below.
     warm_answer_ms: Quantile,
@@ -64,6 +78,7 @@
         Self {
             servers: Vec::new(),
             positions: HashMap::new(),
+            absent: HashMap::new(),
             answer_ms: None,
             warm_answer_ms: Quantile::new(WARM_QUANTILE),
             overdue: Overdue::default(),
@@ -147,7 +162,7 @@
         region_of: impl Fn(&Arc<str>) -> Arc<str>,
         now: Instant,
     ) {
-        self.servers.retain(|server| listed.contains_key(&server.id));
+        self.remove_unlisted(listed, now);
         self.index();
         for (id, record) in listed {
             match self.positions.get(*id) {
@@ -157,7 +172,12 @@
                 // What was learned of an earlier incarnation does not hold for the next one.
                 known => {
                     let region = region_of(&record.availability_zone);
-                    let server = Server::new((*id).clone(), (*record).clone(), region, now);
+                    let mut server = Server::new((*id).clone(), (*record).clone(), region, now);
+                    if let Some(Absent { condition, .. }) =
+                        self.absent.remove(&server.incarnation_hash)
+                    {
+                        server.condition = condition;
+                    }
                     match known {
                         Some(position) => self.servers[*position] = server,
                         None => self.servers.push(server),
@@ -168,6 +188,17 @@
         self.index();
     }
 
+    /// Removes backend servers that are listed no more.  What they said of their condition is kept: the
+    /// list may lack them for a moment, while they go on as they are.
+    fn remove_unlisted(&mut self, listed: &BTreeMap<&Arc<str>, &BackendServer>, now: Instant) {
+        self.absent.retain(|_, absent| now.duration_since(absent.since) < ABSENT_FOR);
+        let gone = self.servers.extract_if(.., |server| !listed.contains_key(&server.id));
+        let bound = gone.filter(|server| server.condition.binds(now));
+        self.absent.extend(bound.map(|server| {
+            (server.incarnation_hash, Absent { condition: server.condition, since: now })
+        }));
+    }
+
     fn index(&mut self) {
         let ids = self.servers.iter().map(|server| server.id.clone());
         self.positions = ids.zip(0..).collect();
