Leave servers alone for as long as they ask for rest

What callers saw: a third of the look-ups was refused for 9 s while five servers that wanted rest got six times as many requests as when they worked. Cause: the time that a 503 asks for was not read; a server that turned away and had room was asked again at once. Why this holds: the rest binds this instance until it is over; no room, answer or choice in between ends it, and a request that was turned away so goes elsewhere or back to its caller.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -238,8 +238,10 @@
     if seen.not_run {
         work.ended(Ending::Shed);
         note(exchange, choice, "not run", status.as_str());
+        // One that wants rest must not be asked again, whatever room it has.
+        let may_be_asked = seen.condition.rest.is_none();
         let had_room = seen.load.is_some_and(LoadReport::has_room);
-        return Some(if had_room { Attempt::Refused } else { Attempt::NotRun });
+        return Some(if had_room && may_be_asked { Attempt::Refused } else { Attempt::NotRun });
     }
     if PROMISES.contains(&status) {
         // Passed on, it would promise what the backend server did not say.
--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -230,9 +230,16 @@
         self.rests_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Tells whether it wants nothing from this instance now.
+    ///
+    /// Nothing but time ends that: an answer to an earlier request does not say that it wants more.
+    pub fn rests(&self, now: Instant) -> bool {
+        !self.rest_left(now).is_zero()
+    }
+
     /// Tells whether it binds what the backend server gets.
     pub fn binds(&self, now: Instant) -> bool {
-        self.limit.is_some() || self.is_leaving || !self.rest_left(now).is_zero()
+        self.limit.is_some() || self.is_leaving || self.rests(now)
     }
 
     /// Slots of so many that it uses, if a request keeps one busy for `slot_s` seconds.
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -200,7 +200,7 @@
             }
             let at_home = server.region == home;
             listed_at_home += usize::from(at_home);
-            failed_at_home += usize::from(at_home && server.has_failed(now));
+            failed_at_home += usize::from(at_home && server.is_out(now));
             if server.is_paused(mean_answer, now) {
                 continue;
             }
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -181,12 +181,17 @@
         self.failed_until.is_some_and(|until| until > now)
     }
 
-    /// Tells whether it should get no request for now, as it failed, had no room or is silent;
-    /// `mean_answer` is that of its service.
+    /// Tells whether it failed a moment ago, or wants rest, so that what belongs there has to go elsewhere.
+    pub fn is_out(&self, now: Instant) -> bool {
+        self.has_failed(now) || self.condition.rests(now)
+    }
+
+    /// Tells whether it should get no request for now, as it failed, wants rest, had no room or is
+    /// silent; `mean_answer` is that of its service.
     pub fn is_paused(&self, mean_answer: Duration, now: Instant) -> bool {
         let silence = SILENCE.0.max(mean_answer.mul_f64(SILENCE.1));
         let silent = self.load.in_flight > 0 && now.duration_since(self.heard_at) > silence;
-        silent || self.has_failed(now) || self.shed_until.is_some_and(|until| until > now)
+        silent || self.is_out(now) || self.shed_until.is_some_and(|until| until > now)
     }
 
     /// Part of its latest answers that were failures.
