Take a limit for over only when no answer names it for a second

What callers would have seen: a server in need got any rate for a moment around each change of its limit. Cause: one answer without the word ended a limit for all instances, while answers of before and after a change cross each other. Why this holds: an answer that names it begins the second anew; senders ask at a pace even for limits near none.

--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -16,6 +16,10 @@
 /// would know that it is over.  Within it, a change reaches all instances many times over.
 const SURE_FOR: Duration = Duration::from_secs(60);
 
+/// Time in which no answer may name the limit before it counts as over: answers of before and after a
+/// change cross each other, and one that lacks a word is no proof.
+const ENDS_AFTER: Duration = Duration::from_secs(1);
+
 /// What an answer says of the rate that its backend server takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Limit {
@@ -68,6 +72,8 @@
     pub limit_told_at: Option<Instant>,
     /// Number of the claim that is known of the limit.
     claim: u32,
+    /// Time since which no answer to this instance has named the limit that is known.
+    unnamed_since: Option<Instant>,
     /// Whether it said that it leaves.
     pub is_leaving: bool,
     /// Time until which it wants nothing from this instance.
@@ -119,6 +125,16 @@
     /// whose clocks and distances differ can't be put in order by time.
     fn limit_told(&mut self, said: Limit, now: Instant) -> Option<ConditionChange> {
         let known = self.limit.map(|known| known.per_s);
+        match said {
+            Limit::Unlimited if known.is_some() => {
+                let since = *self.unnamed_since.get_or_insert(now);
+                if now.duration_since(since) < ENDS_AFTER {
+                    return None;
+                }
+            }
+            Limit::PerSecond(_) => self.unnamed_since = None,
+            Limit::Untold | Limit::Unlimited => {}
+        }
         let (is_known, said) = match (said, known) {
             (Limit::Untold, _) => return None,
             (Limit::Unlimited, _) => (known.is_none(), None),
@@ -163,6 +179,7 @@
         let before = self.limit;
         let before_per_s = before.map(|known| known.per_s);
         self.claim = claim.number;
+        self.unnamed_since = None;
         self.limit_told_at = Some(at);
         self.limit = claim.per_s.map(|per_s| match before {
             Some(known) => NamedLimit { per_s, ..known },
