Begin the second without a limit anew when another instance hears it named

Cause: found by reading: an answer without the limit long ago, at an instance that sent nothing since, made the next such answer end the limit for all at once; a number of a claim from a broken datagram could overflow. Why this holds: the second counts from the first answer without it after the last one, at any instance, that named it; numbers stay at the highest. Measured: a test of two instances; the model of the exchange and the bounds as before.

--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -127,7 +127,10 @@
         let known = self.limit.map(|known| known.per_s);
         match said {
             Limit::Unlimited if known.is_some() => {
-                let since = *self.unnamed_since.get_or_insert(now);
+                // A word of another instance that it still holds begins the time anew.
+                let named_since = |since: &Instant| self.limit_told_at > Some(*since);
+                let since = self.unnamed_since.filter(|since| !named_since(since)).unwrap_or(now);
+                self.unnamed_since = Some(since);
                 if now.duration_since(since) < ENDS_AFTER {
                     return None;
                 }
@@ -147,7 +150,7 @@
             self.confirm_limit(now, now);
             return None;
         }
-        self.take_claim(LimitClaim { number: self.claim + 1, per_s: said }, now, now)
+        self.take_claim(LimitClaim { number: self.claim.saturating_add(1), per_s: said }, now, now)
     }
 
     /// Takes over what another instance claims, as an answer said at a time; of two claims the later by
--- a/crates/steering/tests/placement_limits.rs
+++ b/crates/steering/tests/placement_limits.rs
@@ -227,6 +227,24 @@
     }
 }
 
+#[test]
+fn a_word_of_another_instance_keeps_a_limit() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut rosters = rosters(2, start);
+    let [one, two] = rosters.as_mut_slice() else { panic!("there are two") };
+    one.told(LIMITED, limited(Some(5.4)), at(0));
+    one.told(LIMITED, limited(None), at(100));
+    let named = one.tell_conditions(&mut random, at(200)).expect("it matters");
+    two.hear_conditions(&named, at(200)).expect("it can be read");
+    two.told(LIMITED, limited(Some(5.4)), at(30_000));
+    let still = two.tell_conditions(&mut random, at(30_000)).expect("it matters");
+    one.hear_conditions(&still, at(30_000)).expect("it can be read");
+    one.told(LIMITED, limited(None), at(31_000));
+    assert!(known_limit(one, at(31_000)), "one answer long after another may lack it too");
+}
+
 #[test]
 fn an_answer_without_a_word_about_a_limit_changes_nothing() {
     let now = Instant::now();
