Show by a failing test that a request that ends servers is released by an old answer

Cause under examination: found by looking for order by told ages elsewhere: an answer that is told on seems later from one instance to the next.

--- a/crates/steering/tests/suspects.rs
+++ b/crates/steering/tests/suspects.rs
@@ -375,3 +375,29 @@
     let per_s = (fleet.bytes - before) / 12 / 10;
     assert!(per_s < 400, "{per_s} bytes a second an instance, for one request held back");
 }
+
+#[test]
+fn what_is_held_back_stays_so_though_it_was_answered_before_it_ended_servers() {
+    // A request that was answered, and since then ends each server that runs it.  Were the answer to
+    // seem later from one instance to the next, it would come to lie after the ends.
+    for count in [12, 85] {
+        let mut fleet = Fleet::new(count);
+        let run = |fleet: &mut Fleet, seconds: usize| (0..seconds * 100).for_each(|_| fleet.step());
+        fleet.end(0, 0, &[request("/bad")]);
+        run(&mut fleet, 5);
+        let now = fleet.now;
+        fleet.instances[1].ran_well(request("/bad"), now);
+        fleet.tell(1, FANOUT);
+        run(&mut fleet, 5);
+        for number in 1..=HELD_FROM {
+            let beside = (0..10).map(|beside| request(&format!("/{number}/{beside}")));
+            let requests: Vec<Fingerprints> = beside.chain([request("/bad")]).collect();
+            fleet.end(number, (number * 5) % count, &requests);
+            run(&mut fleet, 1);
+        }
+        run(&mut fleet, 3);
+        assert_eq!(fleet.hold("/bad"), count, "three ended under it after the answer");
+        run(&mut fleet, 300);
+        assert_eq!(fleet.hold("/bad"), count, "{count} instances: nothing new is known of it");
+    }
+}
