Tell answers as older than they may be, so that they undo no end that came after

What callers would have seen: a request that ends servers, refused at all instances, is sent on again after some minutes if it had been answered before. Cause: the age of an answer was told without its way, so it seemed later at each instance that told it on, until it lay after the ends; that it came at all seemed later likewise. Why this holds: an age is read as the most that may have passed, half its unit and the longest way added, which is less than lies between an end and the answer to the same request elsewhere.

--- a/crates/steering/src/placement/conditions.rs
+++ b/crates/steering/src/placement/conditions.rs
@@ -14,11 +14,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// Longest way of a message: an answer must not seem later from one instance to the next, or what was
-/// true once would be passed on for ever.
-const LONGEST_WAY: Duration = Duration::from_millis(250);
+use std::time::Instant;
 
 /// One backend server, as an instance tells of it.
 #[derive(Debug, Deserialize, Serialize)]
@@ -56,7 +52,7 @@
             return None;
         }
         // What is older than the clock of this machine is too old to count.
-        let at = now.checked_sub(Duration::from(self.age) + LONGEST_WAY)?;
+        let at = now.checked_sub(self.age.most())?;
         known.limit_claimed(self.claim, at, now)
     }
 }
--- a/crates/steering/src/spreading.rs
+++ b/crates/steering/src/spreading.rs
@@ -24,6 +24,10 @@
 /// request is sent in 60 ms at the soonest after what makes it seem later.
 const AGE_PARTS_PER_S: f64 = 20.0;
 
+/// Longest way of a message between instances; the shortest time between two events whose order matters
+/// is longer.
+const LONGEST_WAY: Duration = Duration::from_millis(100);
+
 /// Time since something happened, as instances tell it: their clocks differ, ages don't.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Age(u32);
@@ -34,6 +38,16 @@
     }
 }
 
+impl Age {
+    /// The most time that may have passed since, with the way of the message.
+    ///
+    /// What must not seem later from one instance to the next goes by this: told on often enough, it
+    /// would come to lie after what came after it.
+    pub fn most(self) -> Duration {
+        Duration::from(self) + Duration::from_secs_f64(0.5 / AGE_PARTS_PER_S) + LONGEST_WAY
+    }
+}
+
 impl From<Age> for Duration {
     fn from(Age(parts): Age) -> Self {
         Self::from_secs_f64(f64::from(parts) / AGE_PARTS_PER_S)
--- a/crates/steering/src/suspects/told.rs
+++ b/crates/steering/src/suspects/told.rs
@@ -66,9 +66,10 @@
     fn take(&mut self, told: Told, now: Time) -> bool {
         let at = |age: Age| now - Duration::from(age);
         let suspect = self.entry(told.request, now);
-        suspect.seen_at = suspect.seen_at.max(at(told.seen));
+        suspect.seen_at = suspect.seen_at.max(now - told.seen.most());
         if let Some(well) = told.well {
-            suspect.ran_well(at(well), now);
+            // An answer that seemed later by each way would wipe out ends that came after it.
+            suspect.ran_well(now - well.most(), now);
         }
         let before = suspect.ends.len();
         for (server, age) in told.ends {
