Tell homes, and connections opened to leave, in the lines about placing

Two hypotheses of SHIFT could not be told apart by logs: requests whose homes are elsewhere counted as spilled, and nothing told that a request which left its region waited for a connection first. Lines 'placed' now have 'homed' and 'opened'; placement_leaving holds what each counts. No choice has changed.

--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -160,8 +160,11 @@
     }
     if with_placed {
         let counts = instance.roster.borrow_mut().take_placed();
-        for (service, Placed { stayed, moved, spilled }) in counts {
-            log::info!(target: "shares", service = &*service, stayed, moved, spilled; "placed");
+        for (service, Placed { stayed, homed, moved, spilled, opened }) in counts {
+            log::info!(
+                target: "shares", service = &*service, stayed, homed, moved, spilled, opened;
+                "placed"
+            );
         }
         conditions::log_limited(instance);
     }
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -160,6 +160,9 @@
     };
     if is_new {
         instance.metrics.connections.with_label_values(&[&*exchange.service]).inc();
+        if instance.is_elsewhere(&choice.availability_zone) {
+            instance.roster.borrow_mut().opened_to_leave(&exchange.service);
+        }
     }
     let Some(request) = head(exchange, choice, body) else {
         work.ended(Ending::Unsent);
--- a/crates/steering/src/placement/ask.rs
+++ b/crates/steering/src/placement/ask.rs
@@ -79,10 +79,21 @@
 pub struct Placed {
     /// To the own region.
     pub stayed: u64,
+    /// To another one, as they may not run in the own one.
+    pub homed: u64,
     /// To another one, by the moved shares.
     pub moved: u64,
     /// To another one, as where they belong there was no room.
     pub spilled: u64,
+    /// Those sent to another one that had to wait until a connection came up.
+    pub opened: u64,
+}
+
+impl Placed {
+    /// Those that left the own region.
+    pub fn left(&self) -> u64 {
+        self.homed + self.moved + self.spilled
+    }
 }
 
 /// Requests that were sent to a backend server that names a limit.
--- a/crates/steering/src/placement/choose.rs
+++ b/crates/steering/src/placement/choose.rs
@@ -154,6 +154,7 @@
         let server = &mut state.servers[best.index];
         match () {
             () if server.region == self.region => state.placed.stayed += 1,
+            () if !ask.allowed_regions.permit(&self.region) => state.placed.homed += 1,
             () if server.region == home => state.placed.moved += 1,
             () => state.placed.spilled += 1,
         }
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -184,7 +184,14 @@
     pub fn take_placed(&mut self) -> Vec<(Arc<str>, Placed)> {
         let services = self.services.iter_mut();
         let counts = services.map(|(name, it)| (name.clone(), std::mem::take(&mut it.placed)));
-        counts.filter(|(_, placed)| placed.moved + placed.spilled > 0).collect()
+        counts.filter(|(_, placed)| placed.left() > 0).collect()
+    }
+
+    /// Counts a request that left the region and had to wait until a connection came up.
+    pub fn opened_to_leave(&mut self, service: &str) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.placed.opened += 1;
+        }
     }
 
     /// Time after which the answer of a chosen backend server is overdue; none while too few
--- a/crates/steering/tests/placement_leaving.rs
+++ b/crates/steering/tests/placement_leaving.rs
@@ -22,6 +22,7 @@
 
 use placement_common::{SERVICE, ask, name, peer, roster, servers, step, with_demand};
 use std::time::{Duration, Instant};
+use steering::deployment::AllowedRegions;
 use steering::placement::load::LoadReport;
 use steering::placement::{Ending, Placed};
 
@@ -98,6 +99,21 @@
     assert!(roster.take_placed().is_empty(), "they were taken");
 }
 
+#[test]
+fn requests_that_may_not_run_in_their_region_are_counted_apart() {
+    let now = Instant::now();
+    let known = servers(&[("north-a", 1), ("south-a", 4)], SLOTS);
+    let mut roster = roster("one", "north-a", &known, now);
+    let service = name(SERVICE);
+    let south = AllowedRegions::listed([name("south")]);
+    let mut homed = ask(&service, 1, &[]);
+    homed.allowed_regions = &south;
+    assert!(roster.choose(&homed, now).is_ok());
+    roster.opened_to_leave(&service);
+    let placed = Placed { homed: 1, opened: 1, ..Placed::default() };
+    assert_eq!(roster.take_placed(), [(service.clone(), placed)]);
+}
+
 #[test]
 fn few_requests_of_all_services_leave_together() {
     // What was seen with the bound of each service: 39 in 100 on one of 33 calm days.  One small service
