Send what leaves a region through an instance there

What callers saw: a region's requests seemed to change their region when traffic ended (SHIFT). Cause: each instance sends to each far backend server so seldom that nearly every request that left waited for a new connection, two ways, before its own one: it arrived 105 ms after its caller sent it, beside 4 ms for what stays, so most late arrivals were what had left.

One instance of the backend server's zone passes the request on, over connections that are open; one spare is held.

--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -6,3 +6,4 @@
 mod head_timer;
 pub(crate) mod listener;
 pub mod pool;
+pub(crate) mod relaying;
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -44,9 +44,13 @@
 struct Pool {
     idle: Vec<Idle>,
     open: usize,
+    /// Whether a connection is being opened that nobody waits for.
+    opens_spare: bool,
+    /// Time for which the other side leaves a connection open, as it said last.
+    rest: Option<Duration>,
 }
 
-/// The connections to all backend servers, by incarnation.
+/// The connections to all backend servers, and to instances that pass requests on, by incarnation.
 #[derive(Clone)]
 pub struct Pools {
     clock: Rc<Clock>,
@@ -55,6 +59,8 @@
 
 /// A connection that is in use.
 pub struct Connection {
+    /// Whose it is.
+    pub to: Incarnation,
     /// Sends a request over it.
     pub sender: SendRequest<RequestBody>,
     /// Whether it was opened for this use.
@@ -79,8 +85,46 @@
         limit: usize,
     ) -> Result<Connection, PoolError> {
         if let Some(sender) = self.take_idle(server) {
-            return Ok(Connection { sender, is_new: false });
+            return Ok(Connection { to: server.clone(), sender, is_new: false });
         }
+        let sender = self.open(server, address, limit).await?;
+        Ok(Connection { to: server.clone(), sender, is_new: true })
+    }
+
+    /// Opens a connection that nobody waits for, if none rests and none is being opened, so that the next
+    /// request does not wait for one.
+    pub fn open_spare(&self, server: &Incarnation, address: SocketAddr, limit: usize) {
+        {
+            let mut pools = self.by_server.borrow_mut();
+            let Some(pool) = pools.get_mut(server) else { return };
+            if pool.opens_spare || !pool.idle.is_empty() || pool.open >= limit {
+                return;
+            }
+            pool.opens_spare = true;
+        }
+        let (pools, server) = (self.clone(), server.clone());
+        tokio::task::spawn_local(async move {
+            let opened = pools.open(&server, address, limit).await;
+            let rest = match pools.by_server.borrow_mut().get_mut(&server) {
+                Some(pool) => {
+                    pool.opens_spare = false;
+                    pool.rest
+                }
+                None => None,
+            };
+            // Where none comes up, the next request finds out.
+            if let Ok(sender) = opened {
+                pools.keep(Connection { to: server, sender, is_new: true }, rest);
+            }
+        });
+    }
+
+    async fn open(
+        &self,
+        server: &Incarnation,
+        address: SocketAddr,
+        limit: usize,
+    ) -> Result<SendRequest<RequestBody>, PoolError> {
         {
             let mut pools = self.by_server.borrow_mut();
             let pool = pools.entry(server.clone()).or_default();
@@ -99,7 +143,7 @@
             let _ = connection.await;
             drop(open);
         });
-        Ok(Connection { sender, is_new: true })
+        Ok(sender)
     }
 
     fn take_idle(&self, server: &Incarnation) -> Option<SendRequest<RequestBody>> {
@@ -116,19 +160,17 @@
         None
     }
 
-    /// Keeps a connection for later; `rest` is the time that the backend server leaves it open.
-    pub fn keep(
-        &self,
-        server: &Incarnation,
-        sender: SendRequest<RequestBody>,
-        rest: Option<Duration>,
-    ) {
+    /// Keeps a connection for later; `rest` is the time that the other side leaves it open.
+    pub fn keep(&self, connection: Connection, rest: Option<Duration>) {
+        let Connection { to, sender, .. } = connection;
+        let told = rest;
         let rest = rest.map_or(DEFAULT_REST, |rest| rest.saturating_sub(REST_MARGIN));
         if sender.is_closed() || rest.is_zero() {
             return;
         }
         let until = self.clock.now() + rest;
-        if let Some(pool) = self.by_server.borrow_mut().get_mut(server) {
+        if let Some(pool) = self.by_server.borrow_mut().get_mut(&to) {
+            pool.rest = told;
             pool.idle.push(Idle { sender, until });
         }
     }
--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -56,7 +56,7 @@
     listener::listen(instance, callers, request::answer);
     listener::listen(instance, look_ups, request::look_up::answer);
     listener::listen(instance, readiness, request::readiness::answer);
-    listener::listen(instance, peers, request::knowledge::answer);
+    listener::listen(instance, peers, request::for_peers::answer);
     listener::listen(instance, operators, request::operators::answer);
     gossip::run(instance, gossip);
     spawn_local(waking::run(instance.clone()));
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -6,6 +6,7 @@
 use super::metrics::Metrics;
 use super::quotas::Quotas;
 use super::recent::Recent;
+use super::relays::Relays;
 use crate::border::{Registration, SUBJECTS, Store, Wire};
 use crate::connection::pool::Pools;
 use crate::error::EntryError;
@@ -77,6 +78,8 @@
     pub registered: RefCell<Option<Vec<Registration>>>,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// The instances that pass requests on to other regions.
+    pub(crate) relays: RefCell<Relays>,
     /// Quotas of customers.
     pub quotas: Quotas,
     /// Versions of services that are brought in.
@@ -178,6 +181,7 @@
             peers: RefCell::new(Peers::seen_from(zone.clone())),
             registered: RefCell::default(),
             pools: Pools::new(clock.clone()),
+            relays: RefCell::new(Relays::new(settings.name.clone())),
             clock,
             quotas,
             rollouts: RefCell::new(rollouts),
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -34,6 +34,8 @@
     pub connections: IntCounterVec,
     /// Overdue answers of requests that may be repeated, by service and what was done about them.
     pub overdue: IntCounterVec,
+    /// Requests that other instances gave this one to pass on, by what became of them.
+    pub relayed: IntCounterVec,
     /// Policies that gave no shares, by arm.
     pub policy_failures: IntCounterVec,
     /// Requests that were held back, or released, as backend servers ended under them.
@@ -112,6 +114,11 @@
                 "Overdue answers by what was done.",
                 &["service", "action"],
             )?,
+            relayed: counter(
+                "runpin_entry_relayed_total",
+                "Requests of other instances by outcome.",
+                &["outcome"],
+            )?,
             policy_failures: counter(
                 "runpin_entry_policy_failures_total",
                 "Policies that gave no shares.",
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod questions;
 pub mod quotas;
 pub mod recent;
+pub(crate) mod relays;
 pub mod reload;
 pub(crate) mod rollouts;
 mod spreading;
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -2,14 +2,15 @@
 
 use super::body::{RequestBody, ServerBody};
 use super::exchange::Exchange;
+use super::way::{self, Through, Way};
 use crate::border::ServerHead;
 use crate::connection::pool::{Connection, PoolError};
+use crate::connection::relaying::Relayed;
 use crate::process::ended::closed_under;
 use crate::process::instance::Instance;
+use crate::process::relays::Relay;
 use crate::process::{conditions, suspicions};
-use http::header::CONNECTION;
 use http::{HeaderMap, Request, StatusCode, Uri};
-use hyper::client::conn::http1::SendRequest;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,9 +19,6 @@
 use steering::placement::{Choice, Ending, Incarnation};
 use steering::rollout::{Observation, OrderId};
 
-/// Connections to one backend server that this instance may open in any case.
-const LEAST_CONNECTIONS: usize = 2;
-
 /// Longest body of a request that is remembered as sound; its fingerprint takes some microseconds.
 const SHORT_BYTES: usize = 1024;
 
@@ -35,7 +33,7 @@
     pub(super) body: ServerBody,
     pub(super) work: Work,
     /// The connection, to be kept when the body is whole.
-    pub(super) sender: SendRequest<RequestBody>,
+    pub(super) connection: Connection,
 }
 
 /// How an attempt ended.
@@ -145,52 +143,64 @@
     body: &mut Option<RequestBody>,
 ) -> Attempt {
     let instance = &exchange.instance;
-    let limit = connection_limit(instance, &exchange.service);
-    let taken = instance.pools.take(&work.server, choice.address, limit).await;
-    let Connection { mut sender, is_new } = match taken {
-        Ok(connection) => connection,
+    let Way { mut connection, through } = match way::open(exchange, choice).await {
+        Ok(way) => way,
         Err(error) => {
             work.ended(match error {
                 PoolError::Limit(_) => Ending::Unsent,
                 PoolError::Dial(_) | PoolError::Handshake(_) => Ending::Failed,
             });
-            note(exchange, choice, "not sent", &error.to_string());
+            note(exchange, choice, None, "not sent", &error.to_string());
             return Attempt::NotSent;
         }
     };
-    if is_new {
-        instance.metrics.connections.with_label_values(&[&*exchange.service]).inc();
-        if instance.is_elsewhere(&choice.availability_zone) {
-            instance.roster.borrow_mut().opened_to_leave(&exchange.service);
-        }
-    }
-    let Some(request) = head(exchange, choice, body) else {
+    let Some(mut request) = head(exchange, choice, body) else {
         work.ended(Ending::Unsent);
         return Attempt::NotSent;
     };
+    let relay = through.map(|Through { relay, destination: (name, value) }| {
+        request.headers_mut().insert(name, value);
+        relay
+    });
     work.sent_at = Instant::now();
     work.was_sent = true;
-    let response = match sender.try_send_request(request).await {
+    let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
+            let why = error.error().to_string();
+            if let Some(relay) = &relay {
+                instance.relays.borrow_mut().failed(relay, &why, Instant::now());
+            }
             if let Some(request) = error.take_message() {
                 // Nothing of it was written: the connection had been closed.
                 *body = Some(request.into_body());
-                work.ended(if is_new { Ending::Failed } else { Ending::Unsent });
-                instance.pools.forget(&work.server);
-                note(exchange, choice, "not sent", &error.error().to_string());
+                let is_server = connection.is_new && relay.is_none();
+                work.ended(if is_server { Ending::Failed } else { Ending::Unsent });
+                instance.pools.forget(&connection.to);
+                note(exchange, choice, relay.as_ref(), "not sent", &why);
                 return Attempt::NotSent;
             }
             let by_caller = error.error().is_user();
-            work.ended(if by_caller { Ending::Abandoned } else { Ending::Failed });
-            note(exchange, choice, "broken", &error.error().to_string());
+            let is_server = !by_caller && relay.is_none();
+            work.ended(if is_server { Ending::Failed } else { Ending::Abandoned });
+            note(exchange, choice, relay.as_ref(), "broken", &why);
+            if relay.is_some() {
+                instance.pools.forget(&connection.to);
+            }
             if !by_caller {
                 closed(exchange, choice, work).await;
             }
             return Attempt::Broken;
         }
     };
-    let (parts, incoming) = response.into_parts();
+    let (mut parts, incoming) = response.into_parts();
+    if let Some(relay) = &relay {
+        let outcome = Relayed::take(&mut parts.headers);
+        if outcome != Relayed::PassedOn {
+            return not_passed_on(exchange, choice, relay, outcome, work).await;
+        }
+        instance.relays.borrow_mut().heard(relay, Instant::now());
+    }
     let request_id = exchange.head.request_id.as_deref();
     let seen = instance.wire.server_head(parts.status, &parts.headers, request_id);
     work.report = seen.load;
@@ -212,11 +222,39 @@
                 Ending::Answered { after, known_warm: choice.known_warm }
             });
             let (status, headers) = (parts.status, parts.headers);
-            Attempt::Answered(Box::new(Answer { status, headers, body, work, sender }))
+            Attempt::Answered(Box::new(Answer { status, headers, body, work, connection }))
         }
         Err(error) => {
             work.ended(Ending::Failed);
-            note(exchange, choice, "cut", &error.to_string());
+            note(exchange, choice, relay.as_ref(), "cut", &error.to_string());
+            closed(exchange, choice, work).await;
+            Attempt::Broken
+        }
+    }
+}
+
+/// Takes over that an instance did not pass the request on, or got no answer.
+async fn not_passed_on(
+    exchange: &Exchange,
+    choice: &Choice,
+    relay: &Relay,
+    outcome: Relayed,
+    mut work: Work,
+) -> Attempt {
+    note(exchange, choice, Some(relay), outcome.as_str(), "told by the instance between");
+    match outcome {
+        Relayed::NotSent => {
+            let mut relays = exchange.instance.relays.borrow_mut();
+            relays.failed(relay, outcome.as_str(), Instant::now());
+            work.ended(Ending::Unsent);
+            Attempt::NotSent
+        }
+        Relayed::Unreachable => {
+            work.ended(Ending::Failed);
+            Attempt::NotSent
+        }
+        Relayed::Broken | Relayed::PassedOn => {
+            work.ended(Ending::Failed);
             closed(exchange, choice, work).await;
             Attempt::Broken
         }
@@ -260,17 +298,17 @@
     if !seen.is_for_request {
         // A surplus answer of an earlier request; the connection goes with the sender.
         work.ended(Ending::Abandoned);
-        note(exchange, choice, "broken", "answer to another request");
+        note(exchange, choice, None, "broken", "answer to another request");
         return Some(Attempt::Broken);
     }
     if seen.replaced {
         work.ended(Ending::Replaced);
-        note(exchange, choice, "not run", "another backend server has the address");
+        note(exchange, choice, None, "not run", "another backend server has the address");
         return Some(Attempt::NotRun);
     }
     if seen.not_run {
         work.ended(Ending::Shed);
-        note(exchange, choice, "not run", status.as_str());
+        note(exchange, choice, None, "not run", status.as_str());
         // One that wants rest must not be asked again, whatever room it has.
         let may_be_asked = seen.condition.rest.is_none();
         let had_room = seen.load.is_some_and(LoadReport::has_room);
@@ -279,12 +317,12 @@
     if PROMISES.contains(&status) {
         // Passed on, it would promise what the backend server did not say.
         work.ended(Ending::Erred);
-        note(exchange, choice, "broken", status.as_str());
+        note(exchange, choice, None, "broken", status.as_str());
         return Some(Attempt::Broken);
     }
     if status.is_success() && !seen.is_signed {
         work.ended(Ending::Failed);
-        note(exchange, choice, "broken", "answer without signature");
+        note(exchange, choice, None, "broken", "answer without signature");
         return Some(Attempt::Broken);
     }
     None
@@ -306,20 +344,14 @@
     Some(request)
 }
 
-/// Connections that this instance may open to one backend server of a service.
-fn connection_limit(instance: &Instance, service: &str) -> usize {
-    let most = instance.service(service).map_or(0, |service| service.max_connections);
-    let instances = instance.peers.borrow().alive_count(Instant::now()) + 1;
-    (most as usize / instances).max(LEAST_CONNECTIONS)
-}
-
 /// Logs an attempt that gave no answer.
-fn note(exchange: &Exchange, choice: &Choice, outcome: &str, why: &str) {
+fn note(exchange: &Exchange, choice: &Choice, relay: Option<&Relay>, outcome: &str, why: &str) {
     log::info!(
         target: "request",
         id = exchange.head.request_id.as_deref().unwrap_or(""),
         route = &*exchange.route.name, server = &*choice.id, load = choice.load,
         slots = choice.slots, cold = choice.cold, outcome, why,
+        through = relay.map_or("", |relay| &*relay.id.id),
         caller:% = exchange.caller, fingerprint:% = exchange.fingerprints().content,
         age_ms = millis(exchange.age());
         "attempt"
@@ -330,24 +362,3 @@
 pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// The time that a backend server leaves a connection open; none if it closes it now.
-pub(super) fn rest_of(headers: &HeaderMap) -> Result<Option<Duration>, Closing> {
-    let closing = headers
-        .get(CONNECTION)
-        .and_then(|value| value.to_str().ok())
-        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-    if closing {
-        return Err(Closing);
-    }
-    let value = headers.get("keep-alive").and_then(|value| value.to_str().ok());
-    let seconds = value.and_then(|value| {
-        let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-        timeout.trim().parse().ok()
-    });
-    Ok(seconds.map(Duration::from_secs))
-}
-
-/// A backend server closes the connection after its answer.
-#[derive(Debug)]
-pub(super) struct Closing;
--- a/crates/entry/src/request/pass_on.rs
+++ b/crates/entry/src/request/pass_on.rs
@@ -1,14 +1,13 @@
 //! The answer's way back to the caller.
 
-use super::attempt::{Answer, Work, rest_of};
-use super::body::{AnswerBody, BodyError, RequestBody, ServerBody, whole};
+use super::attempt::{Answer, Work};
+use super::body::{AnswerBody, BodyError, ServerBody, whole};
 use super::exchange::{ANSWERED, Exchange, InFlight};
-use super::headers::remove_hop_by_hop;
+use super::headers::{remove_hop_by_hop, rest_of};
+use super::kept_body::KeptBody;
 use bytes::Bytes;
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use steering::placement::Ending;
@@ -19,21 +18,21 @@
     answer: Box<Answer>,
     in_flight: InFlight,
 ) -> Response<AnswerBody> {
-    let Answer { status, mut headers, body, work, sender } = *answer;
+    let Answer { status, mut headers, body, work, connection } = *answer;
     let rest = rest_of(&headers);
     remove_hop_by_hop(&mut headers);
     let body = match body {
         ServerBody::Whole(bytes) => {
             if let Ok(rest) = rest {
-                exchange.instance.pools.keep(&work.server, sender, rest);
+                exchange.instance.pools.keep(connection, rest);
             }
             exchange.count(ANSWERED);
             whole(bytes)
         }
         ServerBody::Stream(incoming) => {
-            let kept = rest.ok().map(|rest| (sender, rest));
-            let stream = Stream { incoming, exchange, work, kept, _in_flight: in_flight };
-            Box::pin(stream)
+            let kept = rest.ok().map(|rest| (connection, rest));
+            let body = KeptBody::new(incoming, exchange.instance.pools.clone(), kept);
+            Box::pin(Stream { body, exchange, work, _in_flight: in_flight })
         }
     };
     let mut response = Response::new(body);
@@ -43,14 +42,10 @@
 }
 
 /// A long answer, passed on as it comes.
-///
-/// The connection is used again only if the body was whole; in every other case, the caller's
-/// going away included, it is closed.
 struct Stream {
-    incoming: Incoming,
+    body: KeptBody,
     exchange: Exchange,
     work: Work,
-    kept: Option<(SendRequest<RequestBody>, Option<std::time::Duration>)>,
     _in_flight: InFlight,
 }
 
@@ -62,25 +57,19 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = std::task::ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
         match &frame {
-            None => {
-                if let Some((sender, rest)) = self.kept.take() {
-                    self.exchange.instance.pools.keep(&self.work.server, sender, rest);
-                }
-                self.exchange.count(ANSWERED);
-            }
+            None => self.exchange.count(ANSWERED),
             Some(Err(_)) => {
-                self.kept = None;
                 self.work.ended(Ending::Failed);
                 self.exchange.count("cut");
             }
             Some(Ok(_)) => {}
         }
-        Poll::Ready(frame.map(|frame| frame.map_err(|error| Box::new(error) as BodyError)))
+        Poll::Ready(frame)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        self.body.size_hint()
     }
 }
--- a/crates/entry/src/request/race.rs
+++ b/crates/entry/src/request/race.rs
@@ -28,7 +28,8 @@
     // The offer itself is not counted yet.
     let may_repeat =
         exchange.route.kind.is_idempotent() && progress.offers() + 1 < exchange.route.max_attempts;
-    let (server, sent_at) = (choice.incarnation(), Instant::now());
+    let (server, zone) = (choice.incarnation(), choice.availability_zone.clone());
+    let sent_at = Instant::now();
     let after = exchange.instance.roster.borrow().overdue_after(&exchange.service, choice.cold);
     let first = begin(exchange, choice, ready, progress);
     tokio::pin!(first);
@@ -39,7 +40,7 @@
     let ended = match in_time {
         Some(ended) => ended,
         None => {
-            is_overdue(&exchange.instance, &exchange.service, &server, sent_at);
+            is_overdue(&exchange.instance, &exchange.service, (&server, &zone), sent_at);
             let second = if may_repeat { begin_second(exchange, body, progress) } else { None };
             let action = if second.is_some() { "sent elsewhere" } else { "waited" };
             let labels = [&*exchange.service, action];
@@ -59,7 +60,15 @@
 ///
 /// If the backend server has answered nothing since the request was sent, connections to it may
 /// have fallen silent while new ones work: those that rest are not used again.
-fn is_overdue(instance: &Instance, service: &str, server: &Incarnation, sent_at: Instant) {
+fn is_overdue(
+    instance: &Instance,
+    service: &str,
+    (server, zone): (&Incarnation, &str),
+    sent_at: Instant,
+) {
+    if let Some(relay) = instance.relays.borrow().silent_since(zone, sent_at) {
+        instance.pools.forget(&relay.id);
+    }
     let mut roster = instance.roster.borrow_mut();
     roster.was_overdue(service);
     if !roster.was_heard_after(server, sent_at) {
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -4,11 +4,12 @@
 //! instance whose count no longer grows is taken for gone.  That an instance lives, and what it told
 //! of itself as of which heartbeat, are two things: the first is heard of earlier.
 
+use super::incarnation::Incarnation;
 pub use super::liveness::LOST_AFTER;
 use super::liveness::{Life, Zones};
 use super::news::{Heartbeat, News, StartId};
 pub use super::peer::{Demand, Peer, PeerState};
-use super::rank::name_hash;
+use super::rank::{name_hash, rank};
 use crate::watchers;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -241,6 +242,27 @@
             .collect()
     }
 
+    /// The instance of another availability zone that passes requests on for `own`, and its start; the same
+    /// one as long as it serves, and another one for each that asks.
+    pub fn relay_to(
+        &self,
+        own: &str,
+        zone: &str,
+        now: Instant,
+        may_be: impl Fn(&Incarnation) -> bool,
+    ) -> Option<(Incarnation, &Peer)> {
+        let own_hash = name_hash(own);
+        let of_zone = self.alive_seen(now).filter(|seen| *seen.peer.availability_zone == *zone);
+        let with_start = of_zone.filter(|seen| seen.peer.is_serving()).map(|seen| {
+            let peer = &seen.peer;
+            (seen, Incarnation { id: peer.name.clone(), born_ms: peer.started_ms })
+        });
+        let (seen, start) = with_start
+            .filter(|(_, start)| may_be(start))
+            .min_by_key(|(seen, _)| rank(own_hash, seen.name_hash))?;
+        Some((start, &seen.peer))
+    }
+
     fn alive_seen(&self, now: Instant) -> impl Iterator<Item = &Seen> {
         let is_alive =
             move |seen: &&Seen| self.zones.is_alive(&seen.peer.availability_zone, &seen.life, now);
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -220,6 +220,15 @@
         self.services.get(service).map_or(0.0, |state| state.demand_slots)
     }
 
+    /// The service of a backend server, if that start of it is known at this address.
+    pub fn service_at(&self, server: &Incarnation, address: SocketAddr) -> Option<&Arc<str>> {
+        self.services.iter().find_map(|(name, state)| {
+            let position = *state.positions.get(&server.id)?;
+            let record = &state.servers[position].record;
+            (record.born_ms == server.born_ms && record.address == address).then_some(name)
+        })
+    }
+
     /// The number of backend servers known.
     pub fn server_count(&self) -> usize {
         self.services.values().map(|state| state.servers.len()).sum()
