Judge answers from other regions by their own times

Cause of the other half: an answer was overdue by the times of all answers of its service. Change: answers of other regions have a tail of their own; until it is known, they are taken for those of cold backend servers.

--- a/crates/entry/src/request/race.rs
+++ b/crates/entry/src/request/race.rs
@@ -30,7 +30,10 @@
         exchange.route.kind.is_idempotent() && progress.offers() + 1 < exchange.route.max_attempts;
     let (server, zone) = (choice.incarnation(), choice.availability_zone.clone());
     let sent_at = Instant::now();
-    let after = exchange.instance.roster.borrow().overdue_after(&exchange.service, choice.cold);
+    let after = {
+        let roster = exchange.instance.roster.borrow();
+        roster.overdue_after(&exchange.service, &zone, choice.cold)
+    };
     let first = begin(exchange, choice, ready, progress);
     tokio::pin!(first);
     let in_time = match after {
@@ -70,7 +73,7 @@
         instance.pools.forget(&relay.id);
     }
     let mut roster = instance.roster.borrow_mut();
-    roster.was_overdue(service);
+    roster.was_overdue(service, zone);
     if !roster.was_heard_after(server, sent_at) {
         instance.pools.forget(server);
     }
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -169,6 +169,7 @@
         report: Option<LoadReport>,
         now: Instant,
     ) {
+        let region = self.region.clone();
         let Some((state, index)) = self.find(server.into()) else { return };
         let warm_ms = state.warmth.answer_ms().unwrap_or_else(|| state.answer_ms());
         state.servers[index].ended(ending, report, warm_ms, now);
@@ -176,7 +177,8 @@
         if let Ending::Answered { after, known_warm } = ending
             && !is_on_trial
         {
-            state.answered(known_warm, after.as_secs_f64() * 1_000.0);
+            let is_away = state.servers[index].region != region;
+            state.answered(known_warm, is_away, after.as_secs_f64() * 1_000.0);
         }
     }
 
@@ -194,22 +196,34 @@
         }
     }
 
-    /// Time after which the answer of a chosen backend server is overdue; none while too few
+    /// Time after which the answer of a chosen backend server of a zone is overdue; none while too few
     /// answers of the service came to tell.
-    pub fn overdue_after(&self, service: &str, cold: bool) -> Option<Duration> {
-        self.services.get(service)?.overdue.after(cold)
+    pub fn overdue_after(&self, service: &str, zone: &str, cold: bool) -> Option<Duration> {
+        let state = self.services.get(service)?;
+        if self.is_away(zone) {
+            // Until that is known, answers from afar are taken to come as late as those of cold ones.
+            state.overdue_away.after(cold).or_else(|| state.overdue.after(true))
+        } else {
+            state.overdue.after(cold)
+        }
     }
 
     /// Records that an answer of a service is overdue.
     ///
     /// The backend server is not held to have failed: that would move objects to where they are cold,
     /// which costs more than waiting for the next overdue answer.
-    pub fn was_overdue(&mut self, service: &str) {
+    pub fn was_overdue(&mut self, service: &str, zone: &str) {
+        let is_away = self.is_away(zone);
         if let Some(state) = self.services.get_mut(service) {
-            state.overdue.was_overdue();
+            state.overdue_of(is_away).was_overdue();
         }
     }
 
+    /// Tells whether an availability zone is of another region.
+    fn is_away(&self, zone: &str) -> bool {
+        self.regions.get(zone).is_none_or(|region| *region != self.region)
+    }
+
     /// Tells whether a backend server has answered anything after a time.
     pub fn was_heard_after<'a>(&mut self, server: impl Into<ServerRef<'a>>, time: Instant) -> bool {
         self.server_mut(server.into()).is_some_and(|server| server.was_heard_after(time))
--- a/crates/steering/src/placement/service.rs
+++ b/crates/steering/src/placement/service.rs
@@ -49,8 +49,11 @@
     pub(super) answer_ms: Option<f64>,
     /// Answer time that a part of [`WARM_QUANTILE`] of the answers stays below.
     warm_answer_ms: Quantile,
-    /// When an answer is overdue.
+    /// When an answer of the own region is overdue.
     pub(super) overdue: Overdue,
+    /// When one of another region is: it has a longer way, and what was moved is often cold there, so
+    /// that most of the overdue answers would be of requests that left.
+    pub(super) overdue_away: Overdue,
     pub(super) movable_per_s: f64,
     pub(super) near_per_s: f64,
     /// The share of the built-in rule, in use while there are no arms.
@@ -85,6 +88,7 @@
             answer_ms: None,
             warm_answer_ms: Quantile::new(WARM_QUANTILE),
             overdue: Overdue::default(),
+            overdue_away: Overdue::default(),
             movable_per_s: 0.0,
             near_per_s: 0.0,
             share: RegionalShare::default(),
@@ -129,13 +133,19 @@
         self.warm_answer_ms() * (self.warmth.cold_factor() - 1.0)
     }
 
-    /// Takes over the time to an answer; `was_warm` tells whether the object was known to be warm.
-    pub(super) fn answered(&mut self, was_warm: bool, sample_ms: f64) {
+    /// When answers are overdue, of another region or of the own one.
+    pub(super) fn overdue_of(&mut self, is_away: bool) -> &mut Overdue {
+        if is_away { &mut self.overdue_away } else { &mut self.overdue }
+    }
+
+    /// Takes over the time to an answer; `was_warm` tells whether the object was known to be warm, `is_away`
+    /// whether it came from another region.
+    pub(super) fn answered(&mut self, was_warm: bool, is_away: bool, sample_ms: f64) {
         self.warmth.answered(was_warm, sample_ms);
         let mean = self.answer_ms.unwrap_or(sample_ms);
         self.answer_ms = Some(mean + (sample_ms - mean) * SAMPLE_WEIGHT);
         self.warm_answer_ms.add(sample_ms);
-        self.overdue.answered(sample_ms);
+        self.overdue_of(is_away).answered(sample_ms);
     }
 
     /// The share in use for an arm.
