--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -81,7 +81,8 @@
         progress.counted();
     }
     instance.earn_retry(service);
-    instance.roster.borrow_mut().asked(service, route.kind, *key_hash, Instant::now());
+    let allowed = exchange.allowed_regions();
+    instance.roster.borrow_mut().asked(service, route.kind, *key_hash, &allowed, Instant::now());
     offer(exchange, body, progress).await
 }
 
--- a/crates/steering/src/placement/demand.rs
+++ b/crates/steering/src/placement/demand.rs
@@ -5,7 +5,7 @@
 use super::roster::{DEMAND_WINDOW_S, Roster, demand_key};
 use super::service::ServiceState;
 use super::shares::MOST_LEAVING;
-use crate::deployment::RequestKind;
+use crate::deployment::{AllowedRegions, RequestKind};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -17,8 +17,15 @@
 const MOST_SPILLS: f64 = 3.0;
 
 impl Roster {
-    /// Counts a request of a caller, and its object.
-    pub fn asked(&mut self, service: &Arc<str>, kind: RequestKind, key_hash: u64, now: Instant) {
+    /// Counts a request of a caller, and its object; `_allowed` are the regions that may serve it.
+    pub fn asked(
+        &mut self,
+        service: &Arc<str>,
+        kind: RequestKind,
+        key_hash: u64,
+        _allowed: &AllowedRegions,
+        now: Instant,
+    ) {
         let state = self.services.entry(service.clone()).or_default();
         state.keys.seen(key_hash, now);
         state.objects.seen(key_hash, now);
--- a/crates/steering/tests/placement_arms.rs
+++ b/crates/steering/tests/placement_arms.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use steering::deployment::{Arm, Policies, PoliciesError, PolicyRecord, RequestKind};
+use steering::deployment::{
+    AllowedRegions, Arm, Policies, PoliciesError, PolicyRecord, RequestKind,
+};
 use steering::placement::Roster;
 
 /// Time between two moves of the shares.
@@ -155,7 +157,7 @@
     let now = Instant::now();
     let mut roster = two_regions(now);
     roster.set_policies(&policies(&[arm("away", 1, Some(AWAY))])).expect("it compiles");
-    roster.asked(&name("agenda"), RequestKind::Idempotent, 1, now);
+    roster.asked(&name("agenda"), RequestKind::Idempotent, 1, &AllowedRegions::Any, now);
     move_shares(&mut roster, 20.0, now + BEAT);
     assert_eq!(roster.moved_shares().count(), 2);
 }
--- a/crates/steering/tests/placement_choice.rs
+++ b/crates/steering/tests/placement_choice.rs
@@ -103,7 +103,7 @@
     let mut roster = roster("one", "north-a", &servers(&ALL, 3), now);
     // Three requests of three objects: there may be many more.
     for key in 0..3 {
-        roster.asked(&service, RequestKind::Idempotent, key, now);
+        roster.asked(&service, RequestKind::Idempotent, key, &AllowedRegions::Any, now);
     }
     let mut own = peer("one", "north-a");
     own.demand = roster.demand();
@@ -120,7 +120,7 @@
     let mut roster = roster("one", "north-a", &servers(&ALL, 1), now);
     let mut far = 0;
     for key in 0..400 {
-        roster.asked(&service, RequestKind::Idempotent, key, now);
+        roster.asked(&service, RequestKind::Idempotent, key, &AllowedRegions::Any, now);
         if let Some(id) = chosen(&mut roster, key, now) {
             far += u32::from(id.starts_with("south"));
         }
--- a/crates/steering/tests/placement_leaving.rs
+++ b/crates/steering/tests/placement_leaving.rs
@@ -55,7 +55,13 @@
     let mut left = 0.0;
     for key in 0..REQUESTS {
         let key_hash = steering::hash::mix(key);
-        roster.asked(&service, steering::deployment::RequestKind::Idempotent, key_hash, now);
+        roster.asked(
+            &service,
+            steering::deployment::RequestKind::Idempotent,
+            key_hash,
+            &AllowedRegions::Any,
+            now,
+        );
         let Ok(choice) = roster.choose(&ask(&service, key_hash, &[]), now) else { continue };
         left += f64::from(u8::from(!choice.availability_zone.starts_with("north")));
         roster.ended(&choice.id, Ending::Unsent, None, now);
@@ -85,7 +91,13 @@
     let service = name(SERVICE);
     let request = |roster: &mut steering::placement::Roster| {
         (0..25).for_each(|key| {
-            roster.asked(&service, steering::deployment::RequestKind::Idempotent, key, now);
+            roster.asked(
+                &service,
+                steering::deployment::RequestKind::Idempotent,
+                key,
+                &AllowedRegions::Any,
+                now,
+            );
         });
         roster.choose(&ask(&service, 1, &[]), now).map(|choice| choice.availability_zone)
     };
