Count demand by the region in which requests run

What callers saw: SHIFT when traffic ended, on deployments whose customers have homes. Cause: a region worked out what to let go from what its own callers ask. Requests that only their own region may serve counted as those that may leave, and what is at home elsewhere was not taken off what else may go.

Change: instances tell what their callers ask of regions that alone may serve it; news become no longer, as numbers that may be unknown take a byte less.

--- a/crates/steering/benches/placement.rs
+++ b/crates/steering/benches/placement.rs
@@ -41,7 +41,8 @@
 }
 
 fn own() -> Peer {
-    let demand = Demand { movable_per_s: 60.0, near_per_s: 1.0, keys: Some(40), warm_ms: None };
+    let demand =
+        Demand { movable_per_s: 60.0, near_per_s: 1.0, keys: Some(40), ..Demand::default() };
     Peer {
         name: "one".into(),
         started_ms: 1,
@@ -56,7 +57,7 @@
         objects: Vec::new(),
         reaches_store: true,
         revisions: [0; 5],
-        demand: SERVICES.iter().map(|service| (demand_key(service), demand)).collect(),
+        demand: SERVICES.iter().map(|service| (demand_key(service), demand.clone())).collect(),
     }
 }
 
--- a/crates/steering/src/placement/arms.rs
+++ b/crates/steering/src/placement/arms.rs
@@ -131,12 +131,12 @@
     let others = loads.len().saturating_sub(1).max(1) as f64;
     for (name, share) in &mut wanted {
         let load = loads.get(name).copied().unwrap_or_default();
-        let room = MOST_UTILIZATION * load.slots - load.movable - load.near;
+        let room = MOST_UTILIZATION * load.slots - load.demand();
         *share = share.min(room.max(0.0) / others / own.movable);
     }
     wanted.retain(|_, share| *share > 0.0);
     let moved: f64 = wanted.values().sum();
-    let stays = own.near + own.movable * (1.0 - moved);
+    let stays = own.near + own.guests + own.movable * (1.0 - moved);
     let leaves_less = moved < built_in.values().sum();
     match leaves_less && stays > MOST_UTILIZATION * own.slots {
         true => built_in.clone(),
--- a/crates/steering/src/placement/demand.rs
+++ b/crates/steering/src/placement/demand.rs
@@ -2,7 +2,7 @@
 
 use super::objects::ObjectGroups;
 use super::peers::Demand;
-use super::roster::{DEMAND_WINDOW_S, Roster, demand_key};
+use super::roster::{DEMAND_WINDOW_S, Roster, demand_key, region_key};
 use super::service::ServiceState;
 use super::shares::MOST_LEAVING;
 use crate::deployment::{AllowedRegions, RequestKind};
@@ -17,13 +17,13 @@
 const MOST_SPILLS: f64 = 3.0;
 
 impl Roster {
-    /// Counts a request of a caller, and its object; `_allowed` are the regions that may serve it.
+    /// Counts a request of a caller, and its object; `allowed` are the regions that may serve it.
     pub fn asked(
         &mut self,
         service: &Arc<str>,
         kind: RequestKind,
         key_hash: u64,
-        _allowed: &AllowedRegions,
+        allowed: &AllowedRegions,
         now: Instant,
     ) {
         let state = self.services.entry(service.clone()).or_default();
@@ -33,9 +33,17 @@
         // share, 4 in 100 more broke the allowed shift on 8 of 40 calm days, within the bound on 1 of 73.
         let left = (MOST_LEAVING - state.moved(&self.arms)).clamp(0.0, SPILL_RATIO);
         state.spills = (state.spills + left).min(MOST_SPILLS);
-        match kind {
-            RequestKind::Upload => state.near_per_s += 1.0 / DEMAND_WINDOW_S,
-            _ => state.movable_per_s += 1.0 / DEMAND_WINDOW_S,
+        let per_s = 1.0 / DEMAND_WINDOW_S;
+        match allowed {
+            AllowedRegions::Only(regions) if !allowed.permit(&self.region) => {
+                for region in regions {
+                    let homed_per_s = state.homed_per_s.entry(region.clone()).or_default();
+                    *homed_per_s += per_s / regions.len() as f64;
+                }
+            }
+            AllowedRegions::Only(regions) if regions.len() == 1 => state.near_per_s += per_s,
+            _ if kind == RequestKind::Upload => state.near_per_s += per_s,
+            _ => state.movable_per_s += per_s,
         }
     }
 
@@ -46,9 +54,13 @@
             .map(|(name, state)| {
                 let movable_per_s = state.movable_per_s as f32;
                 let near_per_s = state.near_per_s as f32;
+                let homed = state.homed_per_s.iter();
+                let homed_per_s =
+                    homed.map(|(region, per_s)| (region_key(region), *per_s as f32)).collect();
                 let keys = state.keys.count().map(|keys| keys.try_into().unwrap_or(u32::MAX));
                 let warm_ms = state.own_warm_answer_ms().map(|warm_ms| warm_ms as f32);
-                (demand_key(name), Demand { movable_per_s, near_per_s, keys, warm_ms })
+                let demand = Demand { movable_per_s, near_per_s, homed_per_s, keys, warm_ms };
+                (demand_key(name), demand)
             })
             .collect()
     }
--- a/crates/steering/src/placement/news.rs
+++ b/crates/steering/src/placement/news.rs
@@ -64,8 +64,25 @@
     service: [u8; 4],
     movable: u32,
     near: u32,
-    keys: Option<u32>,
-    warm: Option<u32>,
+    homed: Vec<([u8; 4], u32)>,
+    keys: Known,
+    warm: Known,
+}
+
+/// A number that may not be known, in one byte less than an option takes.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+struct Known(u32);
+
+impl From<Option<u32>> for Known {
+    fn from(number: Option<u32>) -> Self {
+        Self(number.map_or(0, |number| number.saturating_add(1)))
+    }
+}
+
+impl From<Known> for Option<u32> {
+    fn from(Known(number): Known) -> Self {
+        number.checked_sub(1)
+    }
 }
 
 impl News {
@@ -76,8 +93,13 @@
             service: service.to_le_bytes(),
             movable: parts(demand.movable_per_s),
             near: parts(demand.near_per_s),
-            keys: demand.keys,
-            warm: demand.warm_ms.map(parts),
+            homed: demand
+                .homed_per_s
+                .iter()
+                .map(|(region, per_s)| (region.to_le_bytes(), parts(*per_s)))
+                .collect(),
+            keys: demand.keys.into(),
+            warm: demand.warm_ms.map(parts).into(),
         };
         Self {
             as_of: Heartbeat { id, heartbeat: peer.heartbeat },
@@ -96,8 +118,13 @@
             let demand = Demand {
                 movable_per_s: whole(short.movable),
                 near_per_s: whole(short.near),
-                keys: short.keys,
-                warm_ms: short.warm.map(whole),
+                homed_per_s: short
+                    .homed
+                    .into_iter()
+                    .map(|(region, per_s)| (u32::from_le_bytes(region), whole(per_s)))
+                    .collect(),
+                keys: short.keys.into(),
+                warm_ms: Option::from(short.warm).map(whole),
             };
             (u32::from_le_bytes(short.service), demand)
         };
--- a/crates/steering/src/placement/peer.rs
+++ b/crates/steering/src/placement/peer.rs
@@ -20,12 +20,15 @@
 }
 
 /// Requests a second that an instance takes for one service.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Demand {
-    /// Those that may run in any region.
+    /// Those that may leave the region.
     pub movable_per_s: f32,
-    /// Those that stay near because of their size.
+    /// Those that stay near, because of their size or as only the own region may serve them.
     pub near_per_s: f32,
+    /// Those that the own region may not serve, by the lower half of the hash of the name of the region
+    /// that they go to.
+    pub homed_per_s: Vec<(u32, f32)>,
     /// Distinct objects that they concern, once that is known.
     pub keys: Option<u32>,
     /// Time to an answer that is warm and waited for nothing, in milliseconds, once one came.
--- a/crates/steering/src/placement/regions.rs
+++ b/crates/steering/src/placement/regions.rs
@@ -2,7 +2,7 @@
 
 use super::ask::ShareMove;
 use super::peers::{Demand, Peer, Peers};
-use super::roster::{DEMAND_WINDOW_S, Roster, demand_key, may_work};
+use super::roster::{DEMAND_WINDOW_S, Roster, demand_key, may_work, region_key};
 use super::service::ServiceState;
 use super::shares::{RegionLoad, ServiceLoad, expect_demand, most_eased, target_within};
 use super::view::view;
@@ -13,6 +13,9 @@
 /// Requests a second of a region below which its objects don't count.
 const LEAST_DEMAND_PER_S: f32 = 0.5;
 
+/// Requests a second of one instance for another region below which they are forgotten.
+const LEAST_HOMED_PER_S: f64 = 0.005;
+
 /// Change of a share that is told, for logs.
 const TOLD_SHARE: f64 = 0.05;
 
@@ -45,6 +48,8 @@
         for (name, state) in &mut services {
             state.movable_per_s *= fade;
             state.near_per_s *= fade;
+            state.homed_per_s.values_mut().for_each(|per_s| *per_s *= fade);
+            state.homed_per_s.retain(|_, per_s| *per_s >= LEAST_HOMED_PER_S);
             loads.insert(name.clone(), self.service_load(name, state, &demand, &warm_ms, now));
         }
         let most_eased = most_eased(&self.region, loads.values());
@@ -76,20 +81,30 @@
         let key = demand_key(name);
         let slot_s = warm_ms.get(&key).copied().unwrap_or_else(|| state.warm_answer_ms()) / 1_000.0;
         let mut loads: BTreeMap<Arc<str>, RegionLoad> = BTreeMap::new();
+        let none = Demand::default();
         let mut keys = Some(0);
         for region in self.regions.values() {
             loads.entry(region.clone()).or_insert_with(|| {
-                let part = demand.get(&(key, region.clone())).copied().unwrap_or_default();
+                let part = demand.get(&(key, region.clone())).unwrap_or(&none);
                 if part.movable_per_s + part.near_per_s >= LEAST_DEMAND_PER_S {
                     keys = keys.zip(part.keys).map(|(sum, more)| sum + more as usize);
                 }
+                let homed_per_s: f32 = part.homed_per_s.iter().map(|(_, per_s)| per_s).sum();
                 RegionLoad {
                     movable: f64::from(part.movable_per_s) * slot_s,
                     near: f64::from(part.near_per_s) * slot_s,
-                    slots: 0.0,
+                    homed: f64::from(homed_per_s) * slot_s,
+                    ..RegionLoad::default()
                 }
             });
         }
+        let of_service = demand.iter().filter(|((service, _), _)| *service == key);
+        for (to, per_s) in of_service.flat_map(|(_, part)| &part.homed_per_s) {
+            let to = loads.iter_mut().find(|(region, _)| region_key(region) == *to);
+            if let Some((_, load)) = to {
+                load.guests += f64::from(*per_s) * slot_s;
+            }
+        }
         let mut servers = 0;
         // Those that only pause count: they come and go while nothing happened but load.
         for server in state.servers.iter().filter(|it| may_work(it, &self.evacuated)) {
@@ -177,6 +192,12 @@
             let sum = demand.entry((*service, peer.region.clone())).or_default();
             sum.movable_per_s += part.movable_per_s;
             sum.near_per_s += part.near_per_s;
+            for (region, per_s) in &part.homed_per_s {
+                match sum.homed_per_s.iter_mut().find(|(known, _)| known == region) {
+                    Some((_, sum_per_s)) => *sum_per_s += per_s,
+                    None => sum.homed_per_s.push((*region, *per_s)),
+                }
+            }
             // Instances of a region meet the same objects, regions have their own.
             sum.keys = sum.keys.max(part.keys);
         }
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -272,6 +272,11 @@
     name_hash(service) as u32
 }
 
+/// Key of a region in the demand that instances tell each other.
+pub(super) fn region_key(region: &str) -> u32 {
+    name_hash(region) as u32
+}
+
 /// Tells whether a backend server is meant to get work.
 ///
 /// Its own word that it leaves counts beside the store's, which may be late, or down.
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -43,14 +43,23 @@
     pub movable: f64,
     /// Busy slots that requests need which stay near.
     pub near: f64,
+    /// Busy slots that requests of other regions' callers need which may not run there.
+    pub guests: f64,
+    /// Busy slots elsewhere that requests of its callers need which may not run in it.
+    pub homed: f64,
     /// Slots of backend servers that may be used.
     pub slots: f64,
 }
 
 impl RegionLoad {
-    /// Busy slots that its traffic would need.
+    /// Busy slots that its traffic would need, and what has to run in it.
     pub fn demand(&self) -> f64 {
-        self.movable + self.near
+        self.movable + self.near + self.guests
+    }
+
+    /// Busy slots, here or elsewhere, that the requests of its callers need.
+    fn asked(&self) -> f64 {
+        self.movable + self.near + self.homed
     }
 
     /// Movable busy slots above a utilization.
@@ -77,8 +86,8 @@
     let (mut requests_per_s, mut must_leave_per_s) = (0.0, 0.0);
     for ServiceLoad { loads, slot_s } in services {
         let Some(own) = loads.get(region).filter(|_| *slot_s > 0.0) else { continue };
-        requests_per_s += own.demand() / slot_s;
-        must_leave_per_s += own.above(BORNE_UTILIZATION) / slot_s;
+        requests_per_s += own.asked() / slot_s;
+        must_leave_per_s += (own.above(BORNE_UTILIZATION) + own.homed) / slot_s;
     }
     if requests_per_s <= 0.0 {
         return MOST_LEAVING;
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -454,6 +454,6 @@
 }
 
 fn loads(regions: &[(&str, f64, f64)]) -> BTreeMap<std::sync::Arc<str>, RegionLoad> {
-    let load = |movable, slots| RegionLoad { movable, near: 0.0, slots };
+    let load = |movable, slots| RegionLoad { movable, slots, ..RegionLoad::default() };
     regions.iter().map(|(region, demand, slots)| (name(region), load(*demand, *slots))).collect()
 }
--- a/crates/steering/tests/placement_common/mod.rs
+++ b/crates/steering/tests/placement_common/mod.rs
@@ -92,7 +92,7 @@
     movable_per_s: f32,
     keys: impl Into<Option<u32>>,
 ) -> Peer {
-    let demand = Demand { movable_per_s, near_per_s: 0.0, keys: keys.into(), warm_ms: None };
+    let demand = Demand { movable_per_s, keys: keys.into(), ..Demand::default() };
     peer.demand = vec![(demand_key(SERVICE), demand)];
     peer
 }
--- a/crates/steering/tests/placement_leaving.rs
+++ b/crates/steering/tests/placement_leaving.rs
@@ -141,7 +141,7 @@
     let mut roster = roster("one", "north-a", &known, now);
     let (large_per_s, small_per_s) = (110.0, 32.0);
     let mut own = with_demand(peer("one", "north-a"), large_per_s, 400);
-    let mut of_small = own.demand[0];
+    let mut of_small = own.demand[0].clone();
     of_small.0 = steering::placement::roster::demand_key(&small);
     of_small.1.movable_per_s = small_per_s;
     own.demand.push(of_small);
--- a/crates/steering/tests/placement_telling.rs
+++ b/crates/steering/tests/placement_telling.rs
@@ -204,8 +204,9 @@
     let mut peer = with_demand(peer, per_s, 40);
     peer.demand[0].1.warm_ms = Some(310.0);
     // Three services, as many as today's deployments have.
-    let first = peer.demand[0];
-    peer.demand.extend([(first.0 ^ 0x5bd1_e995, first.1), (first.0 ^ 0x1b87_3593, first.1)]);
+    let (service, demand) = peer.demand[0].clone();
+    let others = [0x5bd1_e995, 0x1b87_3593].map(|it| (service ^ it, demand.clone()));
+    peer.demand.extend(others);
     peer
 }
 
