--- a/crates/entry/src/process/watching.rs
+++ b/crates/entry/src/process/watching.rs
@@ -8,20 +8,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use steering::placement::FirstList;
-
-/// Shortest and longest wait of one watch, at random.  A store that falls silent is noticed by the
-/// first instance whose wait is over, and the others hear of it.
-const WATCH_WAIT_MS: [u64; 2] = [3_000, 8_000];
-
-/// The same for policies, which change by the hand of an operator: each wait has a price.
-const POLICY_WATCH_WAIT_MS: [u64; 2] = [15_000, 29_000];
+use steering::watch_timing::{POLICY_WAIT_MS, RECHECK, SOON_WAIT_MS, WAIT_MS};
 
 /// Pause after a watch that brought changes, so that those that follow at once share one call.
 const CHANGES_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time after which an instance that hears from others looks whether it should watch itself.
-const RECHECK: Duration = Duration::from_millis(700);
-
 /// First pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -140,11 +131,9 @@
 async fn watch(instance: &Rc<Instance>, subject: Subject) -> Result<(), StoreError> {
     let after = instance.knowledge.borrow().as_of(subject);
     let [least_ms, most_ms] = match subject {
-        Subject::Policies => POLICY_WATCH_WAIT_MS,
-        Subject::Configuration
-        | Subject::BackendServers
-        | Subject::Evacuations
-        | Subject::Rollouts => WATCH_WAIT_MS,
+        Subject::Configuration | Subject::BackendServers => SOON_WAIT_MS,
+        Subject::Evacuations | Subject::Rollouts => WAIT_MS,
+        Subject::Policies => POLICY_WAIT_MS,
     };
     let wait_ms = rand::random_range(least_ms..most_ms);
     let changes = tokio::select! {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod spreading;
 pub mod suspects;
 pub mod time;
+pub mod watch_timing;
 pub mod watchers;
 
 pub use blocks::BlockTable;
