Notice a silent store before a configuration is late

Cause: the store had fallen silent towards all that follow it; a watch waits up to 8 s, and another instance follows 1.1 s after one was given up. Change: watches of the configuration wait 1 to 2 s, who gets no answer tells it at once, others look twice as often.

--- a/crates/entry/src/process/watching.rs
+++ b/crates/entry/src/process/watching.rs
@@ -72,6 +72,10 @@
                     lack = Lack::Again;
                 } else {
                     instance.store_failed_at.set(Some(Instant::now()));
+                    if failures == 0 {
+                        // Another instance has to follow the store now.
+                        instance.news.notify_one();
+                    }
                 }
                 let doubled = FIRST_PAUSE * (1 << failures.min(6));
                 failures = failures.saturating_add(1);
@@ -131,8 +135,8 @@
 async fn watch(instance: &Rc<Instance>, subject: Subject) -> Result<(), StoreError> {
     let after = instance.knowledge.borrow().as_of(subject);
     let [least_ms, most_ms] = match subject {
-        Subject::Configuration | Subject::BackendServers => SOON_WAIT_MS,
-        Subject::Evacuations | Subject::Rollouts => WAIT_MS,
+        Subject::Configuration => SOON_WAIT_MS,
+        Subject::BackendServers | Subject::Evacuations | Subject::Rollouts => WAIT_MS,
         Subject::Policies => POLICY_WAIT_MS,
     };
     let wait_ms = rand::random_range(least_ms..most_ms);
--- a/crates/steering/src/watch_timing.rs
+++ b/crates/steering/src/watch_timing.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-/// Shortest and longest wait of one watch, at random, for what has to be in force within seconds.
-pub const SOON_WAIT_MS: [u64; 2] = [3_000, 8_000];
+/// Shortest and longest wait of one watch, at random, for what has to be in force within 3 s, also if the
+/// store falls silent towards all that follow it.
+pub const SOON_WAIT_MS: [u64; 2] = [1_000, 2_000];
 
 /// The same for other subjects.
 pub const WAIT_MS: [u64; 2] = [3_000, 8_000];
@@ -18,7 +19,8 @@
 pub const ANSWER_SLACK: Duration = Duration::from_millis(600);
 
 /// Time after which an instance that hears from others looks whether it should watch itself.
-pub const RECHECK: Duration = Duration::from_millis(700);
+pub const RECHECK: Duration = Duration::from_millis(350);
 
-/// Longest time until others hear that an instance gets no answer of the store.
-pub const TOLD_WITHIN: Duration = crate::placement::peers::BEAT;
+/// Longest time until others of the region hear that an instance gets no answer of the store, which it
+/// tells at once.
+pub const TOLD_WITHIN: Duration = Duration::from_millis(100);
