Pass requests on for known instances only, and ask the same server straight

Whoever reached an instance's port for other instances could have a request passed on to a backend server, without a key and beyond quotas; it is now passed on only for hosts at which an instance is known. The relay's long function is split.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -42,6 +42,8 @@
     Answered(Box<Answer>),
     /// Nothing of the request reached it.
     NotSent,
+    /// As [`Attempt::NotSent`], as no instance between passed it on: the backend server may be asked again.
+    NotPassedOn,
     /// It has not run the request and never will.
     NotRun,
     /// As [`Attempt::NotRun`], although it had room by its own report: it may be asked again.
@@ -51,11 +53,17 @@
 }
 
 impl Attempt {
+    /// Tells whether the request has not run at the backend server, and never will.
+    pub(super) fn has_not_run(&self) -> bool {
+        matches!(self, Self::NotSent | Self::NotPassedOn | Self::NotRun | Self::Refused)
+    }
+
     /// Name for operators.
     pub(super) fn as_str(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
             Self::NotSent => "not sent",
+            Self::NotPassedOn => "not passed on",
             Self::NotRun => "not run",
             Self::Refused => "refused",
             Self::Broken => "broken",
@@ -178,7 +186,7 @@
                 work.ended(if is_server { Ending::Failed } else { Ending::Unsent });
                 instance.pools.forget(&connection.to);
                 note(exchange, choice, relay.as_ref(), "not sent", &why);
-                return Attempt::NotSent;
+                return if relay.is_some() { Attempt::NotPassedOn } else { Attempt::NotSent };
             }
             let by_caller = error.error().is_user();
             let is_server = !by_caller && relay.is_none();
@@ -247,7 +255,7 @@
             let mut relays = exchange.instance.relays.borrow_mut();
             relays.failed(relay, outcome.as_str(), Instant::now());
             work.ended(Ending::Unsent);
-            Attempt::NotSent
+            Attempt::NotPassedOn
         }
         Relayed::Unreachable => {
             work.ended(Ending::Failed);
--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -9,8 +9,8 @@
 /// Outcome of an offer whose time was over before it ended.
 const GIVEN_UP: &str = "given up";
 
-/// Times that a backend server is asked again which refused a request although it had room: the
-/// object is warm there, but one that refuses all would use up the offers.
+/// Times that a backend server is asked again which refused a request although it had room, or did not
+/// get it: the object is warm there, but one that refuses all would use up the offers.
 const ASKED_AGAIN: usize = 1;
 
 /// How far a request has come.
@@ -66,13 +66,13 @@
             told.ended_ms = millis(exchange.age());
             told.outcome = attempt.as_str();
         }
-        if matches!(attempt, Attempt::NotSent | Attempt::NotRun | Attempt::Refused) {
+        if attempt.has_not_run() {
             self.may_have_run -= 1;
             if self.may_have_run > 0 {
                 exchange.give_back();
             }
         }
-        if matches!(attempt, Attempt::Refused)
+        if matches!(attempt, Attempt::Refused | Attempt::NotPassedOn)
             && let Some(Offer { server, .. }) = self.told.get(offer)
             && self.told.iter().filter(|told| told.server == *server).count() <= ASKED_AGAIN
         {
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -4,24 +4,30 @@
 //! that the caller asked, which is told truly what became of the request.
 
 use super::body::{AnswerBody, BodyError, RequestBody, ServerBody, whole};
+use super::caller::Caller;
 use super::exchange::InFlight;
 use super::headers::{remove_hop_by_hop, rest_of};
 use super::kept_body::KeptBody;
 use super::way::connection_limit;
-use crate::connection::pool::PoolError;
+use crate::connection::pool::{Connection, PoolError};
 use crate::connection::relaying::{Destination, Relayed};
 use crate::process::instance::Instance;
 use http::header::HeaderValue;
 use http::{HeaderName, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::net::IpAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Why a request was not passed on, or no answer came.
 #[derive(Debug, thiserror::Error)]
 enum RelayError {
+    #[error("no instance is known at {0}")]
+    Stranger(IpAddr),
     #[error("what is known is from before a suspension")]
     Unsettled,
     #[error("the backend server is not known at this address")]
@@ -41,7 +47,7 @@
 impl RelayError {
     fn outcome(&self) -> Relayed {
         match self {
-            Self::Unsettled | Self::Unknown | Self::Closed => Relayed::NotSent,
+            Self::Stranger(_) | Self::Unsettled | Self::Unknown | Self::Closed => Relayed::NotSent,
             Self::Pool(PoolError::Limit(_)) => Relayed::NotSent,
             Self::Pool(PoolError::Dial(_) | PoolError::Handshake(_)) => Relayed::Unreachable,
             Self::Sending(_) | Self::Answer(_) | Self::Foreign => Relayed::Broken,
@@ -86,25 +92,15 @@
     in_flight: InFlight,
 ) -> Result<Response<AnswerBody>, RelayError> {
     let came_at = instance.clock.now();
-    // It may have waited for as long as this machine stood still.
-    if !instance.is_settled() {
-        return Err(RelayError::Unsettled);
-    }
     let Destination { server, address } = destination;
-    let service = instance.roster.borrow().service_at(server, *address).cloned();
-    let service = service.ok_or(RelayError::Unknown)?;
+    let service = service_of(instance, Caller::of(&request), destination)?;
     let limit = connection_limit(instance, &service);
     let mut connection = instance.pools.take(server, *address, limit).await?;
     if connection.is_new {
         instance.metrics.connections.with_label_values(&[&*service]).inc();
     }
     let head = instance.wire.caller_head(request.headers());
-    let mut request = request.map(|body| -> RequestBody {
-        Box::pin(body.map_err(|error| Box::new(error) as BodyError))
-    });
-    let target = request.uri().path_and_query().cloned();
-    *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
-    remove_hop_by_hop(request.headers_mut());
+    let mut request = for_server(request);
     if let Some(deadline) = head.deadline {
         let left = deadline.saturating_sub(instance.clock.now().since(came_at));
         instance.wire.prepare(request.headers_mut(), left, &server.id, None);
@@ -116,16 +112,59 @@
         }
         RelayError::Sending(error.into_error())
     })?;
-    let (mut parts, incoming) = response.into_parts();
-    let seen = instance.wire.server_head(parts.status, &parts.headers, head.request_id.as_deref());
+    let seen = instance.wire.server_head(
+        response.status(),
+        response.headers(),
+        head.request_id.as_deref(),
+    );
     if !seen.is_for_request {
         return Err(RelayError::Foreign);
     }
-    let rest = rest_of(&parts.headers);
+    let (mut parts, incoming) = response.into_parts();
+    let rest = rest_of(&parts.headers).ok().filter(|_| !seen.replaced);
+    let kept = rest.map(|rest| (connection, rest));
     let read = ServerBody::read(incoming, &parts.headers).await.map_err(RelayError::Answer)?;
     remove_hop_by_hop(&mut parts.headers);
-    let kept = rest.ok().filter(|_| !seen.replaced).map(|rest| (connection, rest));
-    let body: AnswerBody = match read {
+    Ok(Response::from_parts(parts, body_of(instance, read, kept, in_flight)))
+}
+
+/// The service of the backend server that a host asks for, if a request may be passed on to it.
+fn service_of(
+    instance: &Instance,
+    sender: IpAddr,
+    Destination { server, address }: &Destination,
+) -> Result<Arc<str>, RelayError> {
+    // What comes from elsewhere was asked for no key and counted towards no quota.
+    if !instance.peers.borrow().is_host(sender) {
+        return Err(RelayError::Stranger(sender));
+    }
+    // It may have waited for as long as this machine stood still.
+    if !instance.is_settled() {
+        return Err(RelayError::Unsettled);
+    }
+    let service = instance.roster.borrow().service_at(server, *address).cloned();
+    service.ok_or(RelayError::Unknown)
+}
+
+/// The request as the backend server gets it.
+fn for_server(request: Request<Incoming>) -> Request<RequestBody> {
+    let mut request = request.map(|body| -> RequestBody {
+        Box::pin(body.map_err(|error| Box::new(error) as BodyError))
+    });
+    let target = request.uri().path_and_query().cloned();
+    *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
+    remove_hop_by_hop(request.headers_mut());
+    request
+}
+
+/// The body of the answer; `kept` is its connection, if that is used again.
+fn body_of(
+    instance: &Instance,
+    read: ServerBody,
+    kept: Option<(Connection, Option<Duration>)>,
+    in_flight: InFlight,
+) -> AnswerBody {
+    match read {
         ServerBody::Whole(bytes) => {
             if let Some((connection, rest)) = kept {
                 instance.pools.keep(connection, rest);
@@ -140,6 +179,5 @@
                 frame
             }))
         }
-    };
-    Ok(Response::from_parts(parts, body))
+    }
 }
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -118,16 +118,15 @@
                 Err(_) => return Ok(failure),
             },
             // What did not arrive anywhere is no repeat.
-            Attempt::NotSent | Attempt::NotRun | Attempt::Refused
-                if progress.offers() >= MAX_OFFERS =>
-            {
+            end if end.has_not_run() && progress.offers() >= MAX_OFFERS => {
                 return Err(not_taken(exchange));
             }
-            end @ (Attempt::NotSent | Attempt::NotRun | Attempt::Refused) => {
+            end
+            @ (Attempt::NotSent | Attempt::NotPassedOn | Attempt::NotRun | Attempt::Refused) => {
                 if ready.is_none() {
                     ready = body.take();
                 }
-                let arrived = !matches!(end, Attempt::NotSent);
+                let arrived = !matches!(end, Attempt::NotSent | Attempt::NotPassedOn);
                 let may = !arrived || exchange.instance.take_retry(&exchange.service);
                 if ready.is_none() || !may {
                     return Err(not_taken(exchange));
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -12,7 +12,7 @@
 use super::rank::{name_hash, rank};
 use crate::watchers;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -242,6 +242,11 @@
             .collect()
     }
 
+    /// Tells whether an instance that was heard of is at a host.
+    pub fn is_host(&self, host: IpAddr) -> bool {
+        self.all().any(|peer| peer.knowledge_address.ip() == host)
+    }
+
     /// The instance of another availability zone that passes requests on for `own`, and its start; the same
     /// one as long as it serves, and another one for each that asks.
     pub fn relay_to(
