--- a/crates/steering/src/watch_timing.rs
+++ b/crates/steering/src/watch_timing.rs
@@ -20,7 +20,3 @@
 
 /// Time after which an instance that hears from others looks whether it should watch itself.
 pub const RECHECK: Duration = Duration::from_millis(350);
-
-/// Longest time until others of the region hear that an instance gets no answer of the store, which it
-/// tells at once.
-pub const TOLD_WITHIN: Duration = Duration::from_millis(100);
--- a/crates/steering/tests/watch_silence.rs
+++ b/crates/steering/tests/watch_silence.rs
@@ -5,11 +5,13 @@
 //!
 //! **The model.** Two followers in each region have watches under way when the store falls silent.  Whose wait is over
 //! first gives its watch up and tells it; another instance of the region looks, follows in its place and learns the change.  A
-//! region learns it so, or from the region that was first.
+//! region learns it so, or from the region that was first.  Who gives up tells it at once to a few of the region only, so the
+//! one that follows next may hear it a heartbeat later.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use steering::watch_timing::{ANSWER_SLACK, RECHECK, SOON_WAIT_MS, TOLD_WITHIN};
+use steering::placement::peers::BEAT;
+use steering::watch_timing::{ANSWER_SLACK, RECHECK, SOON_WAIT_MS};
 use steering::watchers::WATCHERS_PER_ZONE;
 
 const REGIONS: usize = 3;
@@ -38,7 +40,7 @@
 /// Time from the silence until an instance of a region that was not a follower knows the change.
 fn learned_s(random: &mut SmallRng) -> f64 {
     let noticed = (0..WATCHERS_PER_ZONE).map(|_| given_up_s(random)).fold(f64::MAX, f64::min);
-    let told_s = random.random_range(0.0..=TOLD_WITHIN.as_secs_f64());
+    let told_s = random.random_range(0.0..=BEAT.as_secs_f64());
     noticed + told_s + random.random_range(0.0..RECHECK.as_secs_f64()) + CALL_S
 }
 
