Ask whether a zone is of another region in one place, and first

The instance and the roster both told zones of other regions apart; the roster's call serves both. Each offer measured its head before that was asked, also those that stay; now only those that leave do.

--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -223,11 +223,6 @@
         own.clone()
     }
 
-    /// Tells whether an availability zone is of another region.
-    pub(crate) fn is_elsewhere(&self, zone: &str) -> bool {
-        self.settings.regions.get(zone).is_none_or(|region| *region != self.settings.region)
-    }
-
     /// Time since the start.
     pub(super) fn uptime(&self) -> Duration {
         self.started_at.elapsed()
--- a/crates/entry/src/request/way.rs
+++ b/crates/entry/src/request/way.rs
@@ -62,8 +62,9 @@
     let connection = instance.pools.take(&server, choice.address, limit).await?;
     if connection.is_new {
         instance.metrics.connections.with_label_values(&[&**service]).inc();
-        if instance.is_elsewhere(&choice.availability_zone) {
-            instance.roster.borrow_mut().opened_to_leave(service);
+        let mut roster = instance.roster.borrow_mut();
+        if roster.is_away(&choice.availability_zone) {
+            roster.opened_to_leave(service);
         }
     }
     Ok(Way { connection, through: None })
@@ -72,11 +73,13 @@
 /// The instance that passes an offer on which leaves the region, if there is one and it can.
 fn through(exchange: &Exchange, choice: &Choice) -> Option<Through> {
     let instance = &exchange.instance;
+    if !instance.roster.borrow().is_away(&choice.availability_zone) {
+        return None;
+    }
     let head: usize =
         exchange.headers.iter().map(|(name, it)| name.as_str().len() + it.len()).sum();
     // What can't be sent again must not depend on one more process.
-    let may_pass = exchange.body.is_some() && head <= HEAD_BYTES;
-    if !may_pass || !instance.is_elsewhere(&choice.availability_zone) {
+    if exchange.body.is_none() || head > HEAD_BYTES {
         return None;
     }
     let destination = Destination { server: choice.incarnation(), address: choice.address };
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -220,7 +220,7 @@
     }
 
     /// Tells whether an availability zone is of another region.
-    fn is_away(&self, zone: &str) -> bool {
+    pub fn is_away(&self, zone: &str) -> bool {
         self.regions.get(zone).is_none_or(|region| *region != self.region)
     }
 
