Read all terms of a deployment into checked types

Cause: an instance read eight of the bounds that its settings hold; everything else was fixed in the code. Change: steering::terms holds the terms as checked types, the settings file fills them, and an invalid one is an error that names the field. Nothing is derived from them yet; the limit on versions that are rolled out now comes from there.

--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -30,6 +30,9 @@
         /// Why the value is invalid.
         reason: String,
     },
+    /// A term of the deployment has an invalid value.
+    #[error("setting terms.{0}")]
+    Terms(#[from] steering::terms::TermsError),
     /// An address can't be listened on.
     #[error("can't listen on {address}: {source}")]
     Listen {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use steering::quota::QuotaTerms;
 use steering::rollout::ExposureLimit;
+use steering::terms::{RawTerms, Terms};
 
 /// Offset of the gossip port from `first_port`, which serves operators and metrics.
 const GOSSIP_PORT_OFFSET: u16 = 1;
@@ -50,14 +51,13 @@
     /// Requests by which it may be exceeded in addition.
     #[serde(default)]
     pub quota_slack: f64,
-    /// Fraction of a service's requests that a bad version may receive during its roll-out; absent
-    /// where there are no roll-outs.
-    #[serde(default)]
-    pub exposure_share: Option<f64>,
     /// Longest time to live of a look-up response.
     pub max_ttl_s: f64,
     /// Time from the signal for a planned stop to the end of the process.
     pub stop_grace_s: f64,
+    /// Terms of the deployment.
+    #[serde(default)]
+    pub terms: RawTerms,
 }
 
 /// Validated settings.
@@ -99,6 +99,8 @@
     pub max_ttl: Duration,
     /// Time from the signal for a planned stop to the end of the process.
     pub stop_grace: Duration,
+    /// Terms of the deployment.
+    pub terms: Terms,
 }
 
 impl Settings {
@@ -143,8 +145,8 @@
             overage: check_range("quota_overage", raw.quota_overage)?,
             slack: check_range("quota_slack", raw.quota_slack)?,
         };
-        let exposure = raw.exposure_share.map(|share| check_range("exposure_share", share));
-        let exposure = exposure.transpose()?.map(|share| ExposureLimit { share });
+        let terms = Terms::try_from(raw.terms)?;
+        let exposure = terms.rollout.exposure_share.map(|share| ExposureLimit { share });
         let with_port = |port| SocketAddr::new(peer_address.ip(), port);
         Ok(Self {
             name: raw.name.as_str().into(),
@@ -169,6 +171,7 @@
             exposure,
             max_ttl: Duration::from_secs_f64(check_range("max_ttl_s", raw.max_ttl_s)?),
             stop_grace: Duration::from_secs_f64(check_range("stop_grace_s", raw.stop_grace_s)?),
+            terms,
         })
     }
 }
--- a/crates/runpin/tests/entry_policy.rs
+++ b/crates/runpin/tests/entry_policy.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use steering::terms::RawTerms;
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use users_platform::{PlatformClient, PlatformWire};
@@ -59,9 +60,9 @@
         quota_window_s: None,
         quota_overage: 0.0,
         quota_slack: 0.0,
-        exposure_share: None,
         max_ttl_s: 5.0,
         stop_grace_s: 2.0,
+        terms: RawTerms::default(),
     };
     let mut settings = Settings::try_from(raw).expect("the settings are valid");
     settings.gossip_address.set_port(0);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod servers;
 pub mod shares;
 pub mod suspects;
+pub mod terms;
 pub mod time;
 pub mod watch_timing;
 pub mod watchers;
