--- a/crates/steering/src/quota/pooled/mod.rs
+++ b/crates/steering/src/quota/pooled/mod.rs
@@ -16,6 +16,7 @@
 mod duplicates;
 mod growth;
 mod leases;
+mod local;
 mod outbox;
 mod pending;
 mod pool;
@@ -29,6 +30,7 @@
 use brokers::{customer_brokers, select_brokers};
 use capacity::local_capacity;
 use duplicates::DuplicateFilter;
+use local::LocalTokens;
 use outbox::Outbox;
 use pending::{BROKER_TIMEOUT, PendingQueue, PendingRequest, UNRESPONSIVE_PERIOD};
 use pool::Pool;
@@ -47,12 +49,6 @@
 /// Retry delay where no broker responded: by then other brokers have been selected.
 const NO_BROKER_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-#[derive(Debug, Default)]
-struct LocalState {
-    tokens: f64,
-    refused_until: Time,
-}
-
 /// Leases this instance's fraction of all quotas to the brokers of its region.
 #[derive(Debug)]
 pub struct PooledLimiter {
@@ -62,7 +58,7 @@
     brokers: Vec<MemberId>,
     /// Brokers of each other region.
     remote_brokers: Vec<Vec<MemberId>>,
-    local: BTreeMap<CustomerId, LocalState>,
+    local: LocalTokens,
     pool: Pool,
     queue: PendingQueue,
     duplicates: DuplicateFilter,
@@ -86,7 +82,7 @@
             limits: BTreeMap::new(),
             brokers: vec![own],
             remote_brokers: Vec::new(),
-            local: BTreeMap::new(),
+            local: LocalTokens::default(),
             pool: Pool::new(own),
             queue: PendingQueue::default(),
             duplicates: DuplicateFilter::default(),
@@ -152,7 +148,7 @@
             if *broker == self.fleet.own {
                 match self.pool.acquire(customer, more, &self.limits, now) {
                     Ok(granted) => {
-                        self.local.entry(customer).or_default().tokens += granted - 1.0;
+                        self.local.add(customer, granted - 1.0);
                         return QuotaCheck::Decided(Decision::Granted);
                     }
                     Err(wait) => retry_after = wait,
@@ -172,15 +168,15 @@
     /// Refuses a request, and for a short time those that follow.
     fn refuse(&mut self, customer: CustomerId, retry_after: Duration, now: Time) -> QuotaCheck {
         let until = now + retry_after.min(MAX_REFUSAL_PERIOD);
-        self.local.entry(customer).or_default().refused_until = until;
+        self.local.refuse_until(customer, until);
         QuotaCheck::Decided(Decision::Refused { retry_after })
     }
 
     /// Number of additional tokens of a customer that this instance may hold.
     fn missing_tokens(&self, customer: CustomerId) -> f64 {
         let Some(limit) = self.limits.get(&customer) else { return 0.0 };
-        let tokens = self.local.get(&customer).map_or(0.0, |local| local.tokens);
-        (local_capacity(limit, self.fleet.fraction()) - tokens).max(0.0).floor()
+        let capacity = local_capacity(limit, self.fleet.fraction());
+        (capacity - self.local.tokens(customer)).max(0.0).floor()
     }
 
     /// Asks the next broker after one did not grant a request, or refuses the request.
@@ -232,20 +228,18 @@
 
     /// Grants pending requests from the received tokens and keeps the rest, up to the capacity.
     fn receive_tokens(&mut self, customer: CustomerId, amount: f64, now: Time) {
-        let local = self.local.entry(customer).or_default();
-        local.refused_until = now;
-        local.tokens += amount;
-        while local.tokens >= 1.0
+        self.local.refuse_until(customer, now);
+        self.local.add(customer, amount);
+        while self.local.tokens(customer) >= 1.0
             && let Some(pending) = self.queue.take_first(customer)
         {
-            local.tokens -= 1.0;
+            self.local.take(customer);
             self.decisions.push((pending.ticket, Decision::Granted));
         }
         let Some(limit) = self.limits.get(&customer) else { return };
         let capacity = local_capacity(limit, self.fleet.fraction());
-        let surplus = local.tokens - capacity;
+        let surplus = self.local.take_surplus(customer, capacity);
         if surplus > 0.0 {
-            local.tokens = capacity;
             self.settle(customer, surplus, now);
         }
     }
@@ -281,12 +275,7 @@
 impl Limiter for PooledLimiter {
     fn set_limits(&mut self, limits: BTreeMap<CustomerId, Limit>, _: Time) {
         self.limits = limits;
-        let (limits, fraction) = (&self.limits, self.fleet.fraction());
-        self.local.retain(|customer, local| {
-            let limit = limits.get(customer);
-            local.tokens = local.tokens.min(limit.map_or(0.0, |it| local_capacity(it, fraction)));
-            limit.is_some()
-        });
+        self.local.set_limits(&self.limits, self.fleet.fraction());
     }
 
     fn set_fleet(&mut self, fleet: Fleet, now: Time) {
@@ -306,13 +295,12 @@
         if !self.limits.contains_key(&customer) {
             return QuotaCheck::Decided(Decision::Granted);
         }
-        let local = self.local.entry(customer).or_default();
-        if local.tokens >= 1.0 {
-            local.tokens -= 1.0;
+        if self.local.take(customer) {
             return QuotaCheck::Decided(Decision::Granted);
         }
-        if local.refused_until > now {
-            let retry_after = local.refused_until.since(now).max(MAX_REFUSAL_PERIOD / 2);
+        let refused_for = self.local.refused_for(customer, now);
+        if !refused_for.is_zero() {
+            let retry_after = refused_for.max(MAX_REFUSAL_PERIOD / 2);
             return QuotaCheck::Decided(Decision::Refused { retry_after });
         }
         let brokers = self.customer_brokers(customer, now);
@@ -320,13 +308,7 @@
     }
 
     fn charge(&mut self, customer: CustomerId, now: Time) {
-        if !self.limits.contains_key(&customer) {
-            return;
-        }
-        let local = self.local.entry(customer).or_default();
-        if local.tokens >= 1.0 {
-            local.tokens -= 1.0;
-        } else {
+        if self.limits.contains_key(&customer) && !self.local.take(customer) {
             self.settle(customer, -1.0, now);
         }
     }
@@ -389,12 +371,11 @@
 
     fn status(&self, customer: CustomerId, now: Time) -> Option<QuotaStatus> {
         self.limits.get(&customer)?;
-        let local = self.local.get(&customer);
         Some(QuotaStatus {
-            local_tokens: local.map_or(0.0, |local| local.tokens),
+            local_tokens: self.local.tokens(customer),
             pooled_tokens: self.pool.tokens(customer),
             fraction: self.pool.fraction(now),
-            refused_for: local.map_or(Duration::ZERO, |local| local.refused_until.since(now)),
+            refused_for: self.local.refused_for(customer, now),
         })
     }
 }
