Hand an abandoned watch over to the next instances of the region

Cause: an instance that gave up a watch told six random instances of its region; the one that replaces it might not be among them, and learned of it with a heartbeat (up to 0.8 s) and at its next check (up to 0.35 s). Change: the two instances that rank next get a datagram that names the subject and watch once at once, whatever their own list of instances says; a second one covers a lost instance or datagram. A failure after the 2 s in which an instance counts as reaching the store again is announced too. steering::watchers::successors holds the choice. Changed test: the model of watch_silence.rs takes the successors and their number from the product and draws lost and late datagrams; if all are lost it keeps the former delays. Its bounds stay.

--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -58,14 +58,16 @@
     listener::listen(instance, readiness, request::readiness::handle);
     listener::listen(instance, peers, request::peer_requests::handle);
     listener::listen(instance, operators, request::operators::handle);
-    gossip::run(instance, gossip);
+    let gossip = Rc::new(gossip);
+    gossip::run(instance, gossip.clone());
     spawn_local(resync::run(instance.clone()));
     let has_rollouts = settings.exposure.is_some();
     let subjects =
         Subject::ALL.into_iter().filter(|subject| has_rollouts || *subject != Subject::Rollouts);
     let first_list = BootstrapDelay::new(rand::random());
     for subject in subjects {
-        spawn_local(store_sync::keep_in_sync(instance.clone(), subject, first_list));
+        let (instance, socket) = (instance.clone(), gossip.clone());
+        spawn_local(store_sync::keep_in_sync(instance, socket, subject, first_list));
     }
 }
 
--- a/crates/entry/src/process/datagram.rs
+++ b/crates/entry/src/process/datagram.rs
@@ -15,16 +15,19 @@
     RolloutAnnouncements,
     /// Counts of responses during a roll-out.
     RolloutReports,
+    /// A watch that gets no response from the store.
+    WatchHandover,
 }
 
 impl Kind {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Instances,
         Self::Suspects,
         Self::Quotas,
         Self::Conditions,
         Self::RolloutAnnouncements,
         Self::RolloutReports,
+        Self::WatchHandover,
     ];
 
     fn tag(self) -> u8 {
@@ -35,6 +38,7 @@
             Self::Conditions => 4,
             Self::RolloutAnnouncements => 5,
             Self::RolloutReports => 6,
+            Self::WatchHandover => 7,
         }
     }
 }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -11,7 +11,7 @@
 use super::rollouts::RolloutAnnouncements;
 use super::suspects::SuspectRequests;
 use super::update_requests::UpdateRequests;
-use super::{conditions, fleet, gossip_topics, rollouts, suspects};
+use super::{conditions, fleet, gossip_topics, rollouts, suspects, watch_handover};
 use crate::platform_api::{Registration, SUBJECTS, Subject};
 use crate::version::changes::Update;
 use crate::version::exchange;
@@ -64,8 +64,7 @@
 const ISOLATED_INTRODUCTION_HEARTBEATS: u64 = 4;
 
 /// Starts the tasks that send and receive gossip for the lifetime of the process.
-pub(super) fn run(instance: &Rc<Instance>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
+pub(super) fn run(instance: &Rc<Instance>, socket: Rc<UdpSocket>) {
     tokio::task::spawn_local(receive(instance.clone(), socket.clone()));
     gossip_topics::run(
         instance,
@@ -256,6 +255,10 @@
                 instance.quotas.receive(message, instance.clock.now());
                 None
             }
+            Some((Kind::WatchHandover, message)) => {
+                watch_handover::receive(&instance, message);
+                None
+            }
             None => None,
         };
         let Some(sender) = sender else { continue };
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -116,6 +116,9 @@
     pub heartbeat_trigger: Notify,
     /// By subject, ends a watch that an update from another instance has made obsolete.
     pub watch_interrupts: [Notify; SUBJECTS],
+    /// By subject, wakes the task that waits to watch it, as another instance's watch gets no
+    /// response.
+    pub(super) watch_handovers: [Notify; SUBJECTS],
     started_at: Instant,
     own_peer: RefCell<Peer>,
     budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
@@ -201,6 +204,7 @@
             store_failed_at: Cell::new(None),
             heartbeat_trigger: Notify::new(),
             watch_interrupts: Default::default(),
+            watch_handovers: Default::default(),
             started_at: Instant::now(),
             own_peer: RefCell::new(own),
             budgets: RefCell::default(),
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -25,5 +25,6 @@
 mod store_sync;
 pub(crate) mod suspects;
 pub mod update_requests;
+mod watch_handover;
 
 pub use daemon::run;
--- a/crates/entry/src/process/store_sync.rs
+++ b/crates/entry/src/process/store_sync.rs
@@ -3,12 +3,14 @@
 
 use super::activation::activate;
 use super::instance::Instance;
+use super::watch_handover;
 use crate::error::StoreError;
 use crate::platform_api::{StoreResponse, Subject};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use steering::placement::BootstrapDelay;
 use steering::watch_timing::{POLICY_WAIT_MS, SHORT_WAIT_MS, WAIT_MS, WATCHER_CHECK_INTERVAL};
+use tokio::net::UdpSocket;
 
 /// Pause after a watch that returned changes, so that closely following changes share one call.
 const CHANGES_PAUSE: Duration = Duration::from_millis(100);
@@ -36,9 +38,10 @@
     Nothing,
 }
 
-/// Keeps a subject in sync for the lifetime of the process.
+/// Keeps a subject in sync for the lifetime of the process; `socket` is the one for gossip.
 pub(super) async fn keep_in_sync(
     instance: Rc<Instance>,
+    socket: Rc<UdpSocket>,
     subject: Subject,
     first_list: BootstrapDelay,
 ) {
@@ -49,8 +52,10 @@
         {
             needed_list = NeededList::Nothing;
         }
-        if needed_list == NeededList::Nothing && !instance.is_watcher() {
-            tokio::time::sleep(WATCHER_CHECK_INTERVAL).await;
+        if needed_list == NeededList::Nothing
+            && !instance.is_watcher()
+            && !receives_handover(&instance, subject).await
+        {
             continue;
         }
         let outcome = match needed_list {
@@ -80,10 +85,15 @@
                 if error == StoreError::Compacted {
                     needed_list = NeededList::Fresh;
                 } else {
+                    // Others count an instance whose last failure is a while ago as reaching the store.
+                    let is_news = failures == 0 || instance.reaches_store();
                     instance.store_failed_at.set(Some(Instant::now()));
-                    if failures == 0 {
+                    if is_news {
                         // Tell the others at once, so that another instance takes over as watcher.
                         instance.heartbeat_trigger.notify_one();
+                        if needed_list == NeededList::Nothing {
+                            watch_handover::send(&instance, &socket, subject).await;
+                        }
                     }
                 }
                 let doubled = MIN_BACKOFF * (1 << failures.min(6));
@@ -95,6 +105,15 @@
     }
 }
 
+/// Waits until this instance has to check again whether it should watch the subject; returns whether
+/// another instance handed its watch over before.
+async fn receives_handover(instance: &Instance, subject: Subject) -> bool {
+    tokio::select! {
+        () = tokio::time::sleep(WATCHER_CHECK_INTERVAL) => false,
+        () = instance.watch_handovers[subject.index()].notified() => true,
+    }
+}
+
 /// Waits until the subject has arrived from another instance or this instance should list it itself;
 /// returns whether it should.
 async fn should_list(instance: &Instance, subject: Subject, first_list: BootstrapDelay) -> bool {
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -211,9 +211,20 @@
     /// Returns whether `own` is one of the few instances of its region that watch the store; the
     /// others learn of changes from these.  An instance that does not reach the store is left out.
     pub fn is_watcher(&self, own: &Peer, now: Instant) -> bool {
-        let of_region = self.alive(now).filter(|peer| peer.region == own.region);
-        let reaching = of_region.filter(|peer| peer.reaches_store && peer.is_serving());
-        watchers::is_watcher(&own.name, reaching.map(|peer| &*peer.name))
+        watchers::is_watcher(&own.name, self.possible_watchers(own, now))
+    }
+
+    /// The instances of the region that replace `own` if its watch gets no response.
+    pub fn watch_successors(&self, own: &Peer, now: Instant) -> Vec<&Peer> {
+        let names = watchers::successors(&own.name, self.possible_watchers(own, now));
+        let entries = names.into_iter().filter_map(|name| self.entries.get(name));
+        entries.map(|entry| &entry.peer).collect()
+    }
+
+    /// Names of the other instances of the region that can watch the store.
+    fn possible_watchers(&self, own: &Peer, now: Instant) -> impl Iterator<Item = &str> {
+        let of_region = self.alive(now).filter(move |peer| peer.region == own.region);
+        of_region.filter(|peer| peer.reaches_store && peer.is_serving()).map(|peer| &*peer.name)
     }
 
     /// Returns whether `own`, which has just started, is one of the few instances of its region
--- a/crates/steering/src/watchers.rs
+++ b/crates/steering/src/watchers.rs
@@ -1,16 +1,22 @@
 //! Which instances watch the platform for changes, and which instances a new version is announced
 //! to.
 //!
+//! An instance whose watch gets no response asks its successors to watch in its place.
+//!
 //! A pending watch counts as a call, so only a few instances of each availability zone have one.
 //! An instance that adopts a version announces it to a bounded number of others, which do the same.
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 /// Instances of one availability zone that watch the platform.
 pub const WATCHERS_PER_ZONE: usize = 2;
 
+/// Instances that are asked to replace a watcher: two, since one of them or a datagram may be lost.
+pub const SUCCESSORS: usize = 2;
+
 /// Instances of its own availability zone that an instance announces a version to at once.
 pub const OWN_ZONE_FANOUT: usize = 4;
 
@@ -49,6 +55,17 @@
     higher_ranked(own, members).count()
 }
 
+/// Returns the members that replace `own` if its watch gets no response, highest rank first.
+///
+/// Members that rank among the watchers without `own` are left out, as they watch already.  There
+/// are fewer than [`SUCCESSORS`] if the members do not suffice.
+pub fn successors<'a>(own: &str, members: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut others: Vec<&str> = members.filter(|name| *name != own).collect();
+    let other_watchers = WATCHERS_PER_ZONE - usize::from(is_watcher(own, others.iter().copied()));
+    others.sort_unstable_by_key(|&name| Reverse(rank(name)));
+    others.into_iter().skip(other_watchers).take(SUCCESSORS).collect()
+}
+
 fn higher_ranked<'a>(
     own: &str,
     members: impl Iterator<Item = &'a str>,
--- a/crates/steering/tests/watch_silence.rs
+++ b/crates/steering/tests/watch_silence.rs
@@ -5,16 +5,16 @@
 //! 3.8 s, where 3 s are allowed.
 //!
 //! In the model, two watchers in each region have pending watches when the store stops responding.
-//! The watcher whose wait is over first abandons its watch and announces that; another instance of
-//! the region checks whether it should watch, takes over and reads the change.  A region learns the
-//! change that way, or from the first region that did.  The announcement goes to a few instances of
-//! the region at once, so the one that takes over may get it only with the next heartbeat.
+//! The watcher whose wait is over first abandons its watch and hands it over to its successors; the
+//! first of them that receives the datagram reads the change at once.  If all datagrams are lost, a
+//! successor learns of it with the next heartbeat and takes over at its next check.  A region learns
+//! the change that way, or from the first region that did.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use steering::placement::peers::HEARTBEAT_INTERVAL;
 use steering::watch_timing::{RESPONSE_GRACE, SHORT_WAIT_MS, WATCHER_CHECK_INTERVAL};
-use steering::watchers::WATCHERS_PER_ZONE;
+use steering::watchers::{WATCHERS_PER_ZONE, is_watcher, successors};
 
 const REGIONS: usize = 3;
 
@@ -24,6 +24,14 @@
 const KNOWN_IN_REGION_S: f64 = 0.4;
 const KNOWN_IN_OTHER_REGIONS_S: f64 = 1.0;
 
+/// Instances of a region.
+const REGION_INSTANCES: usize = 10;
+
+/// Fraction of datagrams that are lost, and longest time until one that is not takes effect on a
+/// busy machine.
+const LOST_FRACTION: f64 = 0.03;
+const DATAGRAM_S: f64 = 0.1;
+
 /// Time within which a configuration must take effect.
 const MAX_DELAY_S: f64 = 3.0;
 
@@ -46,11 +54,22 @@
 fn change_known_s(random: &mut SmallRng) -> f64 {
     let detected_s =
         (0..WATCHERS_PER_ZONE).map(|_| watch_abandoned_s(random)).fold(f64::MAX, f64::min);
-    let announced_s = random.random_range(0.0..=HEARTBEAT_INTERVAL.as_secs_f64());
-    detected_s
-        + announced_s
-        + random.random_range(0.0..WATCHER_CHECK_INTERVAL.as_secs_f64())
-        + CALL_S
+    detected_s + taken_over_s(random) + CALL_S
+}
+
+/// Returns the time from an abandoned watch until a successor begins to watch.
+fn taken_over_s(random: &mut SmallRng) -> f64 {
+    let names: Vec<String> = (0..REGION_INSTANCES).map(|number| format!("i-{number}")).collect();
+    let names = || names.iter().map(String::as_str);
+    let abandoned_by = names().find(|own| is_watcher(own, names())).expect("a watcher");
+    let received = successors(abandoned_by, names()).into_iter().filter_map(|_| {
+        let is_lost = random.random_bool(LOST_FRACTION);
+        (!is_lost).then(|| random.random_range(0.0..DATAGRAM_S))
+    });
+    let first_s = received.fold(f64::MAX, f64::min);
+    let by_heartbeat_s = random.random_range(0.0..=HEARTBEAT_INTERVAL.as_secs_f64())
+        + random.random_range(0.0..WATCHER_CHECK_INTERVAL.as_secs_f64());
+    first_s.min(by_heartbeat_s)
 }
 
 // Guards against watchers that abandon their watches late, and other instances that are slow to
--- a/crates/steering/tests/watchers.rs
+++ b/crates/steering/tests/watchers.rs
@@ -4,8 +4,8 @@
 use rand::rngs::StdRng;
 use std::collections::HashSet;
 use steering::watchers::{
-    Neighbor, OTHER_ZONES_FANOUT, OWN_ZONE_FANOUT, WATCHERS_PER_ZONE, choose_announcement_targets,
-    is_watcher,
+    Neighbor, OTHER_ZONES_FANOUT, OWN_ZONE_FANOUT, SUCCESSORS, WATCHERS_PER_ZONE,
+    choose_announcement_targets, is_watcher, position, successors,
 };
 
 fn names(count: usize) -> Vec<String> {
@@ -59,6 +59,62 @@
     );
 }
 
+/// Names in the order of their rank.
+fn ranked_names(count: usize) -> Vec<String> {
+    let mut names = names(count);
+    let all = names.clone();
+    names.sort_by_key(|own| position(own, all.iter().map(String::as_str)));
+    names
+}
+
+fn successors_of<'a>(own: &str, members: &'a [String]) -> Vec<&'a str> {
+    successors(own, members.iter().map(String::as_str))
+}
+
+#[test]
+fn a_watcher_is_replaced_by_the_instances_that_rank_next() {
+    let names = ranked_names(130);
+    let next = [names[2].as_str(), names[3].as_str()];
+
+    let of_watchers = names[..WATCHERS_PER_ZONE].iter().map(|own| successors_of(own, &names));
+
+    assert_eq!(next.len(), SUCCESSORS);
+    assert!(of_watchers.into_iter().all(|successors| successors == next));
+}
+
+#[test]
+fn a_lost_successor_is_replaced_by_the_next_one() {
+    let mut names = ranked_names(130);
+    let lost = names.remove(2);
+
+    let successors = successors_of(&names[0], &names);
+
+    assert!(!successors.contains(&lost.as_str()));
+    assert_eq!(successors, [names[2].as_str(), names[3].as_str()]);
+}
+
+// A successor that gets no response itself passes the watch on to instances that do not watch yet.
+#[test]
+fn a_successor_is_replaced_by_instances_below_the_watchers() {
+    let names = ranked_names(130);
+
+    let successors = successors_of(&names[2], &names);
+
+    assert_eq!(successors, [names[3].as_str(), names[4].as_str()]);
+}
+
+#[test]
+fn a_small_region_has_fewer_successors() {
+    let counts: Vec<usize> = (1..=5)
+        .map(|size| {
+            let names = ranked_names(size);
+            successors_of(&names[0], &names).len()
+        })
+        .collect();
+
+    assert_eq!(counts, [0, 0, 1, 2, 2]);
+}
+
 #[test]
 fn announcements_are_bounded_and_reach_nearly_all_of_a_large_zone() {
     let all = neighbors(3, 130);
