--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -317,7 +317,8 @@
     let changed = instance.replica.borrow_mut().apply_update(update);
     for subject in Subject::ALL.into_iter().filter(|subject| changed[subject.index()]) {
         activate(instance, subject, "instance");
-        instance.watch_interrupts[subject.index()].notify_one();
+        // Only a pending watch is obsolete: a later one begins at the new revision.
+        instance.watch_interrupts[subject.index()].notify_waiters();
         instance.heartbeat_trigger.notify_one();
     }
 }
