Hand a watch over only if the store is silent

Cause: every failed call was handed over, so that in an outage in which the store refuses calls each instance of a region would have called it within a second. Change: only a watch without a response is handed over; others hear of other failures as before.

--- a/crates/entry/src/process/store_sync.rs
+++ b/crates/entry/src/process/store_sync.rs
@@ -91,7 +91,9 @@
                     if is_news {
                         // Tell the others at once, so that another instance takes over as watcher.
                         instance.heartbeat_trigger.notify_one();
-                        if needed_list == NeededList::Nothing {
+                        // A store that refuses or resets is called again soon, and responds to
+                        // others no sooner.
+                        if needed_list == NeededList::Nothing && error == StoreError::Timeout {
                             watch_handover::send(&instance, &socket, subject).await;
                         }
                     }
