Detect the end of a connection with pipelined requests

Cause: hyper does not read a connection while it answers and holds bytes of the next request. The FIN or reset of a caller with pipelined requests was not seen, so its requests went on being sent to backend servers. Change: connection::read_ahead below hyper reads on while a request is being answered, at most as many bytes as the limit on request heads, and hands them to hyper in order; the end of the connection drops the connection, which cancels the request.

--- a/crates/entry/src/connection/head_timer.rs
+++ b/crates/entry/src/connection/head_timer.rs
@@ -31,8 +31,13 @@
         AnsweringGuard(self.clone())
     }
 
+    /// Whether a request is being answered.
+    pub(super) fn is_answering(&self) -> bool {
+        self.answering_count.get() > 0
+    }
+
     fn bytes_received(&self) {
-        if self.answering_count.get() == 0 && self.head_began_at.get().is_none() {
+        if !self.is_answering() && self.head_began_at.get().is_none() {
             self.head_began_at.set(Some(Instant::now()));
         }
     }
--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -2,6 +2,7 @@
 
 use super::dial::set_tcp_timeouts;
 use super::head_timer::{GuardedBody, HeadProgress, HeadTimer, track_reads};
+use super::read_ahead::ReadAhead;
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
 use crate::request::Caller;
@@ -13,8 +14,9 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::IpAddr;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -77,24 +79,60 @@
         }
     });
     let mut timer = HeadTimer::new(progress.clone(), limits.header_timeout);
+    let buffer_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
+    let stream = ReadAhead::new(stream, buffer_bytes);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(track_reads(stream, progress)), service);
+        .max_buf_size(buffer_bytes)
+        .serve_connection(TokioIo::new(track_reads(stream.clone(), progress.clone())), service);
     tokio::pin!(connection);
     let finished = tokio::select! {
-        () = poll_fn(|context| match connection.as_mut().poll(context) {
-            // Errors of the connection show up in its requests.
-            Poll::Ready(_) => Poll::Ready(()),
-            Poll::Pending if timer.has_expired(context) => Poll::Ready(()),
-            Poll::Pending => Poll::Pending,
+        () = poll_fn(|context| {
+            match poll_until_end(connection.as_mut(), &stream, &progress, caller, context) {
+                Poll::Pending if timer.has_expired(context) => Poll::Ready(()),
+                polled => polled,
+            }
         }) => true,
         _ = stop.wait_for(|phase| *phase == StopPhase::Closed) => false,
     };
     if !finished {
         connection.as_mut().graceful_shutdown();
-        // Errors of the connection show up in its requests.
-        let _ = connection.await;
+        poll_fn(|context| poll_until_end(connection.as_mut(), &stream, &progress, caller, context))
+            .await;
+    }
+}
+
+/// Polls a connection; ready when it is served, or its caller disconnects during a request.
+///
+/// The connection must then be dropped, which cancels the request.
+fn poll_until_end<C: Future>(
+    connection: Pin<&mut C>,
+    stream: &ReadAhead<TcpStream>,
+    progress: &HeadProgress,
+    caller: IpAddr,
+    context: &mut Context<'_>,
+) -> Poll<()> {
+    // Before hyper: it may begin the next pipelined request in the same poll.
+    if progress.is_answering() && stream.poll_end(context).is_ready() {
+        log_disconnect(stream, caller);
+        return Poll::Ready(());
     }
+    stream.begin_poll();
+    // Errors of the connection show up in its requests.
+    if connection.poll(context).is_ready() {
+        return Poll::Ready(());
+    }
+    if progress.is_answering() && stream.poll_end(context).is_ready() {
+        log_disconnect(stream, caller);
+        return Poll::Ready(());
+    }
+    Poll::Pending
+}
+
+fn log_disconnect(stream: &ReadAhead<TcpStream>, caller: IpAddr) {
+    log::debug!(
+        target: "connection", caller:%, unread_bytes = stream.unread_bytes();
+        "caller disconnected before its pipelined requests were answered"
+    );
 }
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) mod http_client;
 pub(crate) mod listener;
 pub mod pool;
+pub mod read_ahead;
 pub(crate) mod relay_protocol;
--- /dev/null
+++ b/crates/entry/src/connection/read_ahead.rs
@@ -0,0 +1,132 @@
+//! Reads a caller's connection while a request is being answered, to detect its end.
+//!
+//! hyper does not read while it holds bytes of the next request, so it does not notice that a caller
+//! with pipelined requests has disconnected.
+
+use bytes::{Buf, BytesMut};
+use std::cell::RefCell;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes read at once.
+const PIECE_BYTES: usize = 4096;
+
+/// A connection whose bytes can be read before its reader asks for them.
+///
+/// Clones share the connection.
+pub struct ReadAhead<S>(Rc<RefCell<State<S>>>);
+
+struct State<S> {
+    stream: S,
+    /// Bytes that the reader has not taken yet.
+    unread: BytesMut,
+    /// Most bytes in `unread`.
+    max_bytes: usize,
+    /// Whether the reader itself waits for the stream.
+    is_reader_waiting: bool,
+}
+
+impl<S> Clone for ReadAhead<S> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> ReadAhead<S> {
+    /// Wraps a connection of which at most `max_bytes` are read ahead.
+    pub fn new(stream: S, max_bytes: usize) -> Self {
+        let unread = BytesMut::new();
+        Self(Rc::new(RefCell::new(State { stream, unread, max_bytes, is_reader_waiting: false })))
+    }
+
+    /// Number of bytes read ahead that the reader has not taken yet.
+    pub fn unread_bytes(&self) -> usize {
+        self.0.borrow().unread.len()
+    }
+
+    /// Forgets that the reader waits for the stream; call before polling the reader.
+    pub fn begin_poll(&self) {
+        self.0.borrow_mut().is_reader_waiting = false;
+    }
+
+    /// Reads ahead; ready when the other side has closed or reset the connection.
+    ///
+    /// Does nothing while the reader itself waits for the stream, or when the bound is reached.
+    pub fn poll_end(&self, context: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.0.borrow_mut();
+        if state.is_reader_waiting {
+            return Poll::Pending;
+        }
+        loop {
+            let room = state.max_bytes.saturating_sub(state.unread.len()).min(PIECE_BYTES);
+            if room == 0 {
+                return Poll::Pending;
+            }
+            let mut piece = [0; PIECE_BYTES];
+            let mut piece = ReadBuf::new(&mut piece[..room]);
+            let read = ready!(Pin::new(&mut state.stream).poll_read(context, &mut piece));
+            // A reset ends the connection like a close.
+            if read.is_err() || piece.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            state.unread.extend_from_slice(piece.filled());
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for ReadAhead<S> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let state = &mut *self.0.borrow_mut();
+        if state.unread.is_empty() {
+            let read = Pin::new(&mut state.stream).poll_read(context, buffer);
+            state.is_reader_waiting = read.is_pending();
+            return read;
+        }
+        let count = state.unread.len().min(buffer.remaining());
+        buffer.put_slice(&state.unread[..count]);
+        state.unread.advance(count);
+        if state.unread.is_empty() {
+            // An idle connection keeps no buffer.
+            state.unread = BytesMut::new();
+        }
+        state.is_reader_waiting = false;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for ReadAhead<S> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(context)
+    }
+}
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -33,6 +33,7 @@
 mod rollouts;
 mod run;
 mod server_connection;
+mod unfinished;
 mod update;
 
 pub(crate) use caller::Caller;
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -10,6 +10,7 @@
 use super::hedge;
 use super::problem::Problem;
 use super::progress::Progress;
+use super::unfinished::Unfinished;
 use http::{Response, StatusCode};
 use std::time::Instant;
 
@@ -25,10 +26,12 @@
     in_flight: InFlightGuard,
 ) -> Response<ResponseBody> {
     let instance = exchange.instance.clone();
-    let mut progress = Progress::default();
+    let mut unfinished = Unfinished::new(&exchange);
     // Boxed: moved into `with_deadline`, the future would occupy its size twice.
-    let attempts = Box::pin(send_within_quota(&exchange, body, &mut progress));
-    let outcome = match with_deadline(&instance, exchange.deadline, attempts).await {
+    let attempts = Box::pin(send_within_quota(&exchange, body, &mut unfinished.progress));
+    let outcome = with_deadline(&instance, exchange.deadline, attempts).await;
+    let progress = unfinished.finish();
+    let outcome = match outcome {
         Some(outcome) => outcome,
         None if progress.may_have_run() => Err(Problem::TimeoutAfterSend),
         None => Err(Problem::TimeoutBeforeSend),
