--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -350,6 +350,13 @@
         self.budgets.borrow_mut().get_mut(service).is_some_and(RetryBudget::take)
     }
 
+    /// Returns a retry that was taken from the budget of a service and not sent.
+    pub fn refund_retry(&self, service: &str) {
+        if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
+            budget.refund();
+        }
+    }
+
     /// Selects the service that runs the next request of a route.
     pub fn select_service(&self, route: &steering::deployment::Route) -> Option<Arc<str>> {
         if let [only] = route.weighted_services.as_slice() {
--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -20,6 +20,8 @@
 pub(super) struct Progress {
     /// Whether the request was counted against its customer's quota.
     is_counted: bool,
+    /// Whether a retry was taken from the budget for an attempt that has not begun.
+    is_retry_taken: bool,
     /// Attempts that may have run it: those in flight, and those that ended without a sign that it
     /// has not run.
     may_have_run: u32,
@@ -35,6 +37,19 @@
         self.is_counted = true;
     }
 
+    /// Takes a retry from the budget for the next attempt; returns whether there was one.
+    pub(super) fn take_retry(&mut self, exchange: &Exchange) -> bool {
+        self.is_retry_taken = exchange.instance.take_retry(&exchange.service);
+        self.is_retry_taken
+    }
+
+    /// Returns a retry to the budget if its attempt has not begun and never will.
+    pub(super) fn refund_unsent_retry(&self, exchange: &Exchange) {
+        if self.is_retry_taken {
+            exchange.instance.refund_retry(&exchange.service);
+        }
+    }
+
     /// Refunds the quota if the request has not run and never will.
     pub(super) fn refund_if_not_run(&self, exchange: &Exchange) {
         if self.is_counted && !self.may_have_run() {
@@ -49,6 +64,7 @@
         if self.may_have_run > 0 {
             exchange.charge_quota();
         }
+        self.is_retry_taken = false;
         self.may_have_run += 1;
         self.excluded_servers.push(choice.id.clone());
         self.attempts.push(AttemptRecord {
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -150,7 +150,7 @@
                     ready_body = body.take();
                 }
                 let reached_server = !matches!(outcome, Outcome::NotSent | Outcome::NotForwarded);
-                let may_retry = !reached_server || exchange.instance.take_retry(&exchange.service);
+                let may_retry = !reached_server || progress.take_retry(exchange);
                 if ready_body.is_none() || !may_retry {
                     return Err(all_refused(exchange));
                 }
@@ -159,7 +159,7 @@
                 let may_retry = exchange.route.kind.is_idempotent()
                     && progress.attempt_count() < exchange.route.max_attempts
                     && body.can_be_sent()
-                    && exchange.instance.take_retry(&exchange.service);
+                    && progress.take_retry(exchange);
                 if !may_retry {
                     return Err(Problem::Broken);
                 }
@@ -173,13 +173,13 @@
 fn may_retry_failure(
     exchange: &Exchange,
     response: &attempt::ServerResponse,
-    progress: &Progress,
+    progress: &mut Progress,
 ) -> bool {
     response.status.is_server_error()
         && response.status != StatusCode::GATEWAY_TIMEOUT
         && exchange.route.kind.is_idempotent()
         && progress.attempt_count() < exchange.route.max_attempts
-        && exchange.instance.take_retry(&exchange.service)
+        && progress.take_retry(exchange)
 }
 
 fn all_refused(exchange: &Exchange) -> Problem {
--- a/crates/entry/src/request/unfinished.rs
+++ b/crates/entry/src/request/unfinished.rs
@@ -9,8 +9,8 @@
 
 /// The progress of a request without an outcome.
 ///
-/// Dropping it means that the caller has disconnected: it refunds the quota if the request has not
-/// run, and logs what was cancelled.
+/// Dropping it means that the caller has disconnected: it gives back the quota and the retry that were
+/// taken for an attempt that has not begun, and logs what was cancelled.
 pub(super) struct Unfinished<'a> {
     exchange: &'a Exchange,
     pub(super) progress: Progress,
@@ -37,6 +37,7 @@
         }
         let Self { exchange, progress, .. } = self;
         progress.refund_if_not_run(exchange);
+        progress.refund_unsent_retry(exchange);
         log::info!(
             target: "request",
             id = exchange.head.request_id.as_deref().unwrap_or(""),
--- a/crates/steering/src/placement/budget.rs
+++ b/crates/steering/src/placement/budget.rs
@@ -46,4 +46,9 @@
         }
         granted
     }
+
+    /// Returns the token of a retry that was not sent.
+    pub fn refund(&mut self) {
+        self.tokens += 1.0;
+    }
 }
