Refund attempts of callers that left before they were sent

An attempt that still waited for its connection counted as one that may have run, so its quota stayed charged when the caller left. A refunded retry could exceed the most that a budget may save. Change: Progress knows of each attempt whether sending began (request::sent_flag, in place of the flag in AttemptGuard); Unfinished ends those in which it did not as "not sent", with the refunds of that outcome. RetryBudget::refund is limited like what is earned. Not tested: a caller that leaves while another instance decides on its quota.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::body::{RequestBody, ServerBody};
 use super::exchange::Exchange;
+use super::sent_flag::SentFlag;
 use super::server_connection::{self, RelayHop, ServerConnection};
 use crate::connection::pool::{Connection, PoolError};
 use crate::connection::relay_protocol::RelayOutcome;
@@ -86,15 +87,15 @@
     /// Whether it was known then to have the object in its cache.
     was_object_warm: bool,
     pub(super) sent_at: Instant,
-    /// Whether a connection was available and sending the request began.
-    was_sent: bool,
+    /// Set when a connection was available and sending the request began.
+    sent_flag: SentFlag,
     ending: Ending,
     report: Option<LoadReport>,
 }
 
 impl AttemptGuard {
     /// Begins an attempt at a chosen backend server, and counts it for a roll-out if there is one.
-    pub(super) fn new(exchange: &Exchange, choice: &Choice) -> Self {
+    pub(super) fn new(exchange: &Exchange, choice: &Choice, sent_flag: SentFlag) -> Self {
         let mut rollouts = exchange.instance.rollouts.borrow_mut();
         Self {
             rollout_order: rollouts.record_request(&exchange.service, choice.is_target),
@@ -106,7 +107,7 @@
             was_cold: choice.cold,
             was_object_warm: choice.was_object_warm,
             sent_at: Instant::now(),
-            was_sent: false,
+            sent_flag,
             ending: Ending::Abandoned,
             report: None,
         }
@@ -134,7 +135,7 @@
         let Some(order) = self.rollout_order else { return };
         let observation = Observation {
             // An unreachable host says nothing about the version.
-            ending: if self.was_sent { self.ending } else { Ending::Unsent },
+            ending: if self.sent_flag.is_set() { self.ending } else { Ending::Unsent },
             elapsed: self.sent_at.elapsed(),
             was_object_warm: self.was_object_warm,
             was_cold: self.was_cold,
@@ -174,7 +175,7 @@
         relay
     });
     guard.sent_at = Instant::now();
-    guard.was_sent = true;
+    guard.sent_flag.set();
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
--- a/crates/entry/src/request/hedge.rs
+++ b/crates/entry/src/request/hedge.rs
@@ -93,8 +93,8 @@
     }
     let choice = choose_for_hedge(exchange, progress).ok()?;
     instance.take_retry(&exchange.service);
-    let guard = AttemptGuard::new(exchange, &choice);
-    let number = progress.begin_attempt(&choice, exchange);
+    let (number, sent_flag) = progress.begin_attempt(&choice, exchange);
+    let guard = AttemptGuard::new(exchange, &choice, sent_flag);
     Some(send(exchange, number, choice, guard, body.take()))
 }
 
@@ -124,8 +124,8 @@
     body: Option<RequestBody>,
     progress: &mut Progress,
 ) -> impl Future<Output = AttemptResult> + use<'a> {
-    let guard = AttemptGuard::new(exchange, &choice);
-    let number = progress.begin_attempt(&choice, exchange);
+    let (number, sent_flag) = progress.begin_attempt(&choice, exchange);
+    let guard = AttemptGuard::new(exchange, &choice, sent_flag);
     send(exchange, number, choice, guard, body)
 }
 
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -32,6 +32,7 @@
 mod relay;
 mod rollouts;
 mod run;
+mod sent_flag;
 mod server_connection;
 mod unfinished;
 mod update;
--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{Outcome, millis};
 use super::exchange::Exchange;
+use super::sent_flag::SentFlag;
 use crate::process::recent_decisions::{AttemptRecord, Decision};
 use std::sync::Arc;
 use steering::placement::Choice;
@@ -29,6 +30,8 @@
     excluded_servers: Vec<Arc<str>>,
     /// The attempts, as operators see them.
     attempts: Vec<AttemptRecord>,
+    /// For each attempt, whether sending the request began.
+    sent_flags: Vec<SentFlag>,
 }
 
 impl Progress {
@@ -57,10 +60,26 @@
         }
     }
 
-    /// Begins an attempt and returns its number.
+    /// Ends the attempts that were dropped before sending the request began.
+    pub(super) fn end_unsent_attempts(&mut self, exchange: &Exchange) {
+        let attempts = self.attempts.iter().zip(&self.sent_flags).enumerate();
+        let unsent = attempts.filter(|(_, (attempt, sent_flag))| {
+            attempt.outcome == ABANDONED && !sent_flag.is_set()
+        });
+        let unsent_numbers: Vec<usize> = unsent.map(|(number, _)| number).collect();
+        for number in unsent_numbers {
+            self.end_attempt(number, &Outcome::NotSent, exchange);
+        }
+    }
+
+    /// Begins an attempt; returns its number, and the flag to set when sending begins.
     ///
     /// Charges the quota if another attempt may have run the request; the first was charged before.
-    pub(super) fn begin_attempt(&mut self, choice: &Choice, exchange: &Exchange) -> usize {
+    pub(super) fn begin_attempt(
+        &mut self,
+        choice: &Choice,
+        exchange: &Exchange,
+    ) -> (usize, SentFlag) {
         if self.may_have_run > 0 {
             exchange.charge_quota();
         }
@@ -77,7 +96,9 @@
             ended_ms: 0,
             outcome: ABANDONED,
         });
-        self.attempts.len() - 1
+        let sent_flag = SentFlag::default();
+        self.sent_flags.push(sent_flag.clone());
+        (self.attempts.len() - 1, sent_flag)
     }
 
     /// Ends the attempt with this number.
--- a/crates/entry/src/request/unfinished.rs
+++ b/crates/entry/src/request/unfinished.rs
@@ -9,8 +9,8 @@
 
 /// The progress of a request without an outcome.
 ///
-/// Dropping it means that the caller has disconnected: it gives back the quota and the retry that were
-/// taken for an attempt that has not begun, and logs what was cancelled.
+/// Dropping it means that the caller has disconnected: it gives back the quota of attempts that were not
+/// sent and the retry of one that has not begun, and logs what was cancelled.
 pub(super) struct Unfinished<'a> {
     exchange: &'a Exchange,
     pub(super) progress: Progress,
@@ -36,6 +36,7 @@
             return;
         }
         let Self { exchange, progress, .. } = self;
+        progress.end_unsent_attempts(exchange);
         progress.refund_if_not_run(exchange);
         progress.refund_unsent_retry(exchange);
         log::info!(
--- a/crates/steering/src/placement/budget.rs
+++ b/crates/steering/src/placement/budget.rs
@@ -18,19 +18,21 @@
     ratio: f64,
     extra: f64,
     tokens: f64,
+    /// Most tokens that the last request allowed.
+    max_tokens: f64,
 }
 
 impl RetryBudget {
     /// Starts without tokens, since a new instance may be one of many.
     pub fn new(ratio: f64, extra: f64) -> Self {
-        Self { ratio, extra, tokens: 0.0 }
+        Self { ratio, extra, tokens: 0.0, max_tokens: 0.0 }
     }
 
     /// Adds what one caller request earns; `instances` is the number of instances that share the
     /// extra.
     pub fn earn(&mut self, instances: usize) {
-        let max_tokens = (self.extra * EXTRA_SHARE / instances.max(1) as f64).max(1.0);
-        self.tokens = (self.tokens + self.ratio * RATIO_SHARE).min(max_tokens);
+        self.max_tokens = (self.extra * EXTRA_SHARE / instances.max(1) as f64).max(1.0);
+        self.tokens = (self.tokens + self.ratio * RATIO_SHARE).min(self.max_tokens);
     }
 
     /// Returns whether one more retry is allowed.
@@ -47,8 +49,8 @@
         granted
     }
 
-    /// Returns the token of a retry that was not sent.
+    /// Returns the token of a retry that was not sent, up to the most that may be saved.
     pub fn refund(&mut self) {
-        self.tokens += 1.0;
+        self.tokens = (self.tokens + 1.0).min(self.max_tokens);
     }
 }
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -381,6 +381,25 @@
     assert!(retries <= ratio * requests + extra, "{retries} retries of {requests} requests");
 }
 
+#[test]
+fn refunded_retries_do_not_exceed_what_may_be_saved() {
+    let fill = |budget: &mut RetryBudget| (0..1_000).for_each(|_| budget.earn(12));
+    let count_tokens =
+        |mut budget: RetryBudget| std::iter::from_fn(|| budget.take().then_some(())).count();
+    let mut budget = RetryBudget::new(0.2, 64.0);
+    fill(&mut budget);
+    let saved = count_tokens(budget);
+
+    assert!(budget.take());
+    budget.refund();
+    assert_eq!(count_tokens(budget), saved);
+
+    assert!(budget.take());
+    fill(&mut budget);
+    budget.refund();
+    assert_eq!(count_tokens(budget), saved);
+}
+
 #[test]
 fn new_instances_send_no_retries() {
     assert!(!RetryBudget::new(0.2, 64.0).take());
