Let uploads leave a region whose backend servers can't serve them

Cause: uploads never left their region.

Change: uploads have a regional share of their own. They stay while the region can serve them without its other requests, and what exceeds that leaves.

--- a/crates/steering/src/placement/choose.rs
+++ b/crates/steering/src/placement/choose.rs
@@ -135,7 +135,7 @@
         let arm = self.arms.assign(request.key_hash).map(|(position, _)| position);
         let region_position = key_position(request.key_hash, REGION_SALT);
         let moved_to = match request.kind {
-            RequestKind::Upload => None,
+            RequestKind::Upload => state.upload_share.region_of(region_position),
             _ => state.share_of(arm).region_of(region_position),
         };
         let home = local.home(moved_to, request);
--- a/crates/steering/src/placement/service.rs
+++ b/crates/steering/src/placement/service.rs
@@ -65,6 +65,8 @@
     pub(super) remote_only_per_s: BTreeMap<Arc<str>, f64>,
     /// Share of the built-in rule, in use while there are no arms.
     pub(super) share: RegionalShare,
+    /// Share of the uploads, which policies do not change.
+    pub(super) upload_share: RegionalShare,
     /// Shares of the arms, in the order of the arms.
     pub(super) arm_shares: Vec<RegionalShare>,
     pub(super) keys: DistinctKeys,
@@ -102,6 +104,7 @@
             pinned_per_s: 0.0,
             remote_only_per_s: BTreeMap::new(),
             share: RegionalShare::default(),
+            upload_share: RegionalShare::default(),
             arm_shares: Vec::new(),
             keys: DistinctKeys::default(),
             objects: RegionObjects::default(),
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -7,6 +7,7 @@
 use super::service::ServiceState;
 use super::shares::{
     RegionLoad, ServiceLoad, assume_demand, max_optional_offload, target_split_within,
+    target_upload_split,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -186,6 +187,7 @@
     ) {
         let own = loads.get(&self.region).copied().unwrap_or_default();
         state.demand_slots = own.demand();
+        state.upload_share.step(&target_upload_split(&self.region, loads), own.slots, now);
         let built_in = target_split_within(&self.region, loads, max_optional_offload);
         // A service added after the policies starts from the built-in rule's share.
         state.arm_shares.resize(self.arms.len(), state.share.clone());
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -43,7 +43,7 @@
 pub struct RegionLoad {
     /// Busy slots needed by requests that may run in other regions.
     pub movable: f64,
-    /// Busy slots needed by requests that must run in the own region.
+    /// Busy slots needed by requests that must run in the own region, and by uploads.
     pub pinned: f64,
     /// Busy slots needed by requests of callers in other regions that may not run there.
     pub inbound: f64,
@@ -64,6 +64,11 @@
         self.movable + self.pinned + self.remote_only
     }
 
+    /// Busy slots that uploads need above a utilization if no other requests stay.
+    fn uploads_above(&self, utilization: f64) -> f64 {
+        (self.pinned + self.inbound - utilization * self.slots).clamp(0.0, self.pinned)
+    }
+
     /// Busy slots above a utilization, as far as they are movable.
     fn movable_above(&self, utilization: f64) -> f64 {
         (self.demand() - utilization * self.slots).clamp(0.0, self.movable)
@@ -93,7 +98,10 @@
     for ServiceLoad { loads, slot_s } in services {
         let Some(own) = loads.get(region).filter(|_| *slot_s > 0.0) else { continue };
         requests_per_s += own.caller_demand() / slot_s;
-        must_offload_per_s += (own.movable_above(OVERLOAD_UTILIZATION) + own.remote_only) / slot_s;
+        let must_offload = own.movable_above(OVERLOAD_UTILIZATION)
+            + own.uploads_above(OVERLOAD_UTILIZATION)
+            + own.remote_only;
+        must_offload_per_s += must_offload / slot_s;
     }
     if requests_per_s <= 0.0 {
         return MAX_OFFLOAD;
@@ -163,6 +171,20 @@
         .collect()
 }
 
+/// Computes the split of a region's uploads.
+///
+/// Uploads stay as long as the region can serve them without its other requests: their bytes are
+/// the largest cost of leaving. What exceeds that goes where there is headroom, as a refusal costs
+/// callers more. While no uploads were measured, they are split as other requests.
+pub fn target_upload_split(region: &str, loads: &BTreeMap<Arc<str>, RegionLoad>) -> Split {
+    let mut upload_loads = loads.clone();
+    if let Some(own) = upload_loads.get_mut(region).filter(|own| own.pinned > 0.0) {
+        own.movable = own.pinned;
+        own.pinned = 0.0;
+    }
+    target_split_within(region, &upload_loads, 0.0)
+}
+
 /// The split in use, which changes towards the target.
 #[derive(Clone, Debug, Default)]
 pub struct RegionalShare {
--- a/crates/steering/tests/placement_uploads.rs
+++ b/crates/steering/tests/placement_uploads.rs
@@ -1,4 +1,4 @@
-//! Uploads of many objects in a region with few backend servers.
+//! Uploads in a region with few backend servers: of many objects, and of more than it can serve.
 //!
 //! Guards against cold uploads. A region of three availability zones has 7 backend servers in each,
 //! for uploads and withdrawals of 71 and 81 objects, and each backend server has its last 13
@@ -7,16 +7,21 @@
 //! has warm. Each response then took three times as long and queues grew: with only a quarter of
 //! the slots needed, half of the requests were late, responses had a median of 2.5 s where 0.95 s
 //! is expected, and 6 to 18 requests waited at half of the backend servers.
+//!
+//! Guards also against refused uploads beside free slots. A region with 2 of 28 backend servers and
+//! a third of the callers got more uploads than its slots can serve. As uploads never left their
+//! region, most were refused there, while the other regions had free slots.
 
 mod placement_common;
 
-use placement_common::{SERVICE, name, peer, servers};
+use placement_common::{SERVICE, name, peer, roster, servers, step};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use steering::deployment::RequestKind;
+use steering::deployment::{AllowedRegions, RequestKind};
+use steering::placement::peers::Demand;
 use steering::placement::roster::demand_key;
 use steering::placement::{Ending, Peer, Peers, PlacementRequest, Roster};
 
@@ -102,3 +107,59 @@
     assert!(warm > 0.9, "{warm} of the uploads are warm");
     assert!(local > 0.99, "{local} of the uploads stay in their zone");
 }
+
+/// Returns the fraction of uploads that leave the region `north` with 2 backend servers of 6 slots.
+///
+/// `uploads` and `others` are its requests per second, of 400 ms each; the region `south` has 20
+/// backend servers and no requests.
+fn fraction_that_leaves(uploads: f32, others: f32, allowed_regions: &AllowedRegions) -> f64 {
+    let now = Instant::now();
+    let service = name(SERVICE);
+    let backend_servers = servers(&[("north-a", 2), ("south-a", 20)], 6);
+    let mut roster = roster("one", "north-a", &backend_servers, now);
+    let mut own = peer("one", "north-a");
+    let demand = Demand {
+        movable_per_s: others,
+        pinned_per_s: uploads,
+        warm_ms: Some(400.0),
+        ..Demand::default()
+    };
+    own.demand = vec![(demand_key(SERVICE), demand)];
+    step(&mut roster, &own, &[peer("two", "south-a")], now);
+    let count = 2_000u32;
+    let left = (0..count).filter(|number| {
+        let placement_request = PlacementRequest {
+            kind: RequestKind::Upload,
+            allowed_regions,
+            ..placement_common::placement_request(
+                &service,
+                steering::hash::mix(u64::from(*number)),
+                &[],
+            )
+        };
+        let choice = roster.choose(&placement_request, now).expect("a slot is free");
+        roster.record_ending(&choice.incarnation(), Ending::Unsent, None, now);
+        choice.availability_zone.starts_with("south")
+    });
+    left.count() as f64 / f64::from(count)
+}
+
+#[test]
+fn uploads_that_their_region_can_not_serve_leave_it() {
+    // 24 busy slots where there are 12: what stays must fit with some headroom.
+    let left = fraction_that_leaves(60.0, 0.0, &AllowedRegions::Any);
+    assert!((0.6..0.85).contains(&left), "{left} of the uploads leave");
+}
+
+#[test]
+fn uploads_stay_if_their_region_can_serve_them_without_its_other_requests() {
+    let left = fraction_that_leaves(12.0, 60.0, &AllowedRegions::Any);
+    assert!(left == 0.0, "{left} of the uploads leave");
+}
+
+#[test]
+fn uploads_that_only_one_region_may_serve_stay_there() {
+    let allowed_regions = AllowedRegions::Only(vec![name("north")]);
+    let left = fraction_that_leaves(60.0, 0.0, &allowed_regions);
+    assert!(left == 0.0, "{left} of the uploads leave");
+}
