Log the share of uploads that leave a region

Cause: the share of uploads decides where they go, and no log line had it. Change: lines moved have moved_uploads, and are also written when it changes by 0.05. No decision changes.

--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -166,11 +166,12 @@
     alive: usize,
     with_placement: bool,
 ) {
-    for ShareChange { service, moved, slots, demand, max_description_lag: stale_beats } in
-        share_changes
-    {
+    for change in share_changes {
+        let ShareChange { service, moved, moved_uploads, slots, demand, max_description_lag } =
+            change;
         log::info!(
-            target: "shares", service = &*service, moved, slots, demand, alive, stale_beats;
+            target: "shares", service = &*service, moved, moved_uploads, slots, demand, alive,
+            stale_beats = max_description_lag;
             "moved"
         );
     }
--- a/crates/steering/src/placement/request.rs
+++ b/crates/steering/src/placement/request.rs
@@ -67,6 +67,8 @@
     pub service: Arc<str>,
     /// Fraction of the movable requests that goes to other regions.
     pub moved: f64,
+    /// Fraction of the uploads that goes to other regions.
+    pub moved_uploads: f64,
     /// Slots in the own region.
     pub slots: f64,
     /// Busy slots that the own region's requests would need.
--- a/crates/steering/src/placement/service.rs
+++ b/crates/steering/src/placement/service.rs
@@ -82,6 +82,8 @@
     pub(super) spill_tokens: f64,
     /// Moved fraction of the requests as it was last reported.
     pub(super) reported_share: f64,
+    /// Moved fraction of the uploads as it was last reported.
+    pub(super) reported_upload_share: f64,
     /// Counts of requests by destination, since they were last taken.
     pub(super) placed: PlacementCounts,
     /// Busy slots that the own region's requests need, as of the last update of the shares.
@@ -113,6 +115,7 @@
             replicas: 0,
             spill_tokens: 0.0,
             reported_share: 0.0,
+            reported_upload_share: 0.0,
             placed: PlacementCounts::default(),
             demand_slots: 0.0,
             version_rule: None,
@@ -173,13 +176,12 @@
 
     /// Returns the fraction of the movable requests that goes to other regions.
     pub(super) fn moved_fraction(&self, arms: &Arms) -> f64 {
-        let moved_sum = |share: &RegionalShare| share.split().values().sum::<f64>();
         match self.arm_shares.as_slice() {
-            [] => moved_sum(&self.share),
+            [] => self.share.moved_fraction(),
             shares => shares
                 .iter()
                 .zip(0..)
-                .map(|(share, arm)| moved_sum(share) * arms.object_fraction(arm))
+                .map(|(share, arm)| share.moved_fraction() * arms.object_fraction(arm))
                 .sum(),
         }
     }
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -68,13 +68,18 @@
         for ((name, state), ServiceLoad { loads, .. }) in services.iter_mut().zip(loads.values()) {
             self.update_service_shares(name, state, loads, max_optional_offload, now);
             let moved = state.moved_fraction(&self.arms);
-            if (moved - state.reported_share).abs() >= REPORTED_SHARE_CHANGE {
+            let moved_uploads = state.upload_share.moved_fraction();
+            if (moved - state.reported_share).abs() >= REPORTED_SHARE_CHANGE
+                || (moved_uploads - state.reported_upload_share).abs() >= REPORTED_SHARE_CHANGE
+            {
                 state.reported_share = moved;
+                state.reported_upload_share = moved_uploads;
                 let slots = loads.get(&self.region).map_or(0.0, |load| load.slots);
                 let demand = state.demand_slots;
                 changes.push(ShareChange {
                     service: name.clone(),
                     moved,
+                    moved_uploads,
                     slots,
                     demand,
                     max_description_lag,
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -245,6 +245,11 @@
         })
     }
 
+    /// The fraction of requests that goes to other regions.
+    pub fn moved_fraction(&self) -> f64 {
+        self.split.values().sum()
+    }
+
     /// The split in use.
     pub fn split(&self) -> &Split {
         &self.split
