Add a soak test of real instances under faults

Cause: no test ran several real processes under load through signals, links that fail and a store that fails. Change: the target soak of runpind starts three instances, the mocks of the platform and loopback proxies, draws faults from a seed, and checks what callers and backend servers see.

--- /dev/null
+++ b/crates/runpind/tests/soak/faults.rs
@@ -0,0 +1,205 @@
+//! Brings the steps of a plan about.
+
+use crate::common::server::ResponseMode;
+use crate::common::store::Failure;
+use crate::fleet::{Backend, EVACUATED_ZONE, Evacuation, Fleet, GRACE, Node, send_signal};
+use crate::history::Scope;
+use crate::plan::{Fault, Step};
+use crate::proxy::{Link, Proxy};
+use crate::windows::BAD_VERSION;
+use rustix::process::Signal;
+use serde_json::json;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Time that a backend server keeps serving after its object says that it drains.
+const SERVING_AFTER_DRAIN: Duration = Duration::from_secs(4);
+
+/// Time after which the object of a crashed backend server is removed.
+const REGISTRATION: Duration = Duration::from_secs(1);
+
+/// Number of requests to which a backend server responds in a mode.
+const RESPONSES: usize = 5;
+
+/// Number of backend servers of a bad version.
+const BAD_SERVERS: usize = 2;
+
+/// Starts a step, and ends it after its duration.
+pub(crate) async fn run(fleet: &Rc<Fleet>, step: Step) -> io::Result<()> {
+    let duration = step.duration;
+    match step.fault {
+        Fault::Terminate(number) => terminate(fleet, &fleet.nodes[number]).await,
+        Fault::Pause(number) => pause(fleet, &fleet.nodes[number], duration).await,
+        Fault::Kill(number) => kill(fleet, &fleet.nodes[number], duration).await,
+        Fault::Reload(number) => {
+            let node = &fleet.nodes[number];
+            node.change_settings()?;
+            send_signal(&*node.process.lock().await, Signal::HUP);
+            Ok(())
+        }
+        Fault::CallerLink(number, link) => {
+            let proxy = &fleet.nodes[number].caller_proxy;
+            harm(fleet, Scope::Instance(number), proxy, link, duration).await;
+            Ok(())
+        }
+        Fault::StoreLink(number, link) => {
+            let proxy = &fleet.nodes[number].store_proxy;
+            harm(fleet, Scope::Instance(number), proxy, link, duration).await;
+            Ok(())
+        }
+        Fault::ServerLink(number, link) => {
+            if let Some(backend) = pick(fleet, number) {
+                let scope = Scope::Server(backend.mock.id.as_str().into());
+                harm(fleet, scope, &backend.proxy, link, duration).await;
+            }
+            Ok(())
+        }
+        Fault::Store(failure) => {
+            let disruption = fleet.history.begin_disruption(Scope::Fleet, false);
+            fleet.store.failure.send_replace(failure);
+            sleep(duration).await;
+            fleet.store.failure.send_replace(Failure::None);
+            fleet.history.end_disruption(disruption);
+            Ok(())
+        }
+        Fault::Compact => {
+            let disruption = fleet.history.begin_disruption(Scope::Fleet, false);
+            fleet.store.compact();
+            fleet.history.end_disruption(disruption);
+            Ok(())
+        }
+        Fault::Responses(number, mode) => {
+            if let Some(backend) = pick(fleet, number) {
+                (0..RESPONSES).for_each(|_| backend.mock.queue_mode(mode));
+            }
+            Ok(())
+        }
+        Fault::Drain(number) => match pick(fleet, number) {
+            Some(backend) => {
+                fleet.add_backend(backend.zone, backend.version, true).await?;
+                drain(fleet, &backend).await;
+                Ok(())
+            }
+            None => Ok(()),
+        },
+        Fault::Crash(number) => crash(fleet, number).await,
+        Fault::Configuration => {
+            let (has_extra, _) = fleet.extra_route.get();
+            fleet.configure(!has_extra);
+            Ok(())
+        }
+        Fault::Evacuation => {
+            evacuate(fleet, duration).await;
+            Ok(())
+        }
+        Fault::BadRollout => roll_out(fleet, duration).await,
+    }
+}
+
+/// One of the backend servers that serve; a zone is never left without one.
+fn pick(fleet: &Fleet, number: usize) -> Option<Rc<Backend>> {
+    let serving = fleet.serving();
+    let old: Vec<_> =
+        serving.into_iter().filter(|backend| backend.version != BAD_VERSION).collect();
+    old.get(number % old.len().max(1)).cloned()
+}
+
+async fn harm(fleet: &Fleet, scope: Scope, proxy: &Proxy, link: Link, duration: Duration) {
+    let disruption = fleet.history.begin_disruption(scope, false);
+    proxy.set(link);
+    sleep(duration).await;
+    proxy.set(Link::Open);
+    fleet.history.end_disruption(disruption);
+}
+
+async fn terminate(fleet: &Fleet, node: &Node) -> io::Result<()> {
+    let mut process = node.process.lock().await;
+    let disruption = fleet.disrupt_instance(node.number, true);
+    send_signal(&process, Signal::TERM);
+    let ended = tokio::time::timeout(GRACE, process.wait()).await;
+    if ended.is_err() {
+        let detail = format!("instance {} outlives its grace period", node.number);
+        fleet.history.record_violation("ended", detail, &[]);
+    }
+    *process = node.spawn()?;
+    node.wait_until_ready().await;
+    fleet.history.end_disruption(disruption);
+    Ok(())
+}
+
+async fn pause(fleet: &Fleet, node: &Node, duration: Duration) -> io::Result<()> {
+    let process = node.process.lock().await;
+    let disruption = fleet.disrupt_instance(node.number, false);
+    send_signal(&process, Signal::STOP);
+    sleep(duration).await;
+    send_signal(&process, Signal::CONT);
+    fleet.history.end_disruption(disruption);
+    Ok(())
+}
+
+async fn kill(fleet: &Fleet, node: &Node, duration: Duration) -> io::Result<()> {
+    let mut process = node.process.lock().await;
+    let disruption = fleet.disrupt_instance(node.number, false);
+    process.kill().await?;
+    sleep(duration).await;
+    *process = node.spawn()?;
+    node.wait_until_ready().await;
+    fleet.history.end_disruption(disruption);
+    Ok(())
+}
+
+async fn drain(fleet: &Fleet, backend: &Backend) {
+    let id = &backend.mock.id;
+    fleet.store.put("servers", id, backend.spec("draining"));
+    backend.draining_from.set(Some(Instant::now()));
+    sleep(SERVING_AFTER_DRAIN).await;
+    fleet.store.remove("servers", id);
+    backend.mock.crash();
+}
+
+async fn crash(fleet: &Fleet, number: usize) -> io::Result<()> {
+    let Some(backend) = pick(fleet, number) else { return Ok(()) };
+    let id = &backend.mock.id;
+    fleet.history.begin_disruption(Scope::Server(id.as_str().into()), false);
+    backend.mock.crash();
+    sleep(REGISTRATION).await;
+    fleet.store.remove("servers", id);
+    fleet.add_backend(backend.zone, backend.version, true).await?;
+    Ok(())
+}
+
+async fn evacuate(fleet: &Fleet, duration: Duration) {
+    if fleet.evacuation.get().is_some_and(|order| order.until.is_none()) {
+        return;
+    }
+    fleet.store.put("evacuations", EVACUATED_ZONE, json!({}));
+    let from = Instant::now();
+    fleet.evacuation.set(Some(Evacuation { from, until: None }));
+    sleep(duration).await;
+    fleet.evacuation.set(Some(Evacuation { from, until: Some(Instant::now()) }));
+    fleet.store.remove("evacuations", EVACUATED_ZONE);
+}
+
+async fn roll_out(fleet: &Fleet, duration: Duration) -> io::Result<()> {
+    if fleet.rollout.get().is_some() {
+        return Ok(());
+    }
+    let mut new = Vec::new();
+    for zone in ["north-a", "south-a"].into_iter().cycle().take(BAD_SERVERS) {
+        let backend = fleet.add_backend(zone, BAD_VERSION, false).await?;
+        backend.mock.set_mode(ResponseMode::InternalError);
+        new.push(backend);
+    }
+    let duration_s = duration.as_secs_f64();
+    let order =
+        json!({ "service": "dossier", "target_version": BAD_VERSION, "duration_s": duration_s });
+    fleet.store.put("rollouts", "dossier", order);
+    fleet.rollout.set(Some(Instant::now()));
+    sleep(duration).await;
+    fleet.rollout.set(None);
+    futures::future::join_all(new.iter().map(|backend| drain(fleet, backend))).await;
+    fleet.store.remove("rollouts", "dossier");
+    Ok(())
+}
--- /dev/null
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -0,0 +1,349 @@
+//! The processes of a run: instances, and the mocks of the store and the backend servers.
+
+use crate::common::caller::read_next_response;
+use crate::common::objects::{configuration_with_customers, customer, route, routes, server_spec};
+use crate::common::server::MockBackendServer;
+use crate::common::store::MockStore;
+use crate::history::{History, Scope};
+use crate::plan::{INSTANCES, Limits};
+use crate::proxy::Proxy;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::sync::Mutex;
+
+/// Body of all complete responses, longer than what one read takes.
+pub(crate) const RESPONSE_BODY: &str = include_str!("main.rs");
+
+/// Ports of an instance; instances differ in their hosts, as gossip uses one port for all.
+const CALLER_PORT: u16 = 7_300;
+const READINESS_PORT: u16 = 7_301;
+const LOOK_UP_PORT: u16 = 7_302;
+const PEER_PORT: u16 = 7_303;
+const FIRST_PORT: u16 = 7_304;
+
+/// Availability zones of the instances.
+const ZONES: [&str; INSTANCES] = ["north-a", "north-b", "south-a"];
+
+/// Availability zones of the first backend servers.
+const SERVER_ZONES: [&str; 7] =
+    ["north-a", "north-a", "north-a", "north-b", "north-b", "south-a", "south-a"];
+
+/// Time from SIGTERM to SIGKILL.
+pub(crate) const GRACE: Duration = Duration::from_secs(6);
+
+/// Rate and burst of the customer `small`.
+pub(crate) const SMALL_QUOTA: f64 = 20.0;
+
+/// Time for which a backend server is cold after its start.
+pub(crate) const COLD: Duration = Duration::from_secs(3);
+
+/// Availability zone that is evacuated.
+pub(crate) const EVACUATED_ZONE: &str = "north-b";
+
+/// An evacuation, from its acknowledgement until it is taken back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Evacuation {
+    pub(crate) from: Instant,
+    pub(crate) until: Option<Instant>,
+}
+
+/// A backend server behind a proxy.
+pub(crate) struct Backend {
+    pub(crate) mock: Rc<MockBackendServer>,
+    pub(crate) proxy: Rc<Proxy>,
+    pub(crate) zone: &'static str,
+    pub(crate) version: &'static str,
+    /// When it started, if it started cold.
+    pub(crate) cold_from: Option<Instant>,
+    pub(crate) draining_from: Cell<Option<Instant>>,
+}
+
+impl Backend {
+    /// Region of its availability zone.
+    pub(crate) fn region(&self) -> &str {
+        self.zone.split('-').next().unwrap_or_default()
+    }
+
+    /// Its object in the store.
+    pub(crate) fn spec(&self, state: &str) -> Value {
+        let mut spec = server_spec(self.proxy.address, self.zone, self.version, state);
+        spec["cold_remaining_s"] = (self.mock.cold_ms.get() as f64 / 1_000.0).into();
+        spec
+    }
+}
+
+/// An instance, whose process is replaced when it ends.
+pub(crate) struct Node {
+    pub(crate) number: usize,
+    pub(crate) caller_proxy: Rc<Proxy>,
+    pub(crate) store_proxy: Rc<Proxy>,
+    pub(crate) log: PathBuf,
+    /// The process; operations on it take place one after another.
+    pub(crate) process: Mutex<Child>,
+    host: IpAddr,
+    settings: PathBuf,
+    descriptors: u32,
+}
+
+impl Node {
+    /// Address for callers, with or without a proxy.
+    pub(crate) fn address_for_callers(&self, is_direct: bool) -> SocketAddr {
+        if is_direct { (self.host, CALLER_PORT).into() } else { self.caller_proxy.address }
+    }
+
+    /// Starts a process.
+    pub(crate) fn spawn(&self) -> io::Result<Child> {
+        spawn(&self.settings, &self.log, self.descriptors)
+    }
+
+    /// Waits until the instance is ready, for at most ten seconds.
+    pub(crate) async fn wait_until_ready(&self) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(10) {
+            if is_ready((self.host, READINESS_PORT).into()).await {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+
+    /// Writes the settings again, with the seeds in another order.
+    pub(crate) fn change_settings(&self) -> io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        let mut settings: Value = serde_json::from_str(&text)?;
+        settings["seeds"].as_array_mut().into_iter().for_each(|seeds| seeds.reverse());
+        std::fs::write(&self.settings, settings.to_string())
+    }
+}
+
+/// Sends a signal to a process.
+pub(crate) fn send_signal(child: &Child, signal: Signal) {
+    let pid = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
+    if let Some(pid) = pid {
+        // A process that has ended is noticed by its exit status.
+        let _ = kill_process(pid, signal);
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let check = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let text = b"GET /api/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(text).await.ok()?;
+        Some(read_next_response(&mut stream, &mut Vec::new()).await.status)
+    };
+    tokio::time::timeout(Duration::from_millis(500), check).await == Ok(Some(200))
+}
+
+fn spawn(settings: &Path, log: &Path, descriptors: u32) -> io::Result<Child> {
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+    Command::new("sh")
+        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\"")])
+        .arg(env!("CARGO_BIN_EXE_runpind"))
+        .env("RUNPIN_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stderr(log.try_clone()?)
+        .stdout(log)
+        .kill_on_drop(true)
+        .spawn()
+}
+
+/// All processes and mocks of a run.
+pub(crate) struct Fleet {
+    pub(crate) store: Rc<MockStore>,
+    pub(crate) nodes: Vec<Rc<Node>>,
+    pub(crate) backends: RefCell<Vec<Rc<Backend>>>,
+    pub(crate) history: Rc<History>,
+    /// The last evacuation.
+    pub(crate) evacuation: Cell<Option<Evacuation>>,
+    /// When the present roll-out of a bad version was ordered.
+    pub(crate) rollout: Cell<Option<Instant>>,
+    /// Whether the route `extra` exists, and since when.
+    pub(crate) extra_route: Cell<(bool, Instant)>,
+    limits: Limits,
+    versions: Cell<u64>,
+}
+
+impl Fleet {
+    /// Starts the mocks and the instances, and waits until these are ready.
+    pub(crate) async fn start(
+        folder: &Path,
+        limits: Limits,
+        history: Rc<History>,
+    ) -> io::Result<Rc<Self>> {
+        let store = MockStore::start().await;
+        let mut nodes = Vec::new();
+        for number in 0..INSTANCES {
+            nodes.push(Rc::new(start_node(folder, number, &store, limits.descriptors).await?));
+        }
+        let fleet = Self {
+            store,
+            nodes,
+            backends: RefCell::default(),
+            history,
+            evacuation: Cell::default(),
+            rollout: Cell::default(),
+            extra_route: Cell::new((false, Instant::now())),
+            limits,
+            versions: Cell::default(),
+        };
+        fleet.configure(false);
+        for zone in SERVER_ZONES {
+            fleet.add_backend(zone, "v1", false).await?;
+        }
+        for node in &fleet.nodes {
+            if !node.wait_until_ready().await {
+                return Err(io::Error::other(format!("instance {} is not ready", node.number)));
+            }
+        }
+        Ok(Rc::new(fleet))
+    }
+
+    /// Stores a new version of the configuration, with or without the route `extra`.
+    pub(crate) fn configure(&self, has_extra: bool) {
+        self.versions.set(self.versions.get() + 3);
+        let mut routes = Vec::from(routes());
+        if has_extra {
+            let mut extra = route("extra", 2.0);
+            extra[3] = "non_idempotent".into();
+            routes.push(extra);
+        }
+        let customers = [
+            customer("large", &["key-of-large"], 100_000.0, &[]),
+            customer("small", &["key-of-small"], SMALL_QUOTA, &[]),
+            customer("southern", &["key-of-southern"], 100_000.0, &["south"]),
+        ];
+        let version = format!("{:08x}", self.versions.get());
+        let configuration = configuration_with_customers(&version, &routes, &customers);
+        self.store.put("config", "main", configuration);
+        self.extra_route.set((has_extra, Instant::now()));
+    }
+
+    /// Starts a backend server and registers it.
+    pub(crate) async fn add_backend(
+        &self,
+        zone: &'static str,
+        version: &'static str,
+        is_cold: bool,
+    ) -> io::Result<Rc<Backend>> {
+        let id = format!("server-{}", self.backends.borrow().len());
+        let mock = MockBackendServer::start(&id).await;
+        mock.body.replace(RESPONSE_BODY.to_owned());
+        mock.service_time.set(self.limits.service_time);
+        let proxy = Proxy::start(mock.address).await?;
+        let cold_from = is_cold.then(Instant::now);
+        let draining_from = Cell::new(None);
+        let backend = Rc::new(Backend { mock, proxy, zone, version, cold_from, draining_from });
+        if is_cold {
+            backend.mock.cold_ms.set(COLD.as_millis() as u64);
+            let warming = backend.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(COLD).await;
+                warming.mock.cold_ms.set(0);
+            });
+        }
+        self.store.put("servers", &backend.mock.id, backend.spec("ready"));
+        self.backends.borrow_mut().push(backend.clone());
+        Ok(backend)
+    }
+
+    /// The backend servers that serve and are not about to leave.
+    pub(crate) fn serving(&self) -> Vec<Rc<Backend>> {
+        let backends = self.backends.borrow();
+        let is_serving = |backend: &&Rc<Backend>| {
+            backend.draining_from.get().is_none() && !backend.mock.has_crashed()
+        };
+        backends.iter().filter(is_serving).cloned().collect()
+    }
+
+    /// Records an instance whose process ended by itself.
+    pub(crate) fn check_processes(&self) {
+        for node in &self.nodes {
+            let Ok(mut child) = node.process.try_lock() else { continue };
+            if let Ok(Some(status)) = child.try_wait() {
+                let detail = format!("instance {} ended by itself: {status}", node.number);
+                self.history.record_violation("ended", detail, &[]);
+            }
+        }
+    }
+
+    /// Ends all processes.
+    pub(crate) async fn stop(&self) {
+        for node in &self.nodes {
+            // A process that has ended already needs no signal.
+            let _ = node.process.lock().await.kill().await;
+        }
+    }
+
+    /// Records a disruption of an instance.
+    pub(crate) fn disrupt_instance(&self, number: usize, is_planned: bool) -> usize {
+        self.history.begin_disruption(Scope::Instance(number), is_planned)
+    }
+}
+
+async fn start_node(
+    folder: &Path,
+    number: usize,
+    store: &MockStore,
+    descriptors: u32,
+) -> io::Result<Node> {
+    let host = host(number);
+    let caller_proxy = Proxy::start((host, CALLER_PORT).into()).await?;
+    let store_proxy = Proxy::start(store.address).await?;
+    let settings = folder.join(format!("instance-{number}.json"));
+    let log = folder.join(format!("instance-{number}.log"));
+    std::fs::write(&settings, settings_of(number, store_proxy.address).to_string())?;
+    let process = Mutex::new(spawn(&settings, &log, descriptors)?);
+    Ok(Node { number, caller_proxy, store_proxy, log, process, host, settings, descriptors })
+}
+
+/// A loopback address that no other run on the machine uses.
+fn host(number: usize) -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let last = u8::try_from(number + 1).expect("there are few instances");
+    Ipv4Addr::new(127, high | 0x80, low, last).into()
+}
+
+fn settings_of(number: usize, store: SocketAddr) -> Value {
+    let host_of = host;
+    let at = |port: u16| SocketAddr::new(host_of(number), port).to_string();
+    let others = (0..INSTANCES).filter(|other| *other != number);
+    let seeds: Vec<String> =
+        others.map(|other| SocketAddr::new(host_of(other), PEER_PORT).to_string()).collect();
+    json!({
+        "name": format!("instance-{number}"),
+        "availability_zone": ZONES[number],
+        "regions": { "north-a": "north", "north-b": "north", "south-a": "south" },
+        "caller_address": at(CALLER_PORT),
+        "readiness_address": at(READINESS_PORT),
+        "look_up_address": at(LOOK_UP_PORT),
+        "peer_address": at(PEER_PORT),
+        "seeds": seeds,
+        "first_port": FIRST_PORT,
+        "store_address": store.to_string(),
+        "retry_ratio": 0.2,
+        "retry_extra": 64.0,
+        "quota_window_s": 5.0,
+        "quota_overage": 0.1,
+        "quota_slack": 20.0,
+        "max_ttl_s": 5.0,
+        "stop_grace_s": GRACE.as_secs_f64(),
+        "terms": {
+            "reconnection_s": 4.0, "configuration_s": 3.0, "server_drain_s": 3.0,
+            "evacuation_s": 5.0, "outage_extension_s": 6.0, "regression_s": 0.25,
+            "recovery_s": 15.0, "cold_overage": 1.5, "cold_slack": 8.0,
+            "exposure_share": 0.1, "exposure_slack": 50.0, "rollback_s": 5.0,
+        },
+    })
+}
--- /dev/null
+++ b/crates/runpind/tests/soak/main.rs
@@ -0,0 +1,101 @@
+//! Soak test: real instances under load and faults, checked from what callers and servers see.
+//!
+//! `cargo test -p runpind --test soak --locked -- --seed N --minutes M`; other arguments are those of
+//! the standard test harness, and are ignored.
+
+mod callers;
+mod checks;
+mod faults;
+mod fleet;
+mod history;
+mod options;
+mod plan;
+mod proxy;
+mod report;
+mod windows;
+
+#[allow(dead_code, reason = "the fixtures serve the tests of the platform too")]
+#[path = "../../../../platform/tests/common"]
+mod common {
+    pub(crate) mod caller;
+    pub(crate) mod objects;
+    pub(crate) mod server;
+    pub(crate) mod store;
+}
+
+use checks::Checker;
+use fleet::Fleet;
+use history::History;
+use options::Options;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Interval of the checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Delay of the test's own timer from which its times are too late to judge by.
+const OWN_DELAY: Duration = Duration::from_millis(150);
+
+/// Time after the last request in which the last records arrive.
+const END: Duration = Duration::from_secs(6);
+
+fn main() -> ExitCode {
+    let options = match Options::from_arguments(std::env::args().skip(1)) {
+        Ok(options) => options,
+        Err(error) => return report::usage(&error),
+    };
+    if options.lists {
+        return report::list();
+    }
+    let folder =
+        std::env::temp_dir().join(format!("runpin-soak-{}-{}", options.seed, std::process::id()));
+    report::start(&options, &folder);
+    let history = Rc::new(History::default());
+    let started = Instant::now();
+    let outcome = std::fs::create_dir_all(&folder).and_then(|()| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let running = run(&options, &folder, history.clone());
+        LocalSet::new().block_on(&runtime, running)
+    });
+    report::end(&options, &folder, &history, started, outcome)
+}
+
+/// Runs a plan until its end or the first violation.
+async fn run(options: &Options, folder: &Path, history: Rc<History>) -> io::Result<()> {
+    let limits = plan::limits(options.seed);
+    let fleet = Fleet::start(folder, limits, history.clone()).await?;
+    let until = Instant::now() + options.length;
+    for number in 0..limits.callers {
+        let rng = StdRng::seed_from_u64(options.seed ^ (number as u64 + 1) << 32);
+        spawn_local(callers::run(fleet.clone(), history.clone(), rng, until, limits.pause_ms));
+    }
+    for step in plan::steps(options.seed, options.length) {
+        spawn_local(run_step(fleet.clone(), step));
+    }
+    let mut checker = Checker::new(fleet.clone());
+    let mut last = Instant::now();
+    while Instant::now() < until + END && history.violations.borrow().is_empty() {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if last.elapsed() > CHECK_INTERVAL + OWN_DELAY {
+            history.record_own_delay(last);
+        }
+        last = Instant::now();
+        checker.check();
+    }
+    fleet.stop().await;
+    Ok(())
+}
+
+async fn run_step(fleet: Rc<Fleet>, step: plan::Step) {
+    tokio::time::sleep(step.at).await;
+    report::step(&step);
+    if let Err(error) = faults::run(&fleet, step).await {
+        fleet.history.record_violation("soak", format!("a step fails: {error}"), &[]);
+    }
+}
--- /dev/null
+++ b/crates/runpind/tests/soak/plan.rs
@@ -0,0 +1,178 @@
+//! The faults of a run, drawn from its seed.
+
+use crate::common::server::ResponseMode;
+use crate::common::store::Failure;
+use crate::proxy::Link;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+
+/// Number of instances of a run.
+pub(crate) const INSTANCES: usize = 3;
+
+/// Length of a round, which has either planned work or faults.
+const ROUND: Duration = Duration::from_secs(10);
+
+/// Time at the end of a round in which nothing new begins.
+const QUIET_END: Duration = Duration::from_secs(3);
+
+/// Something that happens to the fleet.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// SIGTERM, and a new process after the end.
+    Terminate(usize),
+    /// SIGSTOP, and SIGCONT after the duration.
+    Pause(usize),
+    /// SIGKILL, and a new process after the duration.
+    Kill(usize),
+    /// SIGHUP with changed settings.
+    Reload(usize),
+    /// Condition of the link from callers to an instance.
+    CallerLink(usize, Link),
+    /// Condition of the link from an instance to the store.
+    StoreLink(usize, Link),
+    /// Condition of the link to one of the backend servers.
+    ServerLink(usize, Link),
+    /// Failure of the store.
+    Store(Failure),
+    /// The store forgets its history.
+    Compact,
+    /// A backend server responds to a few requests in a mode.
+    Responses(usize, ResponseMode),
+    /// A backend server drains and is replaced by a cold one.
+    Drain(usize),
+    /// A backend server crashes and is replaced by a cold one.
+    Crash(usize),
+    /// A new version of the configuration, which adds or removes a route.
+    Configuration,
+    /// An availability zone is evacuated for the duration.
+    Evacuation,
+    /// A roll-out of a version that fails.
+    BadRollout,
+}
+
+/// A fault with its start and duration.
+#[derive(Clone, Debug)]
+pub(crate) struct Step {
+    pub(crate) at: Duration,
+    pub(crate) duration: Duration,
+    pub(crate) fault: Fault,
+}
+
+/// Limits under which a run takes place.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Maximum number of open descriptors of an instance.
+    pub(crate) descriptors: u32,
+    /// Time in which a backend server runs a request.
+    pub(crate) service_time: Duration,
+    /// Number of callers.
+    pub(crate) callers: usize,
+    /// Longest pause of a caller between two requests.
+    pub(crate) pause_ms: u64,
+}
+
+/// Draws the limits of a run; every third seed has few descriptors or full queues.
+pub(crate) fn limits(seed: u64) -> Limits {
+    let has_full_queues = seed % 3 == 1;
+    Limits {
+        descriptors: if seed % 3 == 2 { 160 } else { 1_024 },
+        service_time: Duration::from_millis(if has_full_queues { 220 } else { 25 }),
+        callers: if has_full_queues { 120 } else { 24 },
+        pause_ms: 60,
+    }
+}
+
+/// Draws the steps of a run; rounds of planned work and rounds of faults alternate.
+pub(crate) fn steps(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut start = Duration::from_secs(1);
+    let mut is_planned = rng.random();
+    while start + ROUND <= length {
+        let count = rng.random_range(4..=9);
+        for _ in 0..count {
+            let offset_ms = rng.random_range(0..(ROUND - QUIET_END).as_millis() as u64);
+            let fault = if is_planned { planned_work(&mut rng) } else { unplanned(&mut rng) };
+            let duration_ms = match fault {
+                Fault::Evacuation | Fault::BadRollout => 8_000,
+                _ => rng.random_range(300..2_500),
+            };
+            let at = start + Duration::from_millis(offset_ms);
+            steps.push(Step { at, duration: Duration::from_millis(duration_ms), fault });
+        }
+        is_planned = !is_planned;
+        start += ROUND;
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+fn planned_work(rng: &mut StdRng) -> Fault {
+    let (instance, server) = (rng.random_range(0..INSTANCES), rng.random_range(0..16));
+    match rng.random_range(0..8) {
+        0 | 1 => Fault::Terminate(instance),
+        2 => Fault::Reload(instance),
+        3 => Fault::Drain(server),
+        4 => Fault::Configuration,
+        5 => Fault::Evacuation,
+        6 => Fault::BadRollout,
+        _ => Fault::Responses(server, mode(rng)),
+    }
+}
+
+fn unplanned(rng: &mut StdRng) -> Fault {
+    let (instance, server) = (rng.random_range(0..INSTANCES), rng.random_range(0..16));
+    match rng.random_range(0..11) {
+        0 => Fault::Pause(instance),
+        1 => Fault::Kill(instance),
+        2 => Fault::CallerLink(instance, link(rng)),
+        3 => Fault::StoreLink(instance, link(rng)),
+        4 | 5 => Fault::ServerLink(server, link(rng)),
+        6 => Fault::Store(store_failure(rng)),
+        7 => Fault::Compact,
+        8 => Fault::Crash(server),
+        9 => Fault::Responses(server, mode(rng)),
+        _ => planned_work(rng),
+    }
+}
+
+fn link(rng: &mut StdRng) -> Link {
+    let delay = Duration::from_millis(rng.random_range(20..400));
+    let links =
+        [Link::Delayed(delay), Link::NothingForward, Link::NothingBack, Link::Silent, Link::Reset];
+    *links.choose(rng).expect("there are links")
+}
+
+fn store_failure(rng: &mut StdRng) -> Failure {
+    let failures = [
+        Failure::Status(503),
+        Failure::Status(429),
+        Failure::Silent,
+        Failure::Closed,
+        Failure::NotJson,
+        Failure::LostWrites,
+    ];
+    *failures.choose(rng).expect("there are failures")
+}
+
+fn mode(rng: &mut StdRng) -> ResponseMode {
+    let modes = [
+        ResponseMode::Overloaded,
+        ResponseMode::Rejected,
+        ResponseMode::Unavailable,
+        ResponseMode::Replaced,
+        ResponseMode::InternalError,
+        ResponseMode::Unsigned,
+        ResponseMode::Garbage,
+        ResponseMode::Truncated,
+        ResponseMode::CloseDelimited,
+        ResponseMode::CloseDelimitedReset,
+        ResponseMode::Duplicate,
+        ResponseMode::MismatchedId,
+        ResponseMode::NoResponse,
+        ResponseMode::ConnectionClose,
+    ];
+    *modes.choose(rng).expect("there are modes")
+}
--- /dev/null
+++ b/crates/runpind/tests/soak/report.rs
@@ -0,0 +1,114 @@
+//! What the soak test prints.
+
+use crate::history::{History, Outcome, Violation};
+use crate::options::{OptionError, Options};
+use crate::plan::{self, Step};
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Instant;
+
+/// Most log lines that are printed for a violation.
+const LOG_LINES: usize = 40;
+
+fn print(text: &str) {
+    // Without standard output there is nowhere to report to.
+    let _ = writeln!(io::stdout(), "{text}");
+}
+
+/// Reports an argument that can't be used.
+pub(crate) fn usage(error: &OptionError) -> ExitCode {
+    print(&format!("soak: {error}"));
+    ExitCode::from(2)
+}
+
+/// Lists the one test, as the standard harness does.
+pub(crate) fn list() -> ExitCode {
+    print("soak: test");
+    ExitCode::SUCCESS
+}
+
+/// Prints what a run is about.
+pub(crate) fn start(options: &Options, folder: &Path) {
+    let limits = plan::limits(options.seed);
+    let Options { seed, length, .. } = options;
+    print(&format!(
+        "running 1 test\nsoak: seed {seed}, {length:?}, {limits:?}, logs in {folder:?}"
+    ));
+}
+
+/// Prints a step that begins.
+pub(crate) fn step(step: &Step) {
+    print(&format!("soak: at {:?} for {:?}: {:?}", step.at, step.duration, step.fault));
+}
+
+/// Prints the outcome of a run; the logs of a run without violations are removed.
+pub(crate) fn end(
+    options: &Options,
+    folder: &Path,
+    history: &History,
+    started: Instant,
+    outcome: io::Result<()>,
+) -> ExitCode {
+    print(&format!("soak: {}", counts(history)));
+    let violations = history.violations.borrow();
+    for violation in violations.iter() {
+        print_violation(options, folder, violation, started);
+    }
+    if let Err(error) = &outcome {
+        print(&format!("soak: seed {}: {error}", options.seed));
+    }
+    let failed = u8::from(!violations.is_empty() || outcome.is_err());
+    if failed == 0 {
+        // Logs that stay do no harm.
+        let _ = std::fs::remove_dir_all(folder);
+    }
+    let result = if failed == 0 { "ok" } else { "FAILED" };
+    print(&format!(
+        "test soak ... {result}\n\ntest result: {result}. {} passed; {failed} failed",
+        1 - failed
+    ));
+    ExitCode::from(failed)
+}
+
+fn print_violation(options: &Options, folder: &Path, violation: &Violation, started: Instant) {
+    let Violation { rule, detail, ids, at } = violation;
+    let after = at.duration_since(started);
+    print(&format!("soak: seed {}, {after:?}, rule {rule}, ids {ids:?}: {detail}", options.seed));
+    log_lines(folder, ids).iter().take(LOG_LINES).for_each(|line| print(line));
+}
+
+/// Lines of the instances' logs that contain one of the request IDs.
+fn log_lines(folder: &Path, ids: &[String]) -> Vec<String> {
+    let quoted: Vec<String> = ids.iter().map(|id| format!("\"{id}\"")).collect();
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    let logs = files.filter_map(|file| {
+        let path = file.path();
+        let text = std::fs::read_to_string(&path).ok()?;
+        Some((path.file_stem()?.to_string_lossy().into_owned(), text))
+    });
+    logs.flat_map(|(name, text)| {
+        let lines = text.lines().filter(|line| quoted.iter().any(|id| line.contains(id)));
+        lines.map(|line| format!("  {name}: {line}")).collect::<Vec<_>>()
+    })
+    .collect()
+}
+
+/// Number of requests by outcome.
+fn counts(history: &History) -> String {
+    let requests = history.requests.borrow();
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for request in requests.values() {
+        let outcome = match request.ended {
+            Some((Outcome::Answered { status }, _)) => status.to_string(),
+            Some((Outcome::Closed, _)) => "closed".to_owned(),
+            Some((Outcome::Left, _)) => "left".to_owned(),
+            None => "pending".to_owned(),
+        };
+        *counts.entry(outcome).or_default() += 1;
+    }
+    let counts: Vec<String> =
+        counts.iter().map(|(outcome, count)| format!("{outcome}: {count}")).collect();
+    format!("{} requests; {}", requests.len(), counts.join(", "))
+}
