--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -87,11 +87,12 @@
     pub(crate) number: usize,
     pub(crate) caller_proxy: Rc<Proxy>,
     pub(crate) store_proxy: Rc<Proxy>,
-    pub(crate) log: PathBuf,
     /// The process; operations on it take place one after another.
     pub(crate) process: Mutex<Child>,
     host: IpAddr,
     settings: PathBuf,
+    log: PathBuf,
+    binary: PathBuf,
     descriptors: u32,
 }
 
@@ -103,7 +104,7 @@
 
     /// Starts a process.
     pub(crate) fn spawn(&self) -> io::Result<Child> {
-        spawn(&self.settings, &self.log, self.descriptors)
+        spawn(&self.binary, &self.settings, &self.log, self.descriptors)
     }
 
     /// Waits until the instance is ready, for at most ten seconds.
@@ -146,19 +147,6 @@
     tokio::time::timeout(Duration::from_millis(500), check).await == Ok(Some(200))
 }
 
-fn spawn(settings: &Path, log: &Path, descriptors: u32) -> io::Result<Child> {
-    let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
-    Command::new("sh")
-        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\"")])
-        .arg(env!("CARGO_BIN_EXE_runpind"))
-        .env("RUNPIN_CONFIG", settings)
-        .stdin(Stdio::null())
-        .stderr(log.try_clone()?)
-        .stdout(log)
-        .kill_on_drop(true)
-        .spawn()
-}
-
 /// All processes and mocks of a run.
 pub(crate) struct Fleet {
     pub(crate) store: Rc<MockStore>,
@@ -179,13 +167,16 @@
     /// Starts the mocks and the instances, and waits until these are ready.
     pub(crate) async fn start(
         folder: &Path,
+        binary: &Path,
         limits: Limits,
         history: Rc<History>,
     ) -> io::Result<Rc<Self>> {
         let store = MockStore::start().await;
         let mut nodes = Vec::new();
         for number in 0..INSTANCES {
-            nodes.push(Rc::new(start_node(folder, number, &store, limits.descriptors).await?));
+            nodes.push(Rc::new(
+                start_node(folder, binary, number, &store, limits.descriptors).await?,
+            ));
         }
         let fleet = Self {
             store,
@@ -294,18 +285,40 @@
 
 async fn start_node(
     folder: &Path,
+    binary: &Path,
     number: usize,
     store: &MockStore,
     descriptors: u32,
 ) -> io::Result<Node> {
     let host = host(number);
-    let caller_proxy = Proxy::start((host, CALLER_PORT).into()).await?;
     let store_proxy = Proxy::start(store.address).await?;
     let settings = folder.join(format!("instance-{number}.json"));
-    let log = folder.join(format!("instance-{number}.log"));
     std::fs::write(&settings, settings_of(number, store_proxy.address).to_string())?;
-    let process = Mutex::new(spawn(&settings, &log, descriptors)?);
-    Ok(Node { number, caller_proxy, store_proxy, log, process, host, settings, descriptors })
+    let log = folder.join(format!("instance-{number}.log"));
+    Ok(Node {
+        number,
+        caller_proxy: Proxy::start((host, CALLER_PORT).into()).await?,
+        store_proxy,
+        process: Mutex::new(spawn(binary, &settings, &log, descriptors)?),
+        log,
+        host,
+        settings,
+        binary: binary.to_owned(),
+        descriptors,
+    })
+}
+
+fn spawn(binary: &Path, settings: &Path, log: &Path, descriptors: u32) -> io::Result<Child> {
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+    Command::new("sh")
+        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\"")])
+        .arg(binary)
+        .env("RUNPIN_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stderr(log.try_clone()?)
+        .stdout(log)
+        .kill_on_drop(true)
+        .spawn()
 }
 
 /// A loopback address that no other run on the machine uses.
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -1,7 +1,7 @@
 //! Soak test: real instances under load and faults, checked from what callers and servers see.
 //!
 //! `cargo test -p runpind --test soak --locked -- --seed N --minutes M`; other arguments are those of
-//! the standard test harness, and are ignored.
+//! the standard test harness, and are ignored. `--binary PATH` tests another build of the daemon.
 
 mod callers;
 mod checks;
@@ -69,7 +69,7 @@
 /// Runs a plan until its end or the first violation.
 async fn run(options: &Options, folder: &Path, history: Rc<History>) -> io::Result<()> {
     let limits = plan::limits(options.seed);
-    let fleet = Fleet::start(folder, limits, history.clone()).await?;
+    let fleet = Fleet::start(folder, &options.binary, limits, history.clone()).await?;
     let until = Instant::now() + options.length;
     for number in 0..limits.callers {
         let rng = StdRng::seed_from_u64(options.seed ^ (number as u64 + 1) << 32);
--- a/crates/runpind/tests/soak/options.rs
+++ b/crates/runpind/tests/soak/options.rs
@@ -1,5 +1,6 @@
 //! Arguments of the soak test.
 
+use std::path::PathBuf;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -11,10 +12,18 @@
 
 /// An argument that can't be used.
 #[derive(Debug, Error)]
-#[error("{name} needs a number, not {value:?}")]
-pub(crate) struct OptionError {
-    name: String,
-    value: Option<String>,
+pub(crate) enum OptionError {
+    /// The value is missing.
+    #[error("{0} needs a value")]
+    Missing(String),
+    /// The value is not a number.
+    #[error("{name} needs a number, not {value:?}")]
+    NotANumber {
+        /// Name of the argument.
+        name: String,
+        /// The given value.
+        value: String,
+    },
 }
 
 /// What to run.
@@ -22,6 +31,8 @@
 pub(crate) struct Options {
     pub(crate) seed: u64,
     pub(crate) length: Duration,
+    /// The binary to test.
+    pub(crate) binary: PathBuf,
     /// Whether to list the tests only.
     pub(crate) lists: bool,
 }
@@ -31,7 +42,12 @@
     pub(crate) fn from_arguments(
         mut arguments: impl Iterator<Item = String>,
     ) -> Result<Self, OptionError> {
-        let mut options = Self { seed: DEFAULT_SEED, length: DEFAULT_LENGTH, lists: false };
+        let mut options = Self {
+            seed: DEFAULT_SEED,
+            length: DEFAULT_LENGTH,
+            binary: env!("CARGO_BIN_EXE_runpind").into(),
+            lists: false,
+        };
         while let Some(name) = arguments.next() {
             match name.as_str() {
                 "--seed" => options.seed = number(name, arguments.next())?,
@@ -39,6 +55,7 @@
                     let minutes: f64 = number(name, arguments.next())?;
                     options.length = Duration::from_secs_f64(minutes.clamp(0.0, 1e6) * 60.0);
                 }
+                "--binary" => options.binary = text(name, arguments.next())?.into(),
                 "--list" => options.lists = true,
                 _ => {}
             }
@@ -47,7 +64,11 @@
     }
 }
 
+fn text(name: String, value: Option<String>) -> Result<String, OptionError> {
+    value.ok_or(OptionError::Missing(name))
+}
+
 fn number<T: std::str::FromStr>(name: String, value: Option<String>) -> Result<T, OptionError> {
-    let parsed = value.as_deref().and_then(|value| value.parse().ok());
-    parsed.ok_or(OptionError { name, value })
+    let value = text(name.clone(), value)?;
+    value.parse().map_err(|_| OptionError::NotANumber { name, value })
 }
