--- a/crates/runpind/tests/soak/callers.rs
+++ b/crates/runpind/tests/soak/callers.rs
@@ -31,6 +31,9 @@
 /// Size of the body of an upload.
 const UPLOAD_BYTES: usize = 6_000;
 
+/// Number of objects that requests concern, enough to reach all backend servers.
+const OBJECTS: u32 = 60;
+
 /// What a caller does with its connection.
 enum Behavior {
     /// Sends a request and waits for the response.
@@ -92,7 +95,7 @@
         let mut text = String::new();
         for class in classes {
             let id = self.history.new_id();
-            text.push_str(&text_of(class, &id));
+            text.push_str(&text_of(class, &id, rng.random_range(0..OBJECTS)));
             self.history.record_request(&id, self.request(class, !ids.is_empty()));
             ids.push(id);
         }
@@ -146,13 +149,14 @@
     }
 }
 
-fn text_of(class: Class, id: &str) -> String {
+fn text_of(class: Class, id: &str, object: u32) -> String {
     let key = format!("X-Key: key-of-{}\r\n", class.customer);
-    match class.route {
+    let text = match class.route {
         "upload" => {
             let headers = format!("{key}Content-Length: {UPLOAD_BYTES}\r\n");
             request_text(class.route, id, &headers, &"u".repeat(UPLOAD_BYTES))
         }
         route => request_text(route, id, &key, ""),
-    }
+    };
+    text.replace("X-Affinity-Key=17", &format!("X-Affinity-Key={object}"))
 }
--- a/crates/runpind/tests/soak/checks.rs
+++ b/crates/runpind/tests/soak/checks.rs
@@ -154,6 +154,7 @@
         if !is_bound {
             return;
         }
+        history.undisturbed_arrivals.set(history.undisturbed_arrivals.get() + 1);
         let drained_for = backend.draining_from.get().map(|from| visit.at - from);
         if drained_for.is_some_and(|drained_for| drained_for > DRAIN_BOUND) {
             let detail = format!("sent to {} {drained_for:?} after its drain", visit.server);
--- a/crates/runpind/tests/soak/history.rs
+++ b/crates/runpind/tests/soak/history.rs
@@ -113,6 +113,12 @@
     /// Ended requests that are not yet checked.
     pub(crate) ended: RefCell<Vec<String>>,
     pub(crate) violations: RefCell<Vec<Violation>>,
+    /// When the callers started, from which the steps of the plan count.
+    pub(crate) started: Cell<Option<Instant>>,
+    /// Arrivals at undisturbed servers while all instances were undisturbed.
+    pub(crate) undisturbed_arrivals: Cell<u64>,
+    /// Time for which the test itself was held up.
+    pub(crate) own_delay: Cell<Duration>,
     disruptions: RefCell<Vec<Disruption>>,
     next_id: Cell<u64>,
 }
@@ -167,6 +173,7 @@
 
     /// Records that the test itself was held up, so that its times are late.
     pub(crate) fn record_own_delay(&self, from: Instant) {
+        self.own_delay.set(self.own_delay.get() + from.elapsed());
         let until = Some(Instant::now());
         let disruption = Disruption { scope: Scope::Fleet, is_planned: false, from, until };
         self.disruptions.borrow_mut().push(disruption);
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -57,20 +57,21 @@
         std::env::temp_dir().join(format!("runpin-soak-{}-{}", options.seed, std::process::id()));
     report::start(&options, &folder);
     let history = Rc::new(History::default());
-    let started = Instant::now();
     let outcome = std::fs::create_dir_all(&folder).and_then(|()| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let running = run(&options, &folder, history.clone());
         LocalSet::new().block_on(&runtime, running)
     });
-    report::end(&options, &folder, &history, started, outcome)
+    report::end(&options, &folder, &history, outcome)
 }
 
 /// Runs a plan until its end or the first violation.
 async fn run(options: &Options, folder: &Path, history: Rc<History>) -> io::Result<()> {
     let limits = plan::limits(options.seed);
     let fleet = Fleet::start(folder, &options.binary, limits, history.clone()).await?;
-    let until = Instant::now() + options.length;
+    let started = Instant::now();
+    history.started.set(Some(started));
+    let until = started + options.length;
     for number in 0..limits.callers {
         let rng = StdRng::seed_from_u64(options.seed ^ (number as u64 + 1) << 32);
         spawn_local(callers::run(fleet.clone(), history.clone(), rng, until, limits.pause_ms));
--- a/crates/runpind/tests/soak/report.rs
+++ b/crates/runpind/tests/soak/report.rs
@@ -48,13 +48,12 @@
     options: &Options,
     folder: &Path,
     history: &History,
-    started: Instant,
     outcome: io::Result<()>,
 ) -> ExitCode {
     print(&format!("soak: {}", counts(history)));
     let violations = history.violations.borrow();
     for violation in violations.iter() {
-        print_violation(options, folder, violation, started);
+        print_violation(options, folder, violation, history.started.get());
     }
     if let Err(error) = &outcome {
         print(&format!("soak: seed {}: {error}", options.seed));
@@ -72,9 +71,14 @@
     ExitCode::from(failed)
 }
 
-fn print_violation(options: &Options, folder: &Path, violation: &Violation, started: Instant) {
+fn print_violation(
+    options: &Options,
+    folder: &Path,
+    violation: &Violation,
+    started: Option<Instant>,
+) {
     let Violation { rule, detail, ids, at } = violation;
-    let after = at.duration_since(started);
+    let after = started.map(|started| at.duration_since(started)).unwrap_or_default();
     print(&format!("soak: seed {}, {after:?}, rule {rule}, ids {ids:?}: {detail}", options.seed));
     log_lines(folder, ids).iter().take(LOG_LINES).for_each(|line| print(line));
 }
@@ -110,5 +114,10 @@
     }
     let counts: Vec<String> =
         counts.iter().map(|(outcome, count)| format!("{outcome}: {count}")).collect();
-    format!("{} requests; {}", requests.len(), counts.join(", "))
+    let (undisturbed, own_delay) = (history.undisturbed_arrivals.get(), history.own_delay.get());
+    format!(
+        "{} requests; {}; {undisturbed} arrivals undisturbed; test held up for {own_delay:?}",
+        requests.len(),
+        counts.join(", ")
+    )
 }
