--- a/crates/runpind/tests/soak/callers.rs
+++ b/crates/runpind/tests/soak/callers.rs
@@ -127,6 +127,7 @@
             checks::response(self.history, id, &response);
             let closes = response.header("connection").is_some_and(|value| value == "close");
             if !response.is_complete || closes {
+                self.history.record_end(id, Outcome::Closed);
                 // What was sent behind a response that ends the connection counts as not read.
                 let outcome = if closes { Outcome::Left } else { Outcome::Closed };
                 ids[number..].iter().for_each(|id| self.history.record_end(id, outcome));
--- a/crates/runpind/tests/soak/history.rs
+++ b/crates/runpind/tests/soak/history.rs
@@ -3,12 +3,16 @@
 use crate::common::server::ResponseMode;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Time without a disruption after which an instance has to keep bounds of time.
 pub(crate) const RECONNECTION: Duration = Duration::from_secs(4);
 
+/// Time for which ended requests are remembered, longer than the windows of all rules.
+const RETENTION: Duration = Duration::from_secs(45);
+
 /// Kind of a request, from its path and the customer that sends it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Class {
@@ -35,6 +39,16 @@
     Left,
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answered { status } => write!(formatter, "{status}"),
+            Self::Closed => formatter.write_str("closed"),
+            Self::Left => formatter.write_str("left"),
+        }
+    }
+}
+
 /// A request at a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Visit {
@@ -110,6 +124,8 @@
 #[derive(Default)]
 pub(crate) struct History {
     pub(crate) requests: RefCell<BTreeMap<String, Request>>,
+    /// Number of ended requests by outcome.
+    pub(crate) outcomes: RefCell<BTreeMap<String, u64>>,
     /// Ended requests that are not yet checked.
     pub(crate) ended: RefCell<Vec<String>>,
     pub(crate) violations: RefCell<Vec<Violation>>,
@@ -148,10 +164,18 @@
             && request.ended.is_none()
         {
             request.ended = Some((outcome, Instant::now()));
+            *self.outcomes.borrow_mut().entry(outcome.to_string()).or_default() += 1;
             self.ended.borrow_mut().push(id.to_owned());
         }
     }
 
+    /// Forgets requests that ended so long ago that no rule concerns them.
+    pub(crate) fn forget_old_requests(&self) {
+        let is_recent =
+            |request: &Request| request.ended.is_none_or(|(_, at)| at.elapsed() < RETENTION);
+        self.requests.borrow_mut().retain(|_, request| is_recent(request));
+    }
+
     /// Records a violated rule.
     pub(crate) fn record_violation(&self, rule: &'static str, detail: String, ids: &[&str]) {
         let ids = ids.iter().map(|id| (*id).to_owned()).collect();
