--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -32,7 +32,9 @@
 mod relay;
 mod rollouts;
 mod run;
+mod sent_flag;
 mod server_connection;
+mod unfinished;
 mod update;
 
 pub(crate) use caller::Caller;
