--- a/crates/entry/src/platform_api.rs
+++ b/crates/entry/src/platform_api.rs
@@ -12,6 +12,7 @@
 };
 use steering::placement::Condition;
 use steering::placement::load::LoadReport;
+use steering::rollout::RolloutProgress;
 
 /// A kind of object that can be listed and watched in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -114,6 +115,16 @@
     pub gossip_address: SocketAddr,
 }
 
+/// The progress of a roll-out as the store holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredProgress {
+    /// The progress; none if there is none of this order.
+    pub progress: Option<RolloutProgress>,
+    /// Revision of the object, which may hold the progress of an earlier order; none if there is no
+    /// object.
+    pub revision: Option<u64>,
+}
+
 /// The platform's store.
 #[async_trait(?Send)]
 pub trait Store {
@@ -164,6 +175,28 @@
         outcome: RolloutOutcome,
     ) -> Result<Option<RolloutOutcome>, StoreError>;
 
+    /// Reads the progress of a roll-out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gave no valid response.
+    async fn read_rollout_progress(
+        &self,
+        order: &RolloutOrder,
+    ) -> Result<StoredProgress, StoreError>;
+
+    /// Replaces the progress of a roll-out, unless its object has another revision by now; without a
+    /// revision, unless there is an object by now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store did not confirm it; the progress may have been written all the same.
+    async fn write_rollout_progress(
+        &self,
+        progress: &RolloutProgress,
+        revision: Option<u64>,
+    ) -> Result<(), StoreError>;
+
     /// Lists the registered instances; the list may be a few seconds old and include stopped ones.
     ///
     /// # Errors
--- a/crates/entry/src/process/clock.rs
+++ b/crates/entry/src/process/clock.rs
@@ -7,7 +7,7 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use steering::Time;
 use tokio::sync::watch;
 
@@ -19,6 +19,10 @@
 /// with a shorter suspension on top, they are in force within the tightest bound of 2.5 s.
 const STALE_THRESHOLD: Duration = Duration::from_millis(300);
 
+/// Time of a machine's start on [`Clock`]: an instance learns of events before that from others and
+/// from the store, at most of orders that are several days old.
+const BOOT_TIME: Duration = Duration::from_secs(30 * 24 * 3600);
+
 /// The clocks of a machine.
 pub trait Clocks {
     /// Time since a fixed moment, suspensions excluded.
@@ -87,7 +91,13 @@
             }
             self.suspensions.send_replace(suspended);
         }
-        Time::from_ns(u64::try_from(since_boot.as_nanos()).unwrap_or(u64::MAX))
+        Time::default() + BOOT_TIME + since_boot
+    }
+
+    /// The time of day, in milliseconds since the Unix epoch.
+    pub fn unix_ms() -> u64 {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
     }
 
     /// Number of suspensions so far after which the state counts as stale.
--- a/crates/entry/src/process/fleet.rs
+++ b/crates/entry/src/process/fleet.rs
@@ -48,7 +48,7 @@
         addresses.insert(member_id(peer), peer.gossip_address);
         members.push((member_id(peer), peer.reaches_store));
     }
-    instance.rollouts.borrow_mut().set_members(Members::new(members));
+    instance.rollouts.borrow_mut().set_members(Members::new(members).with_fleet_size(size));
     let region_members = regions.remove(&own.region).unwrap_or_else(|| vec![own_id]);
     let other_regions = regions.into_values().collect();
     let fleet = Fleet { own: own_id, region_members, other_regions, size };
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -18,7 +18,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use steering::Time;
 use steering::deployment::Service;
 use steering::placement::bootstrap_delay::RegistrationState;
@@ -148,10 +148,9 @@
         clocks: Box<dyn Clocks>,
     ) -> Result<Rc<Self>, EntryError> {
         let clock = Rc::new(Clock::new(clocks));
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = Peer {
             name: settings.name.clone(),
-            started_ms: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+            started_ms: Clock::unix_ms(),
             heartbeat: 0,
             state: PeerState::Joining,
             caller_address: settings.caller_address,
@@ -166,8 +165,12 @@
             objects: Vec::new(),
         };
         let terms = settings.exposure.unwrap_or(ExposureLimit::NONE);
-        let rollouts =
-            RolloutTable::new(MemberId::from_name(&settings.name), own.started_ms, terms);
+        let rollouts = RolloutTable::new(
+            MemberId::from_name(&settings.name),
+            own.started_ms,
+            terms,
+            clock.now(),
+        );
         let quotas = Quotas::new(&settings.name, own.started_ms, settings.quota_terms);
         let zone = settings.availability_zone.clone();
         let roster = Roster::new(&settings.name, zone.clone(), settings.regions.clone());
--- a/crates/entry/src/process/rollouts.rs
+++ b/crates/entry/src/process/rollouts.rs
@@ -2,16 +2,18 @@
 //!
 //! [`RolloutTable`](steering::rollout::RolloutTable) makes the decisions.
 
+use super::clock::Clock;
 use super::datagram::{self, Kind};
 use super::gossip_topics::Topic;
 use super::instance::Instance;
 use crate::error::StoreError;
+use crate::platform_api::StoredProgress;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use steering::Time;
 use steering::deployment::{RolloutOutcome, Rollouts};
-use steering::rollout::{Assessment, Change, OutcomeWrite, StepActions};
+use steering::rollout::{Assessment, Change, OutcomeWrite, ProgressSync, StepActions};
 use tokio::net::UdpSocket;
 
 /// Interval between steps while a roll-out is under way: a third of the heartbeat interval, as a late
@@ -58,13 +60,16 @@
 async fn step(instance: &Rc<Instance>, socket: &UdpSocket) {
     let now = instance.clock.now();
     update_capacities(instance);
-    let StepActions { reports, writes, changes } = instance.rollouts.borrow_mut().step(now);
+    let StepActions { reports, writes, syncs, changes } = instance.rollouts.borrow_mut().step(now);
     publish_changes(instance, &changes, "own");
     for (judge, report) in reports {
         let Some(address) = instance.quotas.address_of(judge) else { continue };
         // A datagram that can't be sent counts as lost.
         let _ = socket.send_to(&datagram::encode(Kind::RolloutReports, &report), address).await;
     }
+    for sync in syncs {
+        tokio::task::spawn_local(sync_progress(instance.clone(), sync));
+    }
     for write in writes {
         tokio::task::spawn_local(write_outcome(instance.clone(), write));
     }
@@ -117,11 +122,52 @@
     instance.roster.borrow_mut().set_version_rules(rules);
 }
 
+/// Resumes a roll-out from the progress that the store holds, and writes what it doesn't hold yet; the
+/// next step tries again what fails.
+async fn sync_progress(instance: Rc<Instance>, sync: ProgressSync) {
+    let (service, target) = (&*sync.order.service, &*sync.order.target_version);
+    let read = instance.store.read_rollout_progress(&sync.order).await;
+    count_call(&instance, "rollout-progress-read", &read);
+    let StoredProgress { progress: stored, revision } = match read {
+        Ok(read) => read,
+        Err(error) => {
+            log::warn!(target: "rollouts", service, target, error:%; "progress not read");
+            return;
+        }
+    };
+    let now = instance.clock.now();
+    let unix_ms = Clock::unix_ms();
+    let (progress, change) =
+        instance.rollouts.borrow_mut().resume(&sync, stored.as_ref(), unix_ms, now);
+    let changes: Vec<_> =
+        change.into_iter().map(|change| (sync.order.service.clone(), change)).collect();
+    publish_changes(&instance, &changes, "store");
+    apply_version_rules(&instance, now);
+    // Other instances hold the roll-out until it is announced.
+    instance.urgent_gossip.notify_one();
+    if let Some(progress) = progress {
+        let written = instance.store.write_rollout_progress(&progress, revision).await;
+        count_call(&instance, "rollout-progress-write", &written);
+        if let Err(error) = written {
+            log::warn!(target: "rollouts", service, target, error:%; "progress not written");
+            return;
+        }
+        let responses = progress.totals();
+        log::info!(target: "rollouts", service, target, responses:%; "progress written");
+    }
+    instance.rollouts.borrow_mut().set_synced(&sync);
+}
+
+/// Counts a call to the store by its outcome.
+fn count_call<T>(instance: &Instance, call: &str, result: &Result<T, StoreError>) {
+    let label = result.as_ref().map_or_else(StoreError::as_str, |_| "ok");
+    instance.metrics.store_calls.with_label_values(&[call, label]).inc();
+}
+
 /// Writes the outcome of a roll-out to the store; the stored outcome arrives by the watch as usual.
 async fn write_outcome(instance: Rc<Instance>, OutcomeWrite { order, outcome }: OutcomeWrite) {
     let written = instance.store.write_rollout_outcome(&order, outcome).await;
-    let label = written.as_ref().map_or_else(StoreError::as_str, |_| "ok");
-    instance.metrics.store_calls.with_label_values(&["rollout-end", label]).inc();
+    count_call(&instance, "rollout-end", &written);
     let (service, target) = (&*order.service, &*order.target_version);
     match written {
         Ok(stored_outcome) => {
@@ -142,6 +188,7 @@
         log_change(service, change, source);
         let event = match change {
             Change::Ordered => "ordered",
+            Change::Resumed { .. } => "resumed",
             Change::Spreads { .. } => "spreads",
             Change::Decided { outcome: RolloutOutcome::Succeeded, .. } => "found-brought-in",
             Change::Decided { outcome: RolloutOutcome::RolledBack, .. } => "found-worse",
@@ -158,6 +205,15 @@
 fn log_change(service: &str, change: &Change, source: &str) {
     match change {
         Change::Ordered => log::info!(target: "rollouts", service, source; "ordered"),
+        Change::Resumed { age, spreads, outcome, responses } => {
+            let age_s = age.as_secs_f64();
+            let outcome = outcome.map_or("none", RolloutOutcome::as_str);
+            let responses = responses.map_or_else(String::new, |responses| responses.to_string());
+            log::info!(
+                target: "rollouts", service, source, age_s, spreads, outcome, responses;
+                "resumed"
+            );
+        }
         Change::Spreads { age, assessment } => {
             let (age_s, weighed) = (age.as_secs_f64(), format_evidence(assessment.as_ref()));
             log::info!(target: "rollouts", service, source, age_s, weighed; "version spreads");
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -146,7 +146,8 @@
             slack: check_range("quota_slack", raw.quota_slack)?,
         };
         let terms = Terms::try_from(raw.terms)?;
-        let exposure = terms.rollout.exposure_share.map(|share| ExposureLimit { share });
+        let rollback = terms.rollout.rollback;
+        let exposure = terms.rollout.exposure_share.map(|share| ExposureLimit { share, rollback });
         let with_port = |port| SocketAddr::new(peer_address.ip(), port);
         Ok(Self {
             name: raw.name.as_str().into(),
--- a/crates/steering/src/rollout/active_rollout.rs
+++ b/crates/steering/src/rollout/active_rollout.rs
@@ -4,12 +4,15 @@
 use super::decision::Decision;
 use super::judge::{Assessment, Finding, Judge};
 use super::order_id::OrderId;
+use super::report::Report;
+use super::resume::Resumption;
 use super::rule::{Reach, VersionRule};
 use super::schedule::{ExposureLimit, Schedule};
-use super::tally::VersionTallies;
+use super::tally::{Tally, VersionTallies};
 use super::version_capacity::VersionCapacity;
 use crate::Time;
 use crate::deployment::{Rollout, RolloutOrder, RolloutOutcome};
+use crate::quota::MemberId;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -26,6 +29,17 @@
 pub enum Change {
     /// A new order was received.
     Ordered,
+    /// The rollout resumes after the start of this instance.
+    Resumed {
+        /// Time since the order.
+        age: Duration,
+        /// Whether the share had begun to grow.
+        spreads: bool,
+        /// The outcome that a judge had decided on.
+        outcome: Option<RolloutOutcome>,
+        /// The stored responses of the version; none if another instance announced the rollout.
+        responses: Option<Tally>,
+    },
     /// The share begins to grow.
     Spreads {
         /// Time since the order.
@@ -53,7 +67,8 @@
 pub(super) struct ActiveRollout {
     pub(super) id: OrderId,
     pub(super) order: RolloutOrder,
-    schedule: Schedule,
+    pub(super) schedule: Schedule,
+    pub(super) resumption: Resumption,
     /// The earliest time at which an instance is known to have learned of the order.
     pub(super) ordered_at: Time,
     /// When the share began to grow.
@@ -73,17 +88,30 @@
     pub(super) judge: Judge,
     pub(super) reports: u32,
     pub(super) reported_at: Option<Time>,
+    /// Bad responses of the version in the last report.
+    reported_bad: u32,
     /// When this instance last began to write the outcome.
     pub(super) written_at: Option<Time>,
+    /// Since when all instances are done, as far as this judge knows.
+    all_done_since: Option<Time>,
+    /// Whether this judge ended the growth of the share as the deadline was near.
+    is_growth_cut_short: bool,
 }
 
 impl ActiveRollout {
-    pub(super) fn new(rollout: &Rollout, exposure: ExposureLimit, now: Time) -> Self {
+    /// `resumption` tells whether requests are kept from the version until its progress is known.
+    pub(super) fn new(
+        rollout: &Rollout,
+        exposure: ExposureLimit,
+        resumption: Resumption,
+        now: Time,
+    ) -> Self {
         let order = rollout.order.clone();
         Self {
             id: OrderId::new(&order),
             schedule: Schedule { duration: order.duration, exposure },
             order,
+            resumption,
             ordered_at: now,
             spreading_since: None,
             confirmed_at: now,
@@ -96,7 +124,10 @@
             judge: Judge::default(),
             reports: 0,
             reported_at: None,
+            reported_bad: 0,
             written_at: None,
+            all_done_since: None,
+            is_growth_cut_short: false,
         }
     }
 
@@ -116,6 +147,7 @@
             (Some(RolloutOutcome::RolledBack), _) => Reach::Nothing,
             (_, Some((_, since))) if now.since(since) > STALE_LISTING_PERIOD => return None,
             (Some(RolloutOutcome::Succeeded), _) => Reach::All,
+            (None, _) if self.resumption.is_held => Reach::Nothing,
             (None, _) => {
                 let spread_for = self.spreading_since.map(|at| now.since(at));
                 let share = self.schedule.share(spread_for, now.since(self.confirmed_at));
@@ -136,6 +168,31 @@
         has_all && self.others_in_flight == 0
     }
 
+    /// Returns whether this instance has counted bad responses of the version since its last report.
+    pub(super) fn has_unreported_bad(&self) -> bool {
+        self.counted_bad() > self.reported_bad
+    }
+
+    fn counted_bad(&self) -> u32 {
+        self.tallies.values().map(|route| route.target.bad()).sum()
+    }
+
+    /// The reports for the judges: what this instance has counted, and what a fleet before it had, if
+    /// this instance has read that.
+    pub(super) fn next_reports(
+        &mut self,
+        member: MemberId,
+        started_ms: u64,
+        now: Time,
+    ) -> impl Iterator<Item = Report> + use<> {
+        self.reports += 1;
+        self.reported_bad = self.counted_bad();
+        let routes = self.tallies.iter().map(|(route, tallies)| (*route, *tallies)).collect();
+        let (order, number, is_done) = (self.id, self.reports, self.is_done(now));
+        let own = Report { order, member, started_ms, number, is_done, routes };
+        std::iter::once(own).chain(self.resumption.earlier().cloned())
+    }
+
     /// Records the final outcome from the store.
     pub(super) fn settle(&mut self, outcome: Option<RolloutOutcome>, now: Time) -> Option<Change> {
         let outcome =
@@ -156,6 +213,11 @@
         self.ordered_at = self.ordered_at.min(announcement.ordered_at(now));
         let age = self.age(now);
         let mut changes = Vec::new();
+        if self.resumption.release(now) {
+            let spreads = announcement.spreads(now).is_some();
+            let outcome = announcement.decision(now).map(|decision| decision.outcome);
+            changes.push(Change::Resumed { age, spreads, outcome, responses: None });
+        }
         if let Some((since, confirmed_at)) = announcement.spreads(now) {
             self.confirmed_at = self.confirmed_at.max(confirmed_at);
             if self.spreading_since.is_none() {
@@ -175,7 +237,7 @@
     }
 
     /// Records a decision unless it is known already: a rollback takes precedence over success.
-    fn merge_decision(&mut self, decision: Decision) -> bool {
+    pub(super) fn merge_decision(&mut self, decision: Decision) -> bool {
         let decided = self.decision.map(|decision| decision.outcome);
         let is_new = match decision.outcome {
             RolloutOutcome::RolledBack => decided != Some(RolloutOutcome::RolledBack),
@@ -192,6 +254,17 @@
         self.capacity.is_sufficient() && finding != Finding::Undecided { favorable: false }
     }
 
+    /// Gives the version all requests if its share still grows; returns whether it did. Instances
+    /// then finish their requests to other versions before the outcome is decided.
+    fn completes_growth(&mut self, now: Time) -> bool {
+        let grows = self.rule(now).is_some_and(|rule| matches!(rule.reach, Reach::Spreading(_)));
+        if grows {
+            self.spreading_since = Some(now - self.schedule.growth());
+            self.is_growth_cut_short = true;
+        }
+        grows
+    }
+
     /// Decides as a judge on the next step. `all_done` is whether all instances are done; `rank`
     /// is the judge's rank, which delays its decision so that judges don't decide differently at
     /// the same time.
@@ -206,11 +279,14 @@
             Some(RolloutOutcome::Succeeded) => is_worse && self.settled.is_none(),
             Some(RolloutOutcome::RolledBack) => false,
         };
-        if !is_open {
+        if !is_open || self.resumption.is_held {
             return None;
         }
         let age = self.age(now);
         let (reports, totals) = self.judge.totals();
+        let observation = self.schedule.observation();
+        self.all_done_since = all_done.then(|| self.all_done_since.unwrap_or(now));
+        let is_observed = self.all_done_since.is_some_and(|at| now.since(at) >= observation);
         let assessment = Some(Assessment { finding, reports, totals, capacity: self.capacity });
         if self.spreading_since.is_some() {
             self.confirmed_at = now;
@@ -221,14 +297,21 @@
         let change = match () {
             () if is_worse => found(RolloutOutcome::RolledBack),
             () if must_decide && !self.can_take_all(finding) => found(RolloutOutcome::RolledBack),
-            () if !self.can_take_all(finding) => return None,
+            () if !self.can_take_all(finding) || self.needs_observation(finding, now) => {
+                return None;
+            }
             () if self.spreading_since.is_none() => {
                 if !self.schedule.may_start_spreading(age, finding == Finding::NotWorse) {
                     return None;
                 }
                 Change::Spreads { age, assessment }
             }
-            () if all_done || must_decide => found(RolloutOutcome::Succeeded),
+            () if is_observed => found(RolloutOutcome::Succeeded),
+            () if !must_decide => return None,
+            () if self.completes_growth(now) => Change::Spreads { age, assessment },
+            () if all_done || !self.is_growth_cut_short || self.schedule.is_almost_over(age) => {
+                found(RolloutOutcome::Succeeded)
+            }
             () => return None,
         };
         match change {
@@ -236,7 +319,7 @@
                 self.merge_decision(Decision { outcome, at: now });
             }
             _ => {
-                self.spreading_since = Some(now);
+                self.spreading_since.get_or_insert(now);
                 self.confirmed_at = now;
             }
         }
--- a/crates/steering/src/rollout/evidence.rs
+++ b/crates/steering/src/rollout/evidence.rs
@@ -86,6 +86,11 @@
         self.log_ratio
     }
 
+    /// Drops evidence in favor of the version.
+    pub fn drop_favorable(&mut self) {
+        self.log_ratio = self.log_ratio.max(0.0);
+    }
+
     /// The conclusion from the evidence so far.
     pub fn verdict(&self) -> Verdict {
         match self.log_ratio {
@@ -112,6 +117,12 @@
         self.slow.add([target.slow, target.timed], [others.slow, others.timed]);
     }
 
+    /// Drops evidence in favor of the version, which may have changed since.
+    pub fn drop_favorable(&mut self) {
+        self.failing.drop_favorable();
+        self.slow.drop_favorable();
+    }
+
     /// Combines both kinds of evidence: the version is worse if either finds it worse. Latencies
     /// are known for few responses only, so it suffices if they are favorable.
     pub fn verdict(&self) -> Verdict {
--- a/crates/steering/src/rollout/judge.rs
+++ b/crates/steering/src/rollout/judge.rs
@@ -66,6 +66,12 @@
     }
 }
 
+/// Sender of reports that contain the responses in the store, counted by a fleet that has lost its
+/// state since.
+pub(super) fn stored_responses_id() -> MemberId {
+    MemberId::from_name("stored responses")
+}
+
 /// The last report of one instance.
 #[derive(Clone, Debug)]
 struct LastReport {
@@ -88,6 +94,8 @@
 pub(super) struct Judge {
     last_reports: HashMap<MemberId, LastReport>,
     routes: BTreeMap<u32, Route>,
+    /// Whether the stored responses were added since the last step.
+    has_stored_pending: bool,
 }
 
 impl Judge {
@@ -109,6 +117,7 @@
             route.total += new;
         }
         let Report { member, started_ms, number, is_done, routes, .. } = report;
+        self.has_stored_pending |= member == stored_responses_id();
         let routes = routes.into_iter().collect();
         self.last_reports.insert(member, LastReport { started_ms, number, is_done, routes });
     }
@@ -118,7 +127,11 @@
         for route in self.routes.values_mut() {
             let VersionTallies { target, others } = std::mem::take(&mut route.pending);
             route.evidence.add(target, others);
+            if self.has_stored_pending {
+                route.evidence.drop_favorable();
+            }
         }
+        self.has_stored_pending = false;
     }
 
     /// The conclusion about the version.
@@ -143,6 +156,19 @@
         members.all(|member| self.last_reports.get(&member).is_some_and(|last| last.is_done))
     }
 
+    /// All responses by the hash of the route's name.
+    pub(super) fn routes(&self) -> BTreeMap<u32, VersionTallies> {
+        self.routes.iter().map(|(hash, route)| (*hash, route.total)).collect()
+    }
+
+    /// The responses that a fleet before this one had counted.
+    pub(super) fn stored_totals(&self) -> VersionTallies {
+        let mut total = VersionTallies::default();
+        let report = self.last_reports.get(&stored_responses_id());
+        report.iter().flat_map(|report| report.routes.values()).for_each(|route| total += *route);
+        total
+    }
+
     /// Number of instances that have reported, and the sum of all responses that they counted.
     pub(super) fn totals(&self) -> (usize, VersionTallies) {
         let mut total = VersionTallies::default();
--- a/crates/steering/src/rollout/members.rs
+++ b/crates/steering/src/rollout/members.rs
@@ -1,5 +1,6 @@
 //! The instances that take part in rollouts, and their roles for each service.
 
+use crate::hash::unit_interval;
 use crate::placement::rank::name_hash;
 use crate::quota::MemberId;
 
@@ -15,12 +16,20 @@
 pub struct Members {
     /// Each with whether it reaches the store, as far as that is known.
     all: Vec<(MemberId, bool)>,
+    /// Number of instances, including those that are not known to be live yet.
+    fleet_size: usize,
 }
 
 impl Members {
     /// Creates the list of live instances, each with whether it reaches the store.
     pub fn new(all: Vec<(MemberId, bool)>) -> Self {
-        Self { all }
+        let fleet_size = all.len();
+        Self { all, fleet_size }
+    }
+
+    /// Sets the number of instances, including those that are not known to be live yet.
+    pub fn with_fleet_size(self, fleet_size: usize) -> Self {
+        Self { fleet_size, ..self }
     }
 
     /// The number of instances.
@@ -43,6 +52,13 @@
         self.highest_ranked(service, WRITER_COUNT).iter().position(|member| *member == id)
     }
 
+    /// The rank that an instance has on average among all instances, however few of them are known;
+    /// none while not even their number is.
+    pub(super) fn expected_rank(&self, service: &str, id: MemberId) -> Option<f64> {
+        let position = unit_interval(id.rank(name_hash(service)));
+        (self.fleet_size > 0).then_some(position * self.fleet_size as f64)
+    }
+
     fn highest_ranked(&self, service: &str, count: usize) -> Vec<MemberId> {
         let hash = name_hash(service);
         let mut ranked: Vec<(bool, u64, MemberId)> = self
--- a/crates/steering/src/rollout/mod.rs
+++ b/crates/steering/src/rollout/mod.rs
@@ -7,7 +7,8 @@
 //! the instances that rank first for the service. A judge compares the versions over the whole
 //! fleet ([`evidence`]): a version that is worse is rolled back, one that is not gets a growing
 //! share. The judges' decisions are gossiped between instances (`announcement`); the first of a few
-//! instances that reach the store writes them there. What the store holds is final.
+//! instances that reach the store writes them there. What the store holds is final. It also keeps
+//! the progress ([`RolloutProgress`]), from which a fleet that restarts resumes.
 
 mod active_rollout;
 mod announcement;
@@ -16,7 +17,9 @@
 mod judge;
 mod members;
 mod order_id;
+mod progress;
 mod report;
+mod resume;
 mod rule;
 mod schedule;
 mod table;
@@ -27,6 +30,8 @@
 pub use judge::{Assessment, Finding};
 pub use members::Members;
 pub use order_id::OrderId;
+pub use progress::RolloutProgress;
+pub use resume::ProgressSync;
 pub use rule::{Reach, VersionRule};
 pub use schedule::ExposureLimit;
 pub use table::{OutcomeWrite, RolloutStatus, RolloutTable, StepActions};
--- /dev/null
+++ b/crates/steering/src/rollout/resume.rs
@@ -0,0 +1,217 @@
+//! How a rollout resumes from the progress that the store keeps.
+//!
+//! An instance that finds an order soon after its start can't know whether other instances already
+//! work on it: it keeps requests from the version until another instance announces the rollout, or
+//! the stored progress was read. The judge that ranks first writes the progress at milestones.
+
+use super::active_rollout::{ActiveRollout, Change};
+use super::decision::Decision;
+use super::judge::{self, Finding};
+use super::members::Members;
+use super::progress::{Milestone, RolloutProgress};
+use super::report::Report;
+use super::tally::VersionTallies;
+use crate::Time;
+use crate::deployment::RolloutOrder;
+use crate::quota::MemberId;
+use std::time::Duration;
+
+/// Time after the start of an instance within which an order that it finds may be an old one: the
+/// first list of orders may be a few seconds old.
+const STARTUP_PERIOD: Duration = Duration::from_secs(5);
+
+/// Mean interval at which instances begin to read the progress of the same order.
+const READER_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Minimum interval between two synchronizations by one instance, longer than a call that fails.
+const SYNC_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// Largest difference between the times of day of two machines. An instance that has seen the order
+/// arrive corrects its age only beyond that.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3);
+
+/// Responses of the version that a judge needs after it resumed a rollout, before it decides in favor
+/// of the version.
+const MIN_RESUMED_RESPONSES: u32 = 10;
+
+/// An order whose progress has to be read from the store, merged, and written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProgressSync {
+    /// The order.
+    pub order: RolloutOrder,
+    /// What the store then holds at least.
+    pub(super) milestone: Milestone,
+}
+
+/// An instance's state with respect to the stored progress.
+#[derive(Clone, Debug)]
+pub(super) struct Resumption {
+    /// Whether requests are kept from the version until the progress is known.
+    pub(super) is_held: bool,
+    /// When it became known, if the rollout was held.
+    pub(super) resumed_at: Option<Time>,
+    /// When this instance learned of the order.
+    learned_at: Time,
+    synced_at: Option<Time>,
+    /// What the store holds at least.
+    saved: Option<Milestone>,
+    /// Responses that a fleet before this one had counted.
+    earlier: Option<Report>,
+}
+
+impl Resumption {
+    /// `started_at` is when the instance started, and `now` when it learned of the order.
+    pub(super) fn new(started_at: Time, now: Time) -> Self {
+        Self {
+            is_held: now.since(started_at) < STARTUP_PERIOD,
+            resumed_at: None,
+            learned_at: now,
+            synced_at: None,
+            saved: None,
+            earlier: None,
+        }
+    }
+
+    /// Ends the hold; returns whether there was one.
+    pub(super) fn release(&mut self, now: Time) -> bool {
+        let was_held = std::mem::take(&mut self.is_held);
+        if was_held {
+            self.resumed_at = Some(now);
+        }
+        was_held
+    }
+
+    /// The report of the responses that a fleet before this one had counted.
+    pub(super) fn earlier(&self) -> Option<&Report> {
+        self.earlier.as_ref()
+    }
+}
+
+impl ActiveRollout {
+    /// Returns whether the progress has to be synchronized now: by any instance while the rollout
+    /// is held, in a random order of the whole fleet, else by the judge that ranks first.
+    pub(super) fn due_progress_sync(
+        &mut self,
+        own: MemberId,
+        members: &Members,
+        now: Time,
+    ) -> Option<ProgressSync> {
+        let milestone = self.milestone();
+        let service = &self.order.service;
+        let resumption = &mut self.resumption;
+        let is_due = if resumption.is_held {
+            let delay =
+                members.expected_rank(service, own).map(|rank| READER_INTERVAL.mul_f64(rank));
+            delay.is_some_and(|delay| now.since(resumption.learned_at) >= delay)
+        } else {
+            resumption.saved != Some(milestone) && members.judges(service).first() == Some(&own)
+        };
+        let may_sync = resumption.synced_at.is_none_or(|at| now.since(at) >= SYNC_INTERVAL);
+        if !is_due || !may_sync {
+            return None;
+        }
+        resumption.synced_at = Some(now);
+        Some(ProgressSync { order: self.order.clone(), milestone })
+    }
+
+    /// Records that the store holds the progress up to a milestone.
+    pub(super) fn set_saved(&mut self, milestone: Milestone) {
+        self.resumption.saved = Some(milestone);
+    }
+
+    /// Resumes from the progress that the store holds, none if it holds none; `unix_ms` is the time
+    /// of day in milliseconds since the Unix epoch.
+    pub(super) fn resume(
+        &mut self,
+        stored: Option<&RolloutProgress>,
+        unix_ms: u64,
+        now: Time,
+    ) -> Option<Change> {
+        let was_held = self.resumption.release(now);
+        if was_held {
+            // An announcement tells other instances that need not read the progress any more.
+            self.changed_at = now;
+        }
+        let stored = stored?;
+        let age = Duration::from_millis(unix_ms.saturating_sub(stored.first_seen_ms));
+        let age = age.min(self.order.duration);
+        let tolerance = if was_held { Duration::ZERO } else { MAX_CLOCK_DIFFERENCE };
+        let is_older = age > self.age(now) + tolerance;
+        if is_older {
+            self.ordered_at = now - age;
+        }
+        let spreads = stored.spreads && self.spreading_since.is_none();
+        if spreads {
+            // The growth begins again: a version that turned bad meanwhile is detected early.
+            self.spreading_since = Some(now);
+            self.confirmed_at = now;
+        }
+        let outcome = stored.outcome;
+        let is_decided =
+            outcome.is_some_and(|outcome| self.merge_decision(Decision { outcome, at: now }));
+        if was_held && !stored.routes.is_empty() {
+            self.resumption.earlier = Some(self.earlier_report(stored));
+        }
+        if !(was_held || is_older || spreads || is_decided) {
+            return None;
+        }
+        self.changed_at = now;
+        Some(Change::Resumed {
+            age: self.age(now),
+            spreads: stored.spreads,
+            outcome,
+            responses: Some(stored.totals()),
+        })
+    }
+
+    /// Returns whether a judge that resumed the rollout has to observe the version before its next
+    /// decision in favor of it: what happened before is known in part only.
+    pub(super) fn needs_observation(&self, finding: Finding, now: Time) -> bool {
+        let Some(resumed_at) = self.resumption.resumed_at else { return false };
+        let stage_since = self.spreading_since.map_or(resumed_at, |start| start.max(resumed_at));
+        let is_recent = now.since(stage_since) < self.schedule.resumed_observation();
+        let VersionTallies { target, others } = self.responses_since_start();
+        let expected = self.schedule.exposure.trial_share() * f64::from(others.ended);
+        let is_unanswered = expected >= f64::from(MIN_RESUMED_RESPONSES);
+        if target.ended < MIN_RESUMED_RESPONSES && (is_recent || is_unanswered) {
+            return true;
+        }
+        let is_decidable =
+            finding == Finding::NotWorse || self.schedule.is_almost_over(self.age(now));
+        self.spreading_since.is_some() && (is_recent || !is_decidable)
+    }
+
+    /// The progress as far as this instance knows it.
+    pub(super) fn progress(&self, unix_ms: u64, now: Time) -> RolloutProgress {
+        let age_ms = u64::try_from(self.age(now).as_millis()).unwrap_or(u64::MAX);
+        RolloutProgress {
+            order: self.order.clone(),
+            first_seen_ms: unix_ms.saturating_sub(age_ms),
+            spreads: self.spreading_since.is_some(),
+            outcome: self.outcome(),
+            routes: self.judge.routes(),
+        }
+    }
+
+    fn milestone(&self) -> Milestone {
+        let spreads = self.spreading_since.is_some();
+        Milestone::new(spreads, self.outcome(), self.responses_since_start().target)
+    }
+
+    /// Responses that were reported to this judge, without those of a fleet before.
+    fn responses_since_start(&self) -> VersionTallies {
+        let (_, totals) = self.judge.totals();
+        totals - self.judge.stored_totals()
+    }
+
+    fn earlier_report(&self, stored: &RolloutProgress) -> Report {
+        Report {
+            order: self.id,
+            member: judge::stored_responses_id(),
+            started_ms: 0,
+            number: 1,
+            is_done: false,
+            routes: stored.routes.iter().map(|(route, tallies)| (*route, *tallies)).collect(),
+        }
+    }
+}
--- a/crates/steering/src/rollout/schedule.rs
+++ b/crates/steering/src/rollout/schedule.rs
@@ -19,11 +19,26 @@
 /// detected.
 const SPREADING_DURATION: f64 = 0.25;
 
+/// Fraction of the duration for which a version keeps all requests before it is considered rolled
+/// out: until then the other versions' backend servers run, so that it can be rolled back.
+const OBSERVATION_FRACTION: f64 = 0.15;
+
+/// Fraction of the duration for which a judge that resumed the rollout observes the version: the
+/// deadline may be near.
+const RESUMED_OBSERVATION_FRACTION: f64 = 0.1;
+
+/// Longest time of observation where no time for rollbacks is agreed.
+const MAX_OBSERVATION: Duration = Duration::from_secs(5);
+
 /// Fraction of the duration after which a version that gets all requests is considered rolled out,
 /// even if instances have not confirmed that no requests to other versions are in flight. The rest
 /// of the time is for a store that is slow or refuses writers.
 const DECISION_DEADLINE: f64 = 0.86;
 
+/// Fraction of the duration after which the outcome is decided even if requests to other versions are
+/// in flight, or a version was not found to be as good as the others after the rollout resumed.
+const FINAL_DEADLINE: f64 = 0.95;
+
 /// Time for which the share grows without confirmation by a judge.
 const CONFIRMATION_VALIDITY: Duration = Duration::from_secs(5);
 
@@ -32,11 +47,14 @@
 pub struct ExposureLimit {
     /// Fraction of the service's requests.
     pub share: f64,
+    /// Time within which no request is sent to a version after its bad responses have shown; none
+    /// if it is not agreed.
+    pub rollback: Option<Duration>,
 }
 
 impl ExposureLimit {
     /// A limit of zero: the version gets no requests during the trial.
-    pub const NONE: Self = Self { share: 0.0 };
+    pub const NONE: Self = Self { share: 0.0, rollback: None };
 
     /// The share of the requests that a version gets during the trial.
     pub fn trial_share(self) -> f64 {
@@ -64,6 +82,30 @@
         age >= self.duration.mul_f64(DECISION_DEADLINE)
     }
 
+    /// Time for which a judge that resumed the rollout observes the version before it decides on
+    /// success.
+    pub(super) fn resumed_observation(&self) -> Duration {
+        let longest = self.exposure.rollback.unwrap_or(MAX_OBSERVATION);
+        self.duration.mul_f64(RESUMED_OBSERVATION_FRACTION).min(longest)
+    }
+
+    /// Time for which a version that gets all requests is observed before it is considered rolled
+    /// out.
+    pub(super) fn observation(&self) -> Duration {
+        let longest = self.exposure.rollback.unwrap_or(MAX_OBSERVATION);
+        self.duration.mul_f64(OBSERVATION_FRACTION).min(longest)
+    }
+
+    /// Returns whether nothing may delay the outcome any longer.
+    pub(super) fn is_almost_over(&self, age: Duration) -> bool {
+        age >= self.duration.mul_f64(FINAL_DEADLINE)
+    }
+
+    /// Time in which the share grows to all requests.
+    pub(super) fn growth(&self) -> Duration {
+        self.duration.mul_f64(SPREADING_DURATION)
+    }
+
     /// The share of the requests `spread_for` after it began to grow; `confirmed_ago` is the time
     /// since a judge last confirmed the growth.
     pub(super) fn share(&self, spread_for: Option<Duration>, confirmed_ago: Duration) -> f64 {
@@ -71,8 +113,7 @@
         let Some(spread_for) = spread_for else { return trial };
         let grown_for =
             spread_for.saturating_sub(confirmed_ago.saturating_sub(CONFIRMATION_VALIDITY));
-        let fraction =
-            grown_for.as_secs_f64() / self.duration.mul_f64(SPREADING_DURATION).as_secs_f64();
+        let fraction = grown_for.as_secs_f64() / self.growth().as_secs_f64();
         (trial + (1.0 - trial) * fraction.powi(2)).min(1.0)
     }
 }
--- a/crates/steering/src/rollout/table.rs
+++ b/crates/steering/src/rollout/table.rs
@@ -4,7 +4,9 @@
 use super::announcement::Announcement;
 use super::members::Members;
 use super::order_id::OrderId;
+use super::progress::RolloutProgress;
 use super::report::Report;
+use super::resume::{ProgressSync, Resumption};
 use super::rule::VersionRule;
 use super::schedule::ExposureLimit;
 use super::tally::{Observation, VersionTallies};
@@ -18,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Minimum interval between two reports of an instance.
+/// Interval between two reports of an instance while it counts no bad responses.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Maximum number of reports that a judge receives per second: the smallest instance reads these in
@@ -38,6 +40,8 @@
     pub reports: Vec<(MemberId, Vec<u8>)>,
     /// Outcomes to be written to the store.
     pub writes: Vec<OutcomeWrite>,
+    /// Orders whose progress is to be synchronized with the store.
+    pub syncs: Vec<ProgressSync>,
     /// Changes by service.
     pub changes: Vec<(Arc<str>, Change)>,
 }
@@ -85,16 +89,17 @@
     exposure: ExposureLimit,
     own: MemberId,
     started_ms: u64,
+    started_at: Time,
     members: Members,
     by_service: BTreeMap<Arc<str>, ActiveRollout>,
 }
 
 impl RolloutTable {
-    /// Creates a table without rollouts; `started_ms` is the instance's start time in milliseconds
-    /// since the Unix epoch.
-    pub fn new(own: MemberId, started_ms: u64, exposure: ExposureLimit) -> Self {
-        let members = Members::default();
-        Self { exposure, own, started_ms, members, by_service: BTreeMap::new() }
+    /// Creates a table without rollouts, when the instance starts; `started_ms` is the start time in
+    /// milliseconds since the Unix epoch.
+    pub fn new(own: MemberId, started_ms: u64, exposure: ExposureLimit, now: Time) -> Self {
+        let (members, by_service) = (Members::default(), BTreeMap::new());
+        Self { exposure, own, started_ms, started_at: now, members, by_service }
     }
 
     /// Sets the orders that the store holds.
@@ -112,7 +117,8 @@
             let change = match existing.filter(|existing| existing.order == rollout.order) {
                 Some(existing) => existing.settle(rollout.outcome, now),
                 None => {
-                    let new = ActiveRollout::new(rollout, self.exposure, now);
+                    let resumption = Resumption::new(self.started_at, now);
+                    let new = ActiveRollout::new(rollout, self.exposure, resumption, now);
                     self.by_service.insert(service.clone(), new);
                     Some(rollout.outcome.map_or(Change::Ordered, Change::Settled))
                 }
@@ -187,33 +193,26 @@
     pub fn step(&mut self, now: Time) -> StepActions {
         let mut step = StepActions::default();
         let min_interval_s = self.members.count() as f64 / MAX_REPORTS_PER_S;
-        let report_interval = MIN_REPORT_INTERVAL.max(Duration::from_secs_f64(min_interval_s));
+        let fleet_interval = Duration::from_secs_f64(min_interval_s);
         let (own, started_ms, members) = (self.own, self.started_ms, &self.members);
         for (service, rollout) in
             self.by_service.iter_mut().filter(|(_, rollout)| rollout.settled.is_none())
         {
             let judges = members.judges(service);
-            if rollout.reported_at.is_none_or(|at| now.since(at) >= report_interval) {
+            // Bad responses are reported at the next step: until the version is rolled back, more follow.
+            let own_interval =
+                if rollout.has_unreported_bad() { Duration::ZERO } else { MIN_REPORT_INTERVAL };
+            let interval = own_interval.max(fleet_interval);
+            if rollout.reported_at.is_none_or(|at| now.since(at) >= interval) {
                 rollout.reported_at = Some(now);
-                rollout.reports += 1;
-                let report = Report {
-                    order: rollout.id,
-                    member: own,
-                    started_ms,
-                    number: rollout.reports,
-                    is_done: rollout.is_done(now),
-                    routes: rollout
-                        .tallies
-                        .iter()
-                        .map(|(route, tallies)| (*route, *tallies))
-                        .collect(),
-                };
-                // Encoding into memory can't fail; an empty report would be ignored.
-                let bytes = postcard::to_allocvec(&report).unwrap_or_default();
-                let others = judges.iter().filter(|judge| **judge != own);
-                step.reports.extend(others.map(|judge| (*judge, bytes.clone())));
-                if judges.contains(&own) {
-                    rollout.judge.add_report(report);
+                for report in rollout.next_reports(own, started_ms, now) {
+                    // Encoding into memory can't fail; an empty report would be ignored.
+                    let bytes = postcard::to_allocvec(&report).unwrap_or_default();
+                    let others = judges.iter().filter(|judge| **judge != own);
+                    step.reports.extend(others.map(|judge| (*judge, bytes.clone())));
+                    if judges.contains(&own) {
+                        rollout.judge.add_report(report);
+                    }
                 }
             }
             if let Some(rank) = judges.iter().position(|judge| *judge == own) {
@@ -221,6 +220,7 @@
                 let change = rollout.decide(all_done, rank, now);
                 step.changes.extend(change.map(|change| (service.clone(), change)));
             }
+            step.syncs.extend(rollout.due_progress_sync(own, members, now));
             step.writes.extend(due_outcome_write(rollout, members.writer_rank(service, own), now));
         }
         step
@@ -237,6 +237,38 @@
         true
     }
 
+    /// Resumes a rollout from the progress that the store holds, none if it holds none; `unix_ms` is
+    /// the time of day in milliseconds since the Unix epoch.
+    ///
+    /// Returns the progress to be written; none if the store holds all, or the order was replaced.
+    pub fn resume(
+        &mut self,
+        sync: &ProgressSync,
+        stored: Option<&RolloutProgress>,
+        unix_ms: u64,
+        now: Time,
+    ) -> (Option<RolloutProgress>, Option<Change>) {
+        let Some(rollout) = self.synced(sync) else { return (None, None) };
+        let change = rollout.resume(stored, unix_ms, now);
+        let mut progress = rollout.progress(unix_ms, now);
+        if let Some(stored) = stored {
+            progress.merge(stored);
+        }
+        (Some(progress).filter(|progress| Some(progress) != stored), change)
+    }
+
+    /// Records that the store holds what was to be synchronized.
+    pub fn set_synced(&mut self, sync: &ProgressSync) {
+        if let Some(rollout) = self.synced(sync) {
+            rollout.set_saved(sync.milestone);
+        }
+    }
+
+    fn synced(&mut self, sync: &ProgressSync) -> Option<&mut ActiveRollout> {
+        let rollout = self.by_service.get_mut(&sync.order.service);
+        rollout.filter(|rollout| rollout.order == sync.order)
+    }
+
     /// Returns whether there are recent changes that other instances may not know yet; none if
     /// there is nothing to announce.
     pub fn has_recent_changes(&self, now: Time) -> Option<bool> {
@@ -289,7 +321,8 @@
 
     /// The rollouts that are announced to other instances.
     fn announced(&self) -> impl Iterator<Item = &ActiveRollout> {
-        self.by_service.values().filter(|rollout| rollout.settled.is_none())
+        let is_known = |rollout: &&ActiveRollout| !rollout.resumption.is_held;
+        self.by_service.values().filter(is_known).filter(|rollout| rollout.settled.is_none())
     }
 }
 
--- a/crates/steering/src/rollout/tally.rs
+++ b/crates/steering/src/rollout/tally.rs
@@ -70,6 +70,13 @@
     }
 }
 
+impl Tally {
+    /// The exchanges that failed or were slow.
+    pub fn bad(&self) -> u32 {
+        self.failed + self.slow
+    }
+}
+
 impl Display for Tally {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let Self { ended, failed, timed, slow } = self;
--- a/crates/steering/src/time.rs
+++ b/crates/steering/src/time.rs
@@ -3,33 +3,33 @@
 use std::ops::{Add, AddAssign, Sub};
 use std::time::Duration;
 
-/// A point in time: nanoseconds since the instance's machine booted, including time suspended.
+/// A point in time: nanoseconds on a clock of the instance's machine that includes time suspended.
 ///
 /// Times of different instances can't be compared; messages carry durations.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Time {
-    since_boot_ns: u64,
+    ns: u64,
 }
 
 impl Time {
-    /// Creates a time from nanoseconds since the machine booted.
-    pub const fn from_ns(since_boot_ns: u64) -> Self {
-        Self { since_boot_ns }
+    /// Creates a time from nanoseconds.
+    pub const fn from_ns(ns: u64) -> Self {
+        Self { ns }
     }
 
-    /// Creates a time from milliseconds since the machine booted.
-    pub const fn from_ms(since_boot_ms: u64) -> Self {
-        Self { since_boot_ns: since_boot_ms * 1_000_000 }
+    /// Creates a time from milliseconds.
+    pub const fn from_ms(ms: u64) -> Self {
+        Self { ns: ms * 1_000_000 }
     }
 
-    /// Returns the nanoseconds since the machine booted.
+    /// Returns the nanoseconds.
     pub const fn as_ns(self) -> u64 {
-        self.since_boot_ns
+        self.ns
     }
 
     /// Returns the time since `earlier`, zero if that is later.
     pub fn since(self, earlier: Time) -> Duration {
-        Duration::from_nanos(self.since_boot_ns.saturating_sub(earlier.since_boot_ns))
+        Duration::from_nanos(self.ns.saturating_sub(earlier.ns))
     }
 }
 
@@ -38,7 +38,7 @@
 
     fn add(self, duration: Duration) -> Time {
         let ns = u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
-        Time { since_boot_ns: self.since_boot_ns.saturating_add(ns) }
+        Time { ns: self.ns.saturating_add(ns) }
     }
 }
 
@@ -53,6 +53,6 @@
 
     fn sub(self, duration: Duration) -> Time {
         let ns = u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
-        Time { since_boot_ns: self.since_boot_ns.saturating_sub(ns) }
+        Time { ns: self.ns.saturating_sub(ns) }
     }
 }
--- a/crates/steering/tests/rollout.rs
+++ b/crates/steering/tests/rollout.rs
@@ -16,6 +16,9 @@
 /// Number of random schedules that are simulated.
 const SCHEDULES: u64 = 2_000;
 
+/// Limit of the table under test.
+const EXPOSURE: ExposureLimit = ExposureLimit { share: 0.1, rollback: None };
+
 /// Versions with each kind of failure that operators know.
 const BAD: [Version; 4] = [
     Version::Fails(0.4),
@@ -213,7 +216,7 @@
     let order = RolloutOrder::new("dossier", "dossier", "v2", 14.0, 1).expect("it is valid");
     let orders = Rollouts::from([("dossier".into(), Rollout { order, outcome: None })]);
     let now = Time::from_ms(1_000);
-    let mut table = RolloutTable::new(MemberId::from_name("one"), 1, ExposureLimit { share: 0.1 });
+    let mut table = RolloutTable::new(MemberId::from_name("one"), 1, EXPOSURE, now);
     table.set_orders(&orders, now);
     let counted = table.record_request("dossier", false).expect("there is an order");
     table.set_orders(&Rollouts::new(), now);
--- a/crates/steering/tests/rollout_fleet/mod.rs
+++ b/crates/steering/tests/rollout_fleet/mod.rs
@@ -3,11 +3,12 @@
 
 mod node;
 mod outcome;
+mod progress;
 mod requests;
 mod setup;
 mod world;
 
-pub(crate) use outcome::Outcome;
+pub(crate) use outcome::{EXPOSURE, Outcome};
 pub(crate) use setup::{Defect, Fault, Setup, Version, fault_free};
 
 use outcome::ROLLBACK;
--- a/crates/steering/tests/rollout_fleet/node.rs
+++ b/crates/steering/tests/rollout_fleet/node.rs
@@ -1,6 +1,6 @@
 //! One instance of the fleet.
 
-use super::outcome::EXPOSURE;
+use super::outcome::{EXPOSURE, ROLLBACK};
 use super::setup::Defect;
 use std::time::Duration;
 use steering::Time;
@@ -28,6 +28,8 @@
     pub(super) table_step_at: Time,
     pub(super) gossip_at: Time,
     pub(super) received: u64,
+    /// Whether it has read the stored progress, or received an announcement, since its start.
+    pub(super) is_informed: bool,
 }
 
 impl Node {
@@ -48,10 +50,20 @@
     }
 }
 
-pub(super) fn new_table(id: MemberId, start_count: u64, defect: Defect) -> RolloutTable {
+pub(super) fn new_table(
+    id: MemberId,
+    start_count: u64,
+    defect: Defect,
+    started_at: Time,
+) -> RolloutTable {
     let share = match defect {
         Defect::SpreadsImmediately => 1.0 / 0.6,
         _ => EXPOSURE.0,
     };
-    RolloutTable::new(id, start_count, ExposureLimit { share })
+    let started_at = match defect {
+        Defect::IgnoresHold => Time::default(),
+        _ => started_at,
+    };
+    let exposure = ExposureLimit { share, rollback: Some(ROLLBACK) };
+    RolloutTable::new(id, start_count, exposure, started_at)
 }
--- a/crates/steering/tests/rollout_fleet/outcome.rs
+++ b/crates/steering/tests/rollout_fleet/outcome.rs
@@ -19,6 +19,18 @@
     /// Time from the 50th bad response to the last request to a bad version from a connected
     /// instance.
     pub(crate) overrun: Duration,
+    /// Requests to the version from all instances until the deadline.
+    pub(crate) exposed_by_all: u64,
+    /// Requests to the version from instances that had started, and knew nothing of the rollout.
+    pub(crate) uninformed: u64,
+    /// Requests to the version from instances that started after the store held its rollback.
+    pub(crate) after_rollback: u64,
+    /// Time from the order to the time at which it was first seen, according to the store.
+    pub(crate) seen_after: Duration,
+    /// Writes that took progress in the store back.
+    pub(crate) regressions: u64,
+    /// The same time, counted from the 50th bad response since all instances lost power.
+    pub(crate) overrun_since_loss: Duration,
     /// The outcome in the store, and the time until then.
     pub(crate) ended: Option<(RolloutOutcome, Duration)>,
     /// Requests in flight to other versions when their backend servers were stopped.
@@ -36,6 +48,15 @@
         if self.exposed as f64 > max_exposed {
             return Some(format!("{} requests of at most {max_exposed:.0}", self.exposed));
         }
+        for (count, what) in [
+            (self.uninformed, "requests by instances that knew nothing of the rollout"),
+            (self.after_rollback, "requests after a rollback"),
+            (self.regressions, "writes that took progress back"),
+        ] {
+            if count > 0 {
+                return Some(format!("{count} {what}"));
+            }
+        }
         (self.overrun > ROLLBACK).then(|| format!("{:?} after the 50th bad response", self.overrun))
     }
 }
--- a/crates/steering/tests/rollout_fleet/requests.rs
+++ b/crates/steering/tests/rollout_fleet/requests.rs
@@ -65,11 +65,19 @@
         let start_count = node.start_count;
         if is_target {
             self.run_by_target += 1;
+            self.outcome.exposed_by_all += u64::from(until_deadline);
+            self.outcome.uninformed += u64::from(start_count > 1 && !node.is_informed);
+            let has_started_after = self.rolled_back_at.is_some_and(|at| node.down_until > at);
+            self.outcome.after_rollback += u64::from(has_started_after);
             if is_connected {
                 self.outcome.exposed += u64::from(until_deadline);
                 if let Some(at) = self.bad_at {
                     self.outcome.overrun = self.outcome.overrun.max(now.since(at));
                 }
+                if let Some(at) = self.bad_since_loss_at {
+                    let overrun = &mut self.outcome.overrun_since_loss;
+                    *overrun = (*overrun).max(now.since(at));
+                }
             }
         }
         let at = (now + took).as_ns();
@@ -126,6 +134,10 @@
                 let is_bad = is_target && (observed.ending == Ending::Erred || is_slow);
                 if is_bad && self.setup.version != Version::Sound {
                     self.outcome.bad += 1;
+                    self.bad_since_loss += 1;
+                    if self.bad_since_loss == DETECTABLE_BAD {
+                        self.bad_since_loss_at = Some(now);
+                    }
                     if self.outcome.bad == DETECTABLE_BAD {
                         self.bad_at = Some(now);
                     }
--- a/crates/steering/tests/rollout_fleet/setup.rs
+++ b/crates/steering/tests/rollout_fleet/setup.rs
@@ -55,6 +55,20 @@
     SpreadsImmediately,
     /// Instances don't report latencies.
     IgnoresLatency,
+    /// Instances don't read or write the progress.
+    NeverSyncs,
+    /// The store does not keep the progress.
+    ForgetsProgress,
+    /// A restarted fleet starts the schedule of the rollout again.
+    BeginsAnew,
+    /// A restarted fleet forgets the decision on the outcome.
+    ForgetsOutcome,
+    /// A restarted fleet forgets the responses that were counted.
+    ForgetsResponses,
+    /// Progress is written whatever the store holds by then.
+    WritesBlindly,
+    /// A restarted instance sends requests to the version before it knows the progress.
+    IgnoresHold,
 }
 
 /// Configuration of a simulation.
@@ -69,6 +83,12 @@
     pub(crate) loss: f64,
     pub(crate) faults: Vec<(Duration, Fault)>,
     pub(crate) defect: Defect,
+    /// Longest time until a write of progress reaches the store.
+    pub(crate) write_delay: Duration,
+    /// Fraction of the store's responses to writes of progress that are lost.
+    pub(crate) lost_responses: f64,
+    /// Time until which the store rejects outcomes.
+    pub(crate) no_outcomes_until: Duration,
     pub(crate) capacity: VersionCapacity,
     pub(crate) seed: u64,
 }
@@ -84,6 +104,9 @@
         loss: 0.01,
         faults: Vec::new(),
         defect: Defect::None,
+        write_delay: Duration::ZERO,
+        lost_responses: 0.0,
+        no_outcomes_until: Duration::ZERO,
         capacity: VersionCapacity { target: 100, others: 100 },
         seed,
     }
--- a/crates/steering/tests/rollout_fleet/world.rs
+++ b/crates/steering/tests/rollout_fleet/world.rs
@@ -2,6 +2,7 @@
 
 use super::node::{Node, new_table};
 use super::outcome::Outcome;
+use super::progress::{ProgressObject, ProgressWrite};
 use super::requests::RequestInFlight;
 use super::setup::{Defect, Fault, Setup};
 use rand::rngs::SmallRng;
@@ -28,6 +29,9 @@
 const TABLE_STEP_INTERVAL_MS: u64 = 300;
 const GOSSIP_INTERVAL_MS: u64 = 800;
 
+/// Time of the order.
+pub(super) const START: Time = Time::from_ms(100_000);
+
 pub(super) const SERVICE: &str = "dossier";
 
 pub(super) enum Message {
@@ -38,6 +42,8 @@
 pub(super) struct World {
     pub(super) setup: Setup,
     pub(super) random: SmallRng,
+    /// For the store, so that it doesn't change what else is drawn.
+    pub(super) store_random: SmallRng,
     pub(super) now: Time,
     pub(super) nodes: Vec<Node>,
     pub(super) in_transit: BTreeMap<u64, Vec<(usize, Message)>>,
@@ -48,6 +54,14 @@
     pub(super) revision: u64,
     pub(super) run_by_target: u64,
     pub(super) bad_at: Option<Time>,
+    /// Bad responses since all instances lost power, and the time of the 50th.
+    pub(super) bad_since_loss: u64,
+    pub(super) bad_since_loss_at: Option<Time>,
+    pub(super) object: ProgressObject,
+    /// Writes of progress by the time at which they reach the store.
+    pub(super) writes: BTreeMap<u64, Vec<ProgressWrite>>,
+    /// When the store held a rollback first.
+    pub(super) rolled_back_at: Option<Time>,
     pub(super) outcome: Outcome,
 }
 
@@ -58,13 +72,15 @@
 impl World {
     pub(super) fn new(setup: Setup) -> Self {
         let mut random = SmallRng::seed_from_u64(setup.seed);
+        let store_random = SmallRng::seed_from_u64(!setup.seed);
         // Some time after the machines started.
-        let now = Time::from_ms(100_000);
+        let now = START;
         let nodes = (0..setup.instances).map(|number| {
             let id = MemberId::from_name(&format!("instance-{number}"));
             Node {
                 id,
-                table: new_table(id, 1, setup.defect),
+                // It started long before the order.
+                table: new_table(id, 1, setup.defect, Time::default()),
                 start_count: 1,
                 known_revision: 0,
                 next_update_at: now + Duration::from_millis(random.random_range(20..600)),
@@ -79,11 +95,13 @@
                     + Duration::from_millis(random.random_range(0..TABLE_STEP_INTERVAL_MS)),
                 gossip_at: now + Duration::from_millis(random.random_range(0..GOSSIP_INTERVAL_MS)),
                 received: 0,
+                is_informed: false,
             }
         });
         Self {
             nodes: nodes.collect(),
             random,
+            store_random,
             now,
             in_transit: BTreeMap::new(),
             endings: BTreeMap::new(),
@@ -91,6 +109,11 @@
             revision: 1,
             run_by_target: 0,
             bad_at: None,
+            bad_since_loss: 0,
+            bad_since_loss_at: None,
+            object: ProgressObject::default(),
+            writes: BTreeMap::new(),
+            rolled_back_at: None,
             outcome: Outcome::default(),
             setup,
         }
@@ -122,13 +145,15 @@
             node.down_until <= self.now || self.now.since(node.down_since) < LOST_AFTER
         };
         let all = self.nodes.iter().filter(seems_alive);
-        Members::new(all.map(|node| (node.id, self.now >= node.no_store_until)).collect())
+        let all = all.map(|node| (node.id, self.now >= node.no_store_until)).collect();
+        Members::new(all).with_fleet_size(self.nodes.len())
     }
 
     pub(super) fn step(&mut self, elapsed: Duration) {
         self.now += STEP;
         self.begin_faults(elapsed);
         self.learn();
+        self.apply_progress_writes();
         self.deliver();
         self.end_requests();
         self.send_requests(elapsed);
@@ -174,6 +199,9 @@
                 | Fault::NoStore { from, count, .. }
                 | Fault::Suspended { from, count, .. } => (from, count),
             };
+            if matches!(fault, Fault::Restart { .. }) && count >= self.nodes.len() {
+                (self.bad_since_loss, self.bad_since_loss_at) = (0, None);
+            }
             for offset in 0..count.min(self.nodes.len()) {
                 let number = (from + offset) % self.nodes.len();
                 let (defect, revision) = (self.setup.defect, self.revision);
@@ -188,7 +216,8 @@
                         node.down_since = now;
                         node.down_until = now + down;
                         node.start_count += 1;
-                        node.table = new_table(node.id, node.start_count, defect);
+                        node.table = new_table(node.id, node.start_count, defect, node.down_until);
+                        node.is_informed = defect == Defect::ForgetsOrder;
                         node.known_revision = 0;
                         if defect == Defect::ForgetsOrder {
                             node.known_revision = revision;
@@ -245,6 +274,7 @@
                 node.received += 1;
                 match message {
                     Message::Announcements(bytes) => {
+                        node.is_informed = true;
                         let changes =
                             node.table.merge_announcements(&bytes, now).expect("it can be decoded");
                         if !changes.is_empty() {
@@ -271,8 +301,14 @@
         }
         let node = &self.nodes[number];
         let reaches = self.now >= node.no_store_until && self.now >= node.cut_until;
+        for sync in step.syncs {
+            if reaches {
+                self.sync_progress(number, sync);
+            }
+        }
+        let accepts = self.now.since(START) >= self.setup.no_outcomes_until;
         for write in step.writes {
-            if !reaches || self.setup.defect == Defect::NeverAnnounces {
+            if !reaches || !accepts || self.setup.defect == Defect::NeverAnnounces {
                 continue;
             }
             match self.stored {
@@ -285,8 +321,11 @@
 
     pub(super) fn record_outcome(&mut self, outcome: RolloutOutcome) {
         self.stored = Some(outcome);
+        if outcome == RolloutOutcome::RolledBack {
+            self.rolled_back_at.get_or_insert(self.now);
+        }
         self.revision += 1;
-        let since = self.now.since(Time::from_ms(100_000));
+        let since = self.now.since(START);
         self.outcome.ended = Some((outcome, since));
         if outcome == RolloutOutcome::Succeeded {
             let in_flight = self.endings.values().flatten().filter(|request| !request.is_target);
