Split what is known of stored progress from resuming

Cause: active_rollout and resume used each other, which the structure check forbids. Change: Resumption in a file of its own, the judge's wait beside its decision.

--- a/crates/steering/src/rollout/active_rollout.rs
+++ b/crates/steering/src/rollout/active_rollout.rs
@@ -5,7 +5,7 @@
 use super::judge::{Assessment, Finding, Judge};
 use super::order_id::OrderId;
 use super::report::Report;
-use super::resume::Resumption;
+use super::resumption::Resumption;
 use super::rule::{Reach, VersionRule};
 use super::schedule::{ExposureLimit, Schedule};
 use super::tally::{Tally, VersionTallies};
@@ -24,6 +24,10 @@
 /// known to the others.
 const JUDGE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Responses of the version that a judge needs after it resumed a rollout, before it decides in favor
+/// of the version.
+const MIN_RESUMED_RESPONSES: u32 = 10;
+
 /// A change, for logs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -190,7 +194,7 @@
         let routes = self.tallies.iter().map(|(route, tallies)| (*route, *tallies)).collect();
         let (order, number, is_done) = (self.id, self.reports, self.is_done(now));
         let own = Report { order, member, started_ms, number, is_done, routes };
-        std::iter::once(own).chain(self.resumption.earlier().cloned())
+        std::iter::once(own).chain(self.resumption.earlier.clone())
     }
 
     /// Records the final outcome from the store.
@@ -265,6 +269,29 @@
         grows
     }
 
+    /// Returns whether a judge that resumed the rollout has to observe the version before its next
+    /// decision in favor of it: what happened before is known in part only.
+    fn needs_observation(&self, finding: Finding, now: Time) -> bool {
+        let Some(resumed_at) = self.resumption.resumed_at else { return false };
+        let stage_since = self.spreading_since.map_or(resumed_at, |start| start.max(resumed_at));
+        let is_recent = now.since(stage_since) < self.schedule.resumed_observation();
+        let VersionTallies { target, others } = self.responses_since_start();
+        let expected = self.schedule.exposure.trial_share() * f64::from(others.ended);
+        let is_unanswered = expected >= f64::from(MIN_RESUMED_RESPONSES);
+        if target.ended < MIN_RESUMED_RESPONSES && (is_recent || is_unanswered) {
+            return true;
+        }
+        let is_decidable =
+            finding == Finding::NotWorse || self.schedule.is_almost_over(self.age(now));
+        self.spreading_since.is_some() && (is_recent || !is_decidable)
+    }
+
+    /// Responses that were reported to this judge, without those of a fleet before.
+    pub(super) fn responses_since_start(&self) -> VersionTallies {
+        let (_, totals) = self.judge.totals();
+        totals - self.judge.stored_totals()
+    }
+
     /// Decides as a judge on the next step. `all_done` is whether all instances are done; `rank`
     /// is the judge's rank, which delays its decision so that judges don't decide differently at
     /// the same time.
--- a/crates/steering/src/rollout/mod.rs
+++ b/crates/steering/src/rollout/mod.rs
@@ -20,6 +20,7 @@
 mod progress;
 mod report;
 mod resume;
+mod resumption;
 mod rule;
 mod schedule;
 mod table;
--- a/crates/steering/src/rollout/resume.rs
+++ b/crates/steering/src/rollout/resume.rs
@@ -6,20 +6,15 @@
 
 use super::active_rollout::{ActiveRollout, Change};
 use super::decision::Decision;
-use super::judge::{self, Finding};
+use super::judge;
 use super::members::Members;
 use super::progress::{Milestone, RolloutProgress};
 use super::report::Report;
-use super::tally::VersionTallies;
 use crate::Time;
 use crate::deployment::RolloutOrder;
 use crate::quota::MemberId;
 use std::time::Duration;
 
-/// Time after the start of an instance within which an order that it finds may be an old one: the
-/// first list of orders may be a few seconds old.
-const STARTUP_PERIOD: Duration = Duration::from_secs(5);
-
 /// Mean interval at which instances begin to read the progress of the same order.
 const READER_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -30,10 +25,6 @@
 /// arrive corrects its age only beyond that.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3);
 
-/// Responses of the version that a judge needs after it resumed a rollout, before it decides in favor
-/// of the version.
-const MIN_RESUMED_RESPONSES: u32 = 10;
-
 /// An order whose progress has to be read from the store, merged, and written.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProgressSync {
@@ -43,50 +34,6 @@
     pub(super) milestone: Milestone,
 }
 
-/// An instance's state with respect to the stored progress.
-#[derive(Clone, Debug)]
-pub(super) struct Resumption {
-    /// Whether requests are kept from the version until the progress is known.
-    pub(super) is_held: bool,
-    /// When it became known, if the rollout was held.
-    pub(super) resumed_at: Option<Time>,
-    /// When this instance learned of the order.
-    learned_at: Time,
-    synced_at: Option<Time>,
-    /// What the store holds at least.
-    saved: Option<Milestone>,
-    /// Responses that a fleet before this one had counted.
-    earlier: Option<Report>,
-}
-
-impl Resumption {
-    /// `started_at` is when the instance started, and `now` when it learned of the order.
-    pub(super) fn new(started_at: Time, now: Time) -> Self {
-        Self {
-            is_held: now.since(started_at) < STARTUP_PERIOD,
-            resumed_at: None,
-            learned_at: now,
-            synced_at: None,
-            saved: None,
-            earlier: None,
-        }
-    }
-
-    /// Ends the hold; returns whether there was one.
-    pub(super) fn release(&mut self, now: Time) -> bool {
-        let was_held = std::mem::take(&mut self.is_held);
-        if was_held {
-            self.resumed_at = Some(now);
-        }
-        was_held
-    }
-
-    /// The report of the responses that a fleet before this one had counted.
-    pub(super) fn earlier(&self) -> Option<&Report> {
-        self.earlier.as_ref()
-    }
-}
-
 impl ActiveRollout {
     /// Returns whether the progress has to be synchronized now: by any instance while the rollout
     /// is held, in a random order of the whole fleet, else by the judge that ranks first.
@@ -164,23 +111,6 @@
         })
     }
 
-    /// Returns whether a judge that resumed the rollout has to observe the version before its next
-    /// decision in favor of it: what happened before is known in part only.
-    pub(super) fn needs_observation(&self, finding: Finding, now: Time) -> bool {
-        let Some(resumed_at) = self.resumption.resumed_at else { return false };
-        let stage_since = self.spreading_since.map_or(resumed_at, |start| start.max(resumed_at));
-        let is_recent = now.since(stage_since) < self.schedule.resumed_observation();
-        let VersionTallies { target, others } = self.responses_since_start();
-        let expected = self.schedule.exposure.trial_share() * f64::from(others.ended);
-        let is_unanswered = expected >= f64::from(MIN_RESUMED_RESPONSES);
-        if target.ended < MIN_RESUMED_RESPONSES && (is_recent || is_unanswered) {
-            return true;
-        }
-        let is_decidable =
-            finding == Finding::NotWorse || self.schedule.is_almost_over(self.age(now));
-        self.spreading_since.is_some() && (is_recent || !is_decidable)
-    }
-
     /// The progress as far as this instance knows it.
     pub(super) fn progress(&self, unix_ms: u64, now: Time) -> RolloutProgress {
         let age_ms = u64::try_from(self.age(now).as_millis()).unwrap_or(u64::MAX);
@@ -198,12 +128,6 @@
         Milestone::new(spreads, self.outcome(), self.responses_since_start().target)
     }
 
-    /// Responses that were reported to this judge, without those of a fleet before.
-    fn responses_since_start(&self) -> VersionTallies {
-        let (_, totals) = self.judge.totals();
-        totals - self.judge.stored_totals()
-    }
-
     fn earlier_report(&self, stored: &RolloutProgress) -> Report {
         Report {
             order: self.id,
