--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{Outcome, millis};
 use super::exchange::Exchange;
+use super::sent_flag::SentFlag;
 use crate::process::recent_decisions::{AttemptRecord, Decision};
 use std::sync::Arc;
 use steering::placement::Choice;
@@ -20,6 +21,8 @@
 pub(super) struct Progress {
     /// Whether the request was counted against its customer's quota.
     is_counted: bool,
+    /// Whether a retry was taken from the budget for an attempt that has not begun.
+    is_retry_taken: bool,
     /// Attempts that may have run it: those in flight, and those that ended without a sign that it
     /// has not run.
     may_have_run: u32,
@@ -27,6 +30,8 @@
     excluded_servers: Vec<Arc<str>>,
     /// The attempts, as operators see them.
     attempts: Vec<AttemptRecord>,
+    /// For each attempt, whether sending the request began.
+    sent_flags: Vec<SentFlag>,
 }
 
 impl Progress {
@@ -35,6 +40,19 @@
         self.is_counted = true;
     }
 
+    /// Takes a retry from the budget for the next attempt; returns whether there was one.
+    pub(super) fn take_retry(&mut self, exchange: &Exchange) -> bool {
+        self.is_retry_taken = exchange.instance.take_retry(&exchange.service);
+        self.is_retry_taken
+    }
+
+    /// Returns a retry to the budget if its attempt has not begun and never will.
+    pub(super) fn refund_unsent_retry(&self, exchange: &Exchange) {
+        if self.is_retry_taken {
+            exchange.instance.refund_retry(&exchange.service);
+        }
+    }
+
     /// Refunds the quota if the request has not run and never will.
     pub(super) fn refund_if_not_run(&self, exchange: &Exchange) {
         if self.is_counted && !self.may_have_run() {
@@ -42,13 +60,30 @@
         }
     }
 
-    /// Begins an attempt and returns its number.
+    /// Ends the attempts that were dropped before sending the request began.
+    pub(super) fn end_unsent_attempts(&mut self, exchange: &Exchange) {
+        let attempts = self.attempts.iter().zip(&self.sent_flags).enumerate();
+        let unsent = attempts.filter(|(_, (attempt, sent_flag))| {
+            attempt.outcome == ABANDONED && !sent_flag.is_set()
+        });
+        let unsent_numbers: Vec<usize> = unsent.map(|(number, _)| number).collect();
+        for number in unsent_numbers {
+            self.end_attempt(number, &Outcome::NotSent, exchange);
+        }
+    }
+
+    /// Begins an attempt; returns its number, and the flag to set when sending begins.
     ///
     /// Charges the quota if another attempt may have run the request; the first was charged before.
-    pub(super) fn begin_attempt(&mut self, choice: &Choice, exchange: &Exchange) -> usize {
+    pub(super) fn begin_attempt(
+        &mut self,
+        choice: &Choice,
+        exchange: &Exchange,
+    ) -> (usize, SentFlag) {
         if self.may_have_run > 0 {
             exchange.charge_quota();
         }
+        self.is_retry_taken = false;
         self.may_have_run += 1;
         self.excluded_servers.push(choice.id.clone());
         self.attempts.push(AttemptRecord {
@@ -61,7 +96,9 @@
             ended_ms: 0,
             outcome: ABANDONED,
         });
-        self.attempts.len() - 1
+        let sent_flag = SentFlag::default();
+        self.sent_flags.push(sent_flag.clone());
+        (self.attempts.len() - 1, sent_flag)
     }
 
     /// Ends the attempt with this number.
