Hold an order from a late first list, and trust no wrong clock

Cause: an instance kept requests from a version only for orders found within 5 s of its start. If the store was down for longer at the start of the whole fleet, the first list came later and the roll-out began anew without its progress. A machine whose clock is far behind the others' could write an early time, or announce an old order; running judges then took that age and gave the version all requests on little evidence. The check of the 5 s after the 50th bad response began again at each loss of all power.

Change: the period counts from the first list of orders. An instance that saw the order arrive takes no age from the store; a judge that hears of an order more than 3 s older than it knew observes the version again first; ages from announcements are at most the order's duration.

The three new tests pass; that of the older order fails if the observation is left out.

--- a/crates/entry/src/process/rollouts.rs
+++ b/crates/entry/src/process/rollouts.rs
@@ -45,6 +45,7 @@
     let instance = instance.clone();
     tokio::task::spawn_local(async move {
         loop {
+            note_unknown_orders(&instance);
             let is_idle = instance.rollouts.borrow().is_empty();
             if !is_idle {
                 step(&instance, &socket).await;
@@ -57,6 +58,13 @@
     });
 }
 
+/// Tells the table while no list of orders has arrived since the start.
+fn note_unknown_orders(instance: &Instance) {
+    if instance.replica.borrow().rollouts.as_of == 0 {
+        instance.rollouts.borrow_mut().set_orders_unknown(instance.clock.now());
+    }
+}
+
 async fn step(instance: &Rc<Instance>, socket: &UdpSocket) {
     let now = instance.clock.now();
     update_capacities(instance);
--- a/crates/steering/src/rollout/active_rollout.rs
+++ b/crates/steering/src/rollout/active_rollout.rs
@@ -24,6 +24,10 @@
 /// known to the others.
 const JUDGE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time by which an instance learns of an order after others, unless the link or its clock was
+/// faulty. If the order is older than that, a judge observes the version again before it favors it.
+const MAX_DELAY_OF_ORDER: Duration = Duration::from_secs(3);
+
 /// Responses of the version that a judge needs after it resumed a rollout, before it decides in favor
 /// of the version.
 const MIN_RESUMED_RESPONSES: u32 = 10;
@@ -214,7 +218,11 @@
 
     /// Merges the announcement of another instance.
     pub(super) fn merge(&mut self, announcement: &Announcement, now: Time) -> Vec<Change> {
-        self.ordered_at = self.ordered_at.min(announcement.ordered_at(now));
+        let ordered_at = announcement.ordered_at(now).max(now - self.order.duration);
+        if self.ordered_at.since(ordered_at) > MAX_DELAY_OF_ORDER {
+            self.resumption.observe_from(now);
+        }
+        self.ordered_at = self.ordered_at.min(ordered_at);
         let age = self.age(now);
         let mut changes = Vec::new();
         if self.resumption.release(now) {
--- a/crates/steering/src/rollout/resume.rs
+++ b/crates/steering/src/rollout/resume.rs
@@ -21,10 +21,6 @@
 /// Minimum interval between two synchronizations by one instance, longer than a call that fails.
 const SYNC_INTERVAL: Duration = Duration::from_millis(1_200);
 
-/// Largest difference between the times of day of two machines. An instance that has seen the order
-/// arrive corrects its age only beyond that.
-const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3);
-
 /// An order whose progress has to be read from the store, merged, and written.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProgressSync {
@@ -82,10 +78,9 @@
         let stored = stored?;
         let age = Duration::from_millis(unix_ms.saturating_sub(stored.first_seen_ms));
         let age = age.min(self.order.duration);
-        let tolerance = if was_held { Duration::ZERO } else { MAX_CLOCK_DIFFERENCE };
-        let is_older = age > self.age(now) + tolerance;
-        if is_older {
-            self.ordered_at = now - age;
+        if was_held {
+            // Who saw the order arrive needs no time of day, which may be wrong on some machine.
+            self.ordered_at = self.ordered_at.min(now - age);
         }
         let spreads = stored.spreads && self.spreading_since.is_none();
         if spreads {
@@ -99,7 +94,7 @@
         if was_held && !stored.routes.is_empty() {
             self.resumption.earlier = Some(self.earlier_report(stored));
         }
-        if !(was_held || is_older || spreads || is_decided) {
+        if !(was_held || spreads || is_decided) {
             return None;
         }
         self.changed_at = now;
--- a/crates/steering/src/rollout/resumption.rs
+++ b/crates/steering/src/rollout/resumption.rs
@@ -5,8 +5,8 @@
 use crate::Time;
 use std::time::Duration;
 
-/// Time after the start of an instance within which an order that it finds may be an old one: the
-/// first list of orders may be a few seconds old.
+/// Time after an instance got its first list of orders within which an order that it finds may be an
+/// old one: that list may be a few seconds old.
 const STARTUP_PERIOD: Duration = Duration::from_secs(5);
 
 /// An instance's state with respect to the stored progress.
@@ -14,7 +14,7 @@
 pub(super) struct Resumption {
     /// Whether requests are kept from the version until the progress is known.
     pub(super) is_held: bool,
-    /// When it became known, if the rollout was held.
+    /// When it became known, if the rollout was held, or the order turned out to be older.
     pub(super) resumed_at: Option<Time>,
     /// When this instance learned of the order.
     pub(super) learned_at: Time,
@@ -26,10 +26,11 @@
 }
 
 impl Resumption {
-    /// `started_at` is when the instance started, and `now` when it learned of the order.
-    pub(super) fn new(started_at: Time, now: Time) -> Self {
+    /// `unknown_at` is when the instance last knew no list of orders, and `now` when it learned of the
+    /// order.
+    pub(super) fn new(unknown_at: Time, now: Time) -> Self {
         Self {
-            is_held: now.since(started_at) < STARTUP_PERIOD,
+            is_held: now.since(unknown_at) < STARTUP_PERIOD,
             resumed_at: None,
             learned_at: now,
             synced_at: None,
@@ -38,6 +39,11 @@
         }
     }
 
+    /// Records that the order turned out to be older than this instance knew.
+    pub(super) fn observe_from(&mut self, now: Time) {
+        self.resumed_at = Some(now);
+    }
+
     /// Ends the hold; returns whether there was one.
     pub(super) fn release(&mut self, now: Time) -> bool {
         let was_held = std::mem::take(&mut self.is_held);
--- a/crates/steering/src/rollout/table.rs
+++ b/crates/steering/src/rollout/table.rs
@@ -90,7 +90,8 @@
     exposure: ExposureLimit,
     own: MemberId,
     started_ms: u64,
-    started_at: Time,
+    /// When this instance last did not know the orders yet.
+    orders_unknown_at: Time,
     members: Members,
     by_service: BTreeMap<Arc<str>, ActiveRollout>,
 }
@@ -100,7 +101,13 @@
     /// milliseconds since the Unix epoch.
     pub fn new(own: MemberId, started_ms: u64, exposure: ExposureLimit, now: Time) -> Self {
         let (members, by_service) = (Members::default(), BTreeMap::new());
-        Self { exposure, own, started_ms, started_at: now, members, by_service }
+        Self { exposure, own, started_ms, orders_unknown_at: now, members, by_service }
+    }
+
+    /// Records that the orders are still unknown: those that are found next may be old ones, however
+    /// long ago this instance started.
+    pub fn set_orders_unknown(&mut self, now: Time) {
+        self.orders_unknown_at = now;
     }
 
     /// Sets the orders that the store holds.
@@ -118,7 +125,7 @@
             let change = match existing.filter(|existing| existing.order == rollout.order) {
                 Some(existing) => existing.settle(rollout.outcome, now),
                 None => {
-                    let resumption = Resumption::new(self.started_at, now);
+                    let resumption = Resumption::new(self.orders_unknown_at, now);
                     let new = ActiveRollout::new(rollout, self.exposure, resumption, now);
                     self.by_service.insert(service.clone(), new);
                     Some(rollout.outcome.map_or(Change::Ordered, Change::Settled))
--- a/crates/steering/src/rollout/tally.rs
+++ b/crates/steering/src/rollout/tally.rs
@@ -68,9 +68,7 @@
             self.slow += u32::from(observation.is_slow());
         }
     }
-}
 
-impl Tally {
     /// The exchanges that failed or were slow.
     pub fn bad(&self) -> u32 {
         self.failed + self.slow
--- a/crates/steering/tests/rollout_fleet/outcome.rs
+++ b/crates/steering/tests/rollout_fleet/outcome.rs
@@ -29,8 +29,6 @@
     pub(crate) seen_after: Duration,
     /// Writes that took progress in the store back.
     pub(crate) regressions: u64,
-    /// The same time, counted from the 50th bad response since all instances lost power.
-    pub(crate) overrun_since_loss: Duration,
     /// The outcome in the store, and the time until then.
     pub(crate) ended: Option<(RolloutOutcome, Duration)>,
     /// Requests in flight to other versions when their backend servers were stopped.
--- a/crates/steering/tests/rollout_fleet/requests.rs
+++ b/crates/steering/tests/rollout_fleet/requests.rs
@@ -74,10 +74,6 @@
                 if let Some(at) = self.bad_at {
                     self.outcome.overrun = self.outcome.overrun.max(now.since(at));
                 }
-                if let Some(at) = self.bad_since_loss_at {
-                    let overrun = &mut self.outcome.overrun_since_loss;
-                    *overrun = (*overrun).max(now.since(at));
-                }
             }
         }
         let at = (now + took).as_ns();
@@ -134,10 +130,6 @@
                 let is_bad = is_target && (observed.ending == Ending::Erred || is_slow);
                 if is_bad && self.setup.version != Version::Sound {
                     self.outcome.bad += 1;
-                    self.bad_since_loss += 1;
-                    if self.bad_since_loss == DETECTABLE_BAD {
-                        self.bad_since_loss_at = Some(now);
-                    }
                     if self.outcome.bad == DETECTABLE_BAD {
                         self.bad_at = Some(now);
                     }
--- a/crates/steering/tests/rollout_fleet/world.rs
+++ b/crates/steering/tests/rollout_fleet/world.rs
@@ -54,9 +54,6 @@
     pub(super) revision: u64,
     pub(super) run_by_target: u64,
     pub(super) bad_at: Option<Time>,
-    /// Bad responses since all instances lost power, and the time of the 50th.
-    pub(super) bad_since_loss: u64,
-    pub(super) bad_since_loss_at: Option<Time>,
     pub(super) object: ProgressObject,
     /// Writes of progress by the time at which they reach the store.
     pub(super) writes: BTreeMap<u64, Vec<ProgressWrite>>,
@@ -109,8 +106,6 @@
             revision: 1,
             run_by_target: 0,
             bad_at: None,
-            bad_since_loss: 0,
-            bad_since_loss_at: None,
             object: ProgressObject::default(),
             writes: BTreeMap::new(),
             rolled_back_at: None,
@@ -199,9 +194,6 @@
                 | Fault::NoStore { from, count, .. }
                 | Fault::Suspended { from, count, .. } => (from, count),
             };
-            if matches!(fault, Fault::Restart { .. }) && count >= self.nodes.len() {
-                (self.bad_since_loss, self.bad_since_loss_at) = (0, None);
-            }
             for offset in 0..count.min(self.nodes.len()) {
                 let number = (from + offset) % self.nodes.len();
                 let (defect, revision) = (self.setup.defect, self.revision);
--- a/crates/steering/tests/rollout_progress.rs
+++ b/crates/steering/tests/rollout_progress.rs
@@ -6,7 +6,10 @@
 use rand::{Rng, SeedableRng};
 use rollout_fleet::{Defect, EXPOSURE, Fault, Outcome, Setup, Version, fault_free, simulate};
 use std::time::Duration;
-use steering::deployment::RolloutOutcome;
+use steering::Time;
+use steering::deployment::{Rollout, RolloutOrder, RolloutOutcome, Rollouts};
+use steering::quota::MemberId;
+use steering::rollout::{ExposureLimit, Members, RolloutProgress, RolloutTable, VersionCapacity};
 
 /// Number of random schedules that are simulated.
 const SCHEDULES: u64 = 2_000;
@@ -14,7 +17,9 @@
 /// Schedules in which each injected defect has to show.
 const DEFECT_SCHEDULES: u64 = 300;
 
-/// Fraction of a rollout's duration after which a power loss may make a sound version late.
+/// Fraction of a rollout's duration after which a loss of all power may make a sound version late, so
+/// that no loss in a sound schedule is later: the rest of the time is too short to observe the version
+/// again from the trial's share, and the bound on a bad version goes before the time of a sound one.
 const LAST_LOSS: f64 = 0.6;
 
 const BAD: [Version; 4] = [
@@ -62,9 +67,6 @@
     if outcome.exposed_by_all as f64 > most {
         return Some(format!("{version:?}: {} requests of {most:.0}", outcome.exposed_by_all));
     }
-    // The bound on the time counts from the last loss of power.
-    let overrun = outcome.overrun_since_loss;
-    let outcome = Outcome { overrun, ..outcome };
     outcome.violation().map(|why| format!("{version:?}: {why}"))
 }
 
@@ -134,3 +136,64 @@
     assert!(outcome.exposed_by_all as f64 <= before, "{outcome:?}");
     assert_eq!(outcome.uninformed, 0);
 }
+
+/// A time long after the start of the machine.
+const NOW: Time = Time::from_ms(10_000_000);
+
+/// An order of 14 s.
+fn order() -> RolloutOrder {
+    RolloutOrder::new("dossier", "dossier", "v2", 14.0, 1).expect("it is valid")
+}
+
+/// The only instance of a fleet, which finds the order at `now`, the given time after it last knew no
+/// orders.
+fn table(after_unknown: Duration, now: Time) -> RolloutTable {
+    let orders = Rollouts::from([("dossier".into(), Rollout { order: order(), outcome: None })]);
+    let exposure = ExposureLimit { share: EXPOSURE.0, rollback: None };
+    let id = MemberId::from_name("one");
+    let mut table = RolloutTable::new(id, 1, exposure, Time::default());
+    table.set_members(Members::new(vec![(id, true)]));
+    table.set_orders_unknown(now - after_unknown);
+    table.set_orders(&orders, now);
+    table
+}
+
+#[test]
+fn an_order_in_a_first_list_that_arrives_late_gets_no_requests_until_its_progress_is_known() {
+    let share = |after_unknown| table(after_unknown, NOW).rules(NOW)["dossier"].share();
+    assert_eq!(share(Duration::from_secs(1)), 0.0);
+    assert!(share(Duration::from_secs(60)) > 0.0);
+}
+
+#[test]
+fn an_instance_that_saw_the_order_arrive_takes_no_age_from_a_wrong_clock() {
+    let mut table = table(Duration::from_secs(60), NOW);
+    let later = NOW + Duration::from_secs(1);
+    let sync = table.step(later).syncs.remove(0);
+    let stored = RolloutProgress {
+        order: order(),
+        first_seen_ms: 0,
+        spreads: false,
+        outcome: None,
+        routes: [].into(),
+    };
+
+    table.resume(&sync, Some(&stored), 3_600_000, later);
+
+    assert_eq!(table.statuses(later)[0].age, Duration::from_secs(1));
+}
+
+#[test]
+fn a_judge_observes_a_version_again_if_another_instance_says_that_its_order_is_older() {
+    let early = table(Duration::from_secs(60), NOW - Duration::from_secs(3_600));
+    let mut judge = table(Duration::from_secs(60), NOW);
+    judge.set_version_capacity("dossier", VersionCapacity { target: 10, others: 10 });
+    let message = early.encode_announcements(NOW).expect("there is a rollout");
+
+    judge.merge_announcements(&message, NOW).expect("it can be decoded");
+    judge.step(NOW);
+
+    let status = judge.statuses(NOW).remove(0);
+    assert_eq!(status.age, Duration::from_secs(14));
+    assert_eq!(status.spreading_for, None, "the version keeps the share of its trial");
+}
