--- a/crates/steering/src/rollout/active_rollout.rs
+++ b/crates/steering/src/rollout/active_rollout.rs
@@ -4,12 +4,15 @@
 use super::decision::Decision;
 use super::judge::{Assessment, Finding, Judge};
 use super::order_id::OrderId;
+use super::report::Report;
+use super::resumption::Resumption;
 use super::rule::{Reach, VersionRule};
 use super::schedule::{ExposureLimit, Schedule};
-use super::tally::VersionTallies;
+use super::tally::{Tally, VersionTallies};
 use super::version_capacity::VersionCapacity;
 use crate::Time;
 use crate::deployment::{Rollout, RolloutOrder, RolloutOutcome};
+use crate::quota::MemberId;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -21,11 +24,30 @@
 /// known to the others.
 const JUDGE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time by which an instance learns of an order after others, unless the link or its clock was
+/// faulty. If the order is older than that, a judge observes the version again before it favors it.
+const MAX_DELAY_OF_ORDER: Duration = Duration::from_secs(3);
+
+/// Responses of the version that a judge needs after it resumed a rollout, before it decides in favor
+/// of the version.
+const MIN_RESUMED_RESPONSES: u32 = 10;
+
 /// A change, for logs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
     /// A new order was received.
     Ordered,
+    /// The rollout resumes after the start of this instance.
+    Resumed {
+        /// Time since the order.
+        age: Duration,
+        /// Whether the share had begun to grow.
+        spreads: bool,
+        /// The outcome that a judge had decided on.
+        outcome: Option<RolloutOutcome>,
+        /// The stored responses of the version; none if another instance announced the rollout.
+        responses: Option<Tally>,
+    },
     /// The share begins to grow.
     Spreads {
         /// Time since the order.
@@ -53,7 +75,8 @@
 pub(super) struct ActiveRollout {
     pub(super) id: OrderId,
     pub(super) order: RolloutOrder,
-    schedule: Schedule,
+    pub(super) schedule: Schedule,
+    pub(super) resumption: Resumption,
     /// The earliest time at which an instance is known to have learned of the order.
     pub(super) ordered_at: Time,
     /// When the share began to grow.
@@ -73,17 +96,30 @@
     pub(super) judge: Judge,
     pub(super) reports: u32,
     pub(super) reported_at: Option<Time>,
+    /// Bad responses of the version in the last report.
+    reported_bad: u32,
     /// When this instance last began to write the outcome.
     pub(super) written_at: Option<Time>,
+    /// Since when all instances are done, as far as this judge knows.
+    all_done_since: Option<Time>,
+    /// Whether this judge ended the growth of the share as the deadline was near.
+    is_growth_cut_short: bool,
 }
 
 impl ActiveRollout {
-    pub(super) fn new(rollout: &Rollout, exposure: ExposureLimit, now: Time) -> Self {
+    /// `resumption` tells whether requests are kept from the version until its progress is known.
+    pub(super) fn new(
+        rollout: &Rollout,
+        exposure: ExposureLimit,
+        resumption: Resumption,
+        now: Time,
+    ) -> Self {
         let order = rollout.order.clone();
         Self {
             id: OrderId::new(&order),
             schedule: Schedule { duration: order.duration, exposure },
             order,
+            resumption,
             ordered_at: now,
             spreading_since: None,
             confirmed_at: now,
@@ -96,7 +132,10 @@
             judge: Judge::default(),
             reports: 0,
             reported_at: None,
+            reported_bad: 0,
             written_at: None,
+            all_done_since: None,
+            is_growth_cut_short: false,
         }
     }
 
@@ -116,6 +155,7 @@
             (Some(RolloutOutcome::RolledBack), _) => Reach::Nothing,
             (_, Some((_, since))) if now.since(since) > STALE_LISTING_PERIOD => return None,
             (Some(RolloutOutcome::Succeeded), _) => Reach::All,
+            (None, _) if self.resumption.is_held => Reach::Nothing,
             (None, _) => {
                 let spread_for = self.spreading_since.map(|at| now.since(at));
                 let share = self.schedule.share(spread_for, now.since(self.confirmed_at));
@@ -136,6 +176,31 @@
         has_all && self.others_in_flight == 0
     }
 
+    /// Returns whether this instance has counted bad responses of the version since its last report.
+    pub(super) fn has_unreported_bad(&self) -> bool {
+        self.counted_bad() > self.reported_bad
+    }
+
+    fn counted_bad(&self) -> u32 {
+        self.tallies.values().map(|route| route.target.bad()).sum()
+    }
+
+    /// The reports for the judges: what this instance has counted, and what a fleet before it had, if
+    /// this instance has read that.
+    pub(super) fn next_reports(
+        &mut self,
+        member: MemberId,
+        started_ms: u64,
+        now: Time,
+    ) -> impl Iterator<Item = Report> + use<> {
+        self.reports += 1;
+        self.reported_bad = self.counted_bad();
+        let routes = self.tallies.iter().map(|(route, tallies)| (*route, *tallies)).collect();
+        let (order, number, is_done) = (self.id, self.reports, self.is_done(now));
+        let own = Report { order, member, started_ms, number, is_done, routes };
+        std::iter::once(own).chain(self.resumption.earlier.clone())
+    }
+
     /// Records the final outcome from the store.
     pub(super) fn settle(&mut self, outcome: Option<RolloutOutcome>, now: Time) -> Option<Change> {
         let outcome =
@@ -153,9 +218,18 @@
 
     /// Merges the announcement of another instance.
     pub(super) fn merge(&mut self, announcement: &Announcement, now: Time) -> Vec<Change> {
-        self.ordered_at = self.ordered_at.min(announcement.ordered_at(now));
+        let ordered_at = announcement.ordered_at(now).max(now - self.order.duration);
+        if self.ordered_at.since(ordered_at) > MAX_DELAY_OF_ORDER {
+            self.resumption.observe_from(now);
+        }
+        self.ordered_at = self.ordered_at.min(ordered_at);
         let age = self.age(now);
         let mut changes = Vec::new();
+        if self.resumption.release(now) {
+            let spreads = announcement.spreads(now).is_some();
+            let outcome = announcement.decision(now).map(|decision| decision.outcome);
+            changes.push(Change::Resumed { age, spreads, outcome, responses: None });
+        }
         if let Some((since, confirmed_at)) = announcement.spreads(now) {
             self.confirmed_at = self.confirmed_at.max(confirmed_at);
             if self.spreading_since.is_none() {
@@ -175,7 +249,7 @@
     }
 
     /// Records a decision unless it is known already: a rollback takes precedence over success.
-    fn merge_decision(&mut self, decision: Decision) -> bool {
+    pub(super) fn merge_decision(&mut self, decision: Decision) -> bool {
         let decided = self.decision.map(|decision| decision.outcome);
         let is_new = match decision.outcome {
             RolloutOutcome::RolledBack => decided != Some(RolloutOutcome::RolledBack),
@@ -192,6 +266,40 @@
         self.capacity.is_sufficient() && finding != Finding::Undecided { favorable: false }
     }
 
+    /// Gives the version all requests if its share still grows; returns whether it did. Instances
+    /// then finish their requests to other versions before the outcome is decided.
+    fn completes_growth(&mut self, now: Time) -> bool {
+        let grows = self.rule(now).is_some_and(|rule| matches!(rule.reach, Reach::Spreading(_)));
+        if grows {
+            self.spreading_since = Some(now - self.schedule.growth());
+            self.is_growth_cut_short = true;
+        }
+        grows
+    }
+
+    /// Returns whether a judge that resumed the rollout has to observe the version before its next
+    /// decision in favor of it: what happened before is known in part only.
+    fn needs_observation(&self, finding: Finding, now: Time) -> bool {
+        let Some(resumed_at) = self.resumption.resumed_at else { return false };
+        let stage_since = self.spreading_since.map_or(resumed_at, |start| start.max(resumed_at));
+        let is_recent = now.since(stage_since) < self.schedule.resumed_observation();
+        let VersionTallies { target, others } = self.responses_since_start();
+        let expected = self.schedule.exposure.trial_share() * f64::from(others.ended);
+        let is_unanswered = expected >= f64::from(MIN_RESUMED_RESPONSES);
+        if target.ended < MIN_RESUMED_RESPONSES && (is_recent || is_unanswered) {
+            return true;
+        }
+        let is_decidable =
+            finding == Finding::NotWorse || self.schedule.is_almost_over(self.age(now));
+        self.spreading_since.is_some() && (is_recent || !is_decidable)
+    }
+
+    /// Responses that were reported to this judge, without those of a fleet before.
+    pub(super) fn responses_since_start(&self) -> VersionTallies {
+        let (_, totals) = self.judge.totals();
+        totals - self.judge.stored_totals()
+    }
+
     /// Decides as a judge on the next step. `all_done` is whether all instances are done; `rank`
     /// is the judge's rank, which delays its decision so that judges don't decide differently at
     /// the same time.
@@ -206,11 +314,14 @@
             Some(RolloutOutcome::Succeeded) => is_worse && self.settled.is_none(),
             Some(RolloutOutcome::RolledBack) => false,
         };
-        if !is_open {
+        if !is_open || self.resumption.is_held {
             return None;
         }
         let age = self.age(now);
         let (reports, totals) = self.judge.totals();
+        let observation = self.schedule.observation();
+        self.all_done_since = all_done.then(|| self.all_done_since.unwrap_or(now));
+        let is_observed = self.all_done_since.is_some_and(|at| now.since(at) >= observation);
         let assessment = Some(Assessment { finding, reports, totals, capacity: self.capacity });
         if self.spreading_since.is_some() {
             self.confirmed_at = now;
@@ -221,14 +332,21 @@
         let change = match () {
             () if is_worse => found(RolloutOutcome::RolledBack),
             () if must_decide && !self.can_take_all(finding) => found(RolloutOutcome::RolledBack),
-            () if !self.can_take_all(finding) => return None,
+            () if !self.can_take_all(finding) || self.needs_observation(finding, now) => {
+                return None;
+            }
             () if self.spreading_since.is_none() => {
                 if !self.schedule.may_start_spreading(age, finding == Finding::NotWorse) {
                     return None;
                 }
                 Change::Spreads { age, assessment }
             }
-            () if all_done || must_decide => found(RolloutOutcome::Succeeded),
+            () if is_observed => found(RolloutOutcome::Succeeded),
+            () if !must_decide => return None,
+            () if self.completes_growth(now) => Change::Spreads { age, assessment },
+            () if all_done || !self.is_growth_cut_short || self.schedule.is_almost_over(age) => {
+                found(RolloutOutcome::Succeeded)
+            }
             () => return None,
         };
         match change {
@@ -236,7 +354,7 @@
                 self.merge_decision(Decision { outcome, at: now });
             }
             _ => {
-                self.spreading_since = Some(now);
+                self.spreading_since.get_or_insert(now);
                 self.confirmed_at = now;
             }
         }
--- a/crates/steering/src/rollout/tally.rs
+++ b/crates/steering/src/rollout/tally.rs
@@ -68,6 +68,11 @@
             self.slow += u32::from(observation.is_slow());
         }
     }
+
+    /// The exchanges that failed or were slow.
+    pub fn bad(&self) -> u32 {
+        self.failed + self.slow
+    }
 }
 
 impl Display for Tally {
--- a/crates/steering/tests/rollout_fleet/requests.rs
+++ b/crates/steering/tests/rollout_fleet/requests.rs
@@ -65,6 +65,10 @@
         let start_count = node.start_count;
         if is_target {
             self.run_by_target += 1;
+            self.outcome.exposed_by_all += u64::from(until_deadline);
+            self.outcome.uninformed += u64::from(start_count > 1 && !node.is_informed);
+            let has_started_after = self.rolled_back_at.is_some_and(|at| node.down_until > at);
+            self.outcome.after_rollback += u64::from(has_started_after);
             if is_connected {
                 self.outcome.exposed += u64::from(until_deadline);
                 if let Some(at) = self.bad_at {
