--- a/crates/steering/src/rollout/progress.rs
+++ b/crates/steering/src/rollout/progress.rs
@@ -4,10 +4,13 @@
 use crate::deployment::{RolloutOrder, RolloutOutcome};
 use std::collections::BTreeMap;
 
-/// Number of responses and of bad responses from which on progress is worth a write; each further
-/// step is a multiple of it.
+/// Number of responses from which on progress is worth a write; each further step is a multiple of
+/// it.
 const FIRST_RESPONSES: u32 = 16;
-const FIRST_BAD: u32 = 1;
+
+/// Difference between times at which an order was first seen that counts as none: the clocks of
+/// machines differ.
+const FIRST_SEEN_TOLERANCE_MS: u64 = 1_000;
 
 /// Progress of a rollout.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +44,15 @@
         }
     }
 
+    /// Merges what the store holds. A time at which the order was first seen that is nearly the
+    /// same stays as it is stored, so that it alone is no reason for a write.
+    pub(super) fn merge_stored(&mut self, stored: &Self) {
+        self.merge(stored);
+        if self.first_seen_ms.abs_diff(stored.first_seen_ms) < FIRST_SEEN_TOLERANCE_MS {
+            self.first_seen_ms = stored.first_seen_ms;
+        }
+    }
+
     /// All responses of the version.
     pub fn totals(&self) -> Tally {
         let mut totals = Tally::default();
@@ -68,7 +80,7 @@
             responses_step: (totals.ended / FIRST_RESPONSES)
                 .checked_ilog(4)
                 .map_or(0, |step| step + 1),
-            bad_step: (totals.bad() / FIRST_BAD).checked_ilog2().map_or(0, |step| step + 1),
+            bad_step: totals.bad().checked_ilog2().map_or(0, |step| step + 1),
         }
     }
 }
--- a/crates/steering/src/rollout/table.rs
+++ b/crates/steering/src/rollout/table.rs
@@ -260,7 +260,7 @@
         let change = rollout.resume(stored, unix_ms, now);
         let mut progress = rollout.progress(unix_ms, now);
         if let Some(stored) = stored {
-            progress.merge(stored);
+            progress.merge_stored(stored);
         }
         (Some(progress).filter(|progress| Some(progress) != stored), change)
     }
