--- a/crates/entry/src/connection/http_client.rs
+++ b/crates/entry/src/connection/http_client.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
+use steering::terms::timings::ConnectionTimings;
 
 /// Sends a GET request and returns the decoded body of a 200 response; `None` for any other outcome.
 ///
@@ -18,9 +19,10 @@
     address: SocketAddr,
     path: &str,
     connect_timeout: Duration,
+    timings: ConnectionTimings,
 ) -> Option<Bytes> {
     let request = Request::get(path).header(ACCEPT_ENCODING, DEFLATE);
-    let (status, headers, body) = send(address, request, connect_timeout).await?;
+    let (status, headers, body) = send(address, request, connect_timeout, timings).await?;
     if status != StatusCode::OK {
         return None;
     }
@@ -38,16 +40,18 @@
     address: SocketAddr,
     path: &str,
     connect_timeout: Duration,
+    timings: ConnectionTimings,
 ) -> Option<(StatusCode, HeaderMap, Bytes)> {
-    send(address, Request::get(path), connect_timeout).await
+    send(address, Request::get(path), connect_timeout, timings).await
 }
 
 async fn send(
     address: SocketAddr,
     request: Builder,
     connect_timeout: Duration,
+    timings: ConnectionTimings,
 ) -> Option<(StatusCode, HeaderMap, Bytes)> {
-    let stream = dial(address, connect_timeout).await.ok()?;
+    let stream = dial(address, connect_timeout, timings).await.ok()?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::task::spawn_local(connection);
--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -58,8 +58,9 @@
     A: Fn(Rc<Instance>, Request<Incoming>) -> F + Copy + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
+    let timings = instance.timings.connections;
     // Options can't be set on a connection that is already broken.
-    if stream.set_nodelay(true).and_then(|()| set_tcp_timeouts(&stream)).is_err() {
+    if stream.set_nodelay(true).and_then(|()| set_tcp_timeouts(&stream, timings)).is_err() {
         return;
     }
     let limits = instance.replica.borrow().configuration.content.limits;
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use steering::Time;
 use steering::placement::Incarnation;
+use steering::terms::timings::ConnectionTimings;
 
 /// Idle timeout of a connection whose backend server announced none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -54,6 +55,7 @@
 #[derive(Clone)]
 pub struct Pools {
     clock: Rc<Clock>,
+    timings: ConnectionTimings,
     by_server: Rc<RefCell<HashMap<Incarnation, Pool>>>,
 }
 
@@ -70,8 +72,8 @@
 impl Pools {
     /// Pools without connections. Idle timeouts use a clock that includes suspensions, as the time
     /// passes for backend servers meanwhile.
-    pub fn new(clock: Rc<Clock>) -> Self {
-        Self { clock, by_server: Rc::default() }
+    pub fn new(clock: Rc<Clock>, timings: ConnectionTimings) -> Self {
+        Self { clock, timings, by_server: Rc::default() }
     }
 
     /// Takes an idle connection, or opens one while there are fewer than `limit`.
@@ -136,7 +138,7 @@
         }
         // Counts the connection as open until the guard is dropped, on every path.
         let guard = OpenGuard { pools: self.clone(), server: server.clone() };
-        let stream = dial(address, DIAL_TIMEOUT).await?;
+        let stream = dial(address, DIAL_TIMEOUT, self.timings).await?;
         let (sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         tokio::task::spawn_local(async move {
--- a/crates/entry/src/process/crash_detection.rs
+++ b/crates/entry/src/process/crash_detection.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use steering::placement::Incarnation;
 use steering::suspects::Fingerprints;
+use steering::terms::timings::ConnectionTimings;
 
 /// Longest time that a request waits for the outcome of a probe before it is retried elsewhere: the
 /// longest round trip between regions, 110 ms, and some slack. Without a response nothing is concluded.
@@ -62,7 +63,7 @@
 }
 
 async fn probe(instance: Rc<Instance>, server: Incarnation, address: SocketAddr) {
-    let outcome = probe_address(address).await;
+    let outcome = probe_address(address, instance.timings.connections).await;
     let probe = instance.probes.borrow_mut().take(&server);
     log::info!(
         target: "backend-server",
@@ -76,8 +77,8 @@
     }
 }
 
-async fn probe_address(address: SocketAddr) -> ProbeOutcome {
-    match dial(address, DIAL_TIMEOUT).await {
+async fn probe_address(address: SocketAddr, timings: ConnectionTimings) -> ProbeOutcome {
+    match dial(address, DIAL_TIMEOUT, timings).await {
         Ok(_) => ProbeOutcome::Alive,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Ended,
         Err(_) => ProbeOutcome::Silent,
--- a/crates/entry/src/process/fleet.rs
+++ b/crates/entry/src/process/fleet.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
-use steering::placement::peers::LOST_AFTER;
 use steering::placement::{Peer, PeerState};
 use steering::quota::{Fleet, MemberId};
 use steering::rollout::Members;
@@ -73,6 +72,8 @@
         registered.as_ref().map(|all| all.iter().filter(|other| other.name != *own).count());
     let reported = peers.all().map(|peer| peer.alive_peers).max().unwrap_or(0);
     let other_count = seen.max(reported).max(registered.unwrap_or(0));
-    let is_known = other_count > 0 || registered.is_some() || instance.uptime() >= LOST_AFTER;
+    let is_known = other_count > 0
+        || registered.is_some()
+        || instance.uptime() >= instance.timings.liveness.lost_after;
     is_known.then_some(other_count + 1)
 }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -12,6 +12,7 @@
 use super::suspects::SuspectRequests;
 use super::update_requests::UpdateRequests;
 use super::{conditions, fleet, gossip_topics, rollouts, suspects};
+use crate::connection::http_client;
 use crate::platform_api::{Registration, SUBJECTS, Subject};
 use crate::version::changes::Update;
 use crate::version::exchange;
@@ -24,34 +25,13 @@
 use steering::placement::gossip::{self, TargetOrder};
 use steering::placement::rounds::Rounds;
 use steering::placement::{PlacementCounts, ShareChange};
+use steering::terms::timings::{PropagationTimings, Timings};
 use tokio::net::UdpSocket;
 
-/// Time for a watcher's own watch to deliver a change before it is fetched from another instance.
-const WATCH_GRACE: Duration = Duration::from_millis(300);
-
-/// Upper bound of the random delay before a request to an instance of the same region, so that not all
-/// instances send theirs at once.
-const SAME_REGION_MAX_DELAY: Duration = Duration::from_millis(60);
-
-/// Delay before a request to an instance of another region.
-const OTHER_REGION_DELAY: Duration = Duration::from_millis(500);
-
-/// Delay before a hedged request to another instance: many times a round trip within a region, and a
-/// tenth of the time in which a change has to be in force.
-const HEDGE_DELAY: Duration = Duration::from_millis(400);
-
-/// The same while the instance lacks the state to serve callers: a full update takes a third of this on
-/// the link of the smallest instance.
+/// Delay before a hedged request while the instance lacks the state to serve callers: a full update
+/// takes a third of this on the link of the smallest instance.
 const FULL_UPDATE_HEDGE_DELAY: Duration = Duration::from_millis(1200);
 
-/// Timeout for connecting to another instance. When packets queue at a slow link, an instance with a
-/// shorter timeout gets no update for as long as the link is saturated, although its requests get
-/// through.
-const FETCH_CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
-
-/// Timeout for fetching an update from another instance, connecting included.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(2500);
-
 /// Heartbeats between two log lines about the placement of requests: half of the window in which a
 /// shift would be visible.
 const PLACEMENT_LOG_HEARTBEATS: u64 = 2;
@@ -104,7 +84,7 @@
     let mut previous_alive = 0;
     // Logged once per arm and service, as a failing program fails repeatedly.
     let mut logged_policies = HashSet::new();
-    let mut rounds = Rounds::new(Instant::now());
+    let mut rounds = Rounds::new(instance.timings.liveness.heartbeat_interval, Instant::now());
     let mut heartbeats = 0u64;
     loop {
         let order = rounds.start_round(Instant::now());
@@ -266,16 +246,23 @@
             continue;
         }
         let has_required_state = instance.has_required_state();
-        let response_delay = if has_required_state { HEDGE_DELAY } else { FULL_UPDATE_HEDGE_DELAY };
+        let PropagationTimings {
+            watch_grace,
+            same_region_max_delay,
+            other_region_delay,
+            hedge_delay,
+            ..
+        } = instance.timings.propagation;
+        let response_delay = if has_required_state { hedge_delay } else { FULL_UPDATE_HEDGE_DELAY };
         // An instance of the same region that has the change saves traffic between regions.
         let (delay, hedge_delay) =
             match (instance.is_watcher() && has_required_state, is_same_region) {
-                (true, _) => (WATCH_GRACE, WATCH_GRACE + response_delay),
+                (true, _) => (watch_grace, watch_grace + response_delay),
                 (false, true) => (
-                    SAME_REGION_MAX_DELAY.mul_f64(rand::random()),
-                    SAME_REGION_MAX_DELAY + response_delay,
+                    same_region_max_delay.mul_f64(rand::random()),
+                    same_region_max_delay + response_delay,
                 ),
-                (false, false) => (OTHER_REGION_DELAY, Duration::ZERO),
+                (false, false) => (other_region_delay, Duration::ZERO),
             };
         if requests.borrow_mut().begin(address, hedge_delay, Instant::now()) {
             let instance = instance.clone();
@@ -301,8 +288,9 @@
         return;
     }
     let as_of = instance.replica.borrow().all_as_of();
-    let Ok(Some(update)) = tokio::time::timeout(FETCH_TIMEOUT, fetch_update(address, as_of)).await
-    else {
+    let timeout = instance.timings.propagation.fetch_timeout;
+    let fetching = fetch_update(&instance.timings, address, as_of);
+    let Ok(Some(update)) = tokio::time::timeout(timeout, fetching).await else {
         log::warn!(target: "instances", address:%; "failed to fetch an update");
         return;
     };
@@ -320,8 +308,14 @@
 }
 
 /// Fetches from another instance what changed since these revisions; none if that failed.
-pub(super) async fn fetch_update(address: SocketAddr, as_of: [u64; SUBJECTS]) -> Option<Update> {
+pub(super) async fn fetch_update(
+    timings: &Timings,
+    address: SocketAddr,
+    as_of: [u64; SUBJECTS],
+) -> Option<Update> {
     let path = format!("{}?{}", exchange::UPDATE_PATH, exchange::encode_revisions(as_of));
-    let body = crate::connection::http_client::get(address, &path, FETCH_CONNECT_TIMEOUT).await?;
+    let body =
+        http_client::get(address, &path, timings.propagation.connect_timeout, timings.connections)
+            .await?;
     postcard::from_bytes(&body).ok()
 }
--- a/crates/entry/src/process/gossip_topics.rs
+++ b/crates/entry/src/process/gossip_topics.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 use steering::gossip::{FANOUT, STEADY_FANOUT};
-use steering::placement::peers::HEARTBEAT_INTERVAL;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
@@ -35,7 +34,7 @@
 }
 
 async fn gossip_loop(instance: Rc<Instance>, socket: Rc<UdpSocket>, topics: Topics) {
-    let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
+    let mut heartbeat = tokio::time::interval(instance.timings.liveness.heartbeat_interval);
     heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let is_urgent = tokio::select! {
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -22,23 +22,18 @@
 use steering::Time;
 use steering::deployment::Service;
 use steering::placement::bootstrap_delay::RegistrationState;
-use steering::placement::peers::{FORGOTTEN_AFTER, LOST_AFTER};
+use steering::placement::peers::FORGOTTEN_AFTER;
 use steering::placement::{Peer, PeerState, Peers, RetryBudget, Roster, WeightedRoundRobin};
 use steering::quota::MemberId;
 use steering::rollout::{ExposureLimit, RolloutTable};
 use steering::suspects::Suspects;
+use steering::terms::Timings;
 use tokio::sync::{Notify, watch};
 
 /// Time after a failed accept during which the instance is not ready: two readiness checks of the
 /// platform, which are a second apart.
 const NOT_READY_AFTER_ACCEPT_FAILURE: Duration = Duration::from_secs(2);
 
-/// Time without a failed call after which an instance reports that it reaches the store, longer than
-/// the pause between two failing calls. An instance that the store refuses may have earlier calls
-/// under way that still succeed. Without the delay each of these counted as recovery: two refused
-/// instances stayed their region's watchers, and the region saw no change for 2.3 s.
-const STORE_RECOVERY_DELAY: Duration = Duration::from_secs(2);
-
 /// Revisions at which the subjects last changed, and which of the subjects are present at all.
 type FullUpdateKey = ([u64; SUBJECTS], [bool; SUBJECTS]);
 
@@ -58,6 +53,8 @@
 pub struct Instance {
     /// Settings of the process.
     pub settings: Settings,
+    /// Timings that follow from the terms of the deployment.
+    pub timings: Timings,
     /// Hosts of a few other instances, which may be stale.
     pub seeds: RefCell<Vec<IpAddr>>,
     /// Encoding of the platform's messages.
@@ -169,8 +166,11 @@
         let rollouts =
             RolloutTable::new(MemberId::from_name(&settings.name), own.started_ms, terms);
         let quotas = Quotas::new(&settings.name, own.started_ms, settings.quota_terms);
+        let timings = Timings::from(&settings.terms);
         let zone = settings.availability_zone.clone();
-        let roster = Roster::new(&settings.name, zone.clone(), settings.regions.clone());
+        let roster = Roster::new(&settings.name, zone.clone(), settings.regions.clone())
+            .with_limits(&timings);
+        let relays = Relays::new(settings.name.clone(), timings.liveness.lost_after);
         Ok(Rc::new(Self {
             seeds: RefCell::new(settings.seeds.clone()),
             wire,
@@ -179,10 +179,10 @@
             full_update_cache: RefCell::default(),
             active_configuration: RefCell::default(),
             roster: RefCell::new(roster),
-            peers: RefCell::new(Peers::in_zone(zone.clone())),
+            peers: RefCell::new(Peers::in_zone(zone, timings.liveness)),
             registrations: RefCell::default(),
-            pools: Pools::new(clock.clone()),
-            relays: RefCell::new(Relays::new(settings.name.clone())),
+            pools: Pools::new(clock.clone(), timings.connections),
+            relays: RefCell::new(relays),
             clock,
             quotas,
             rollouts: RefCell::new(rollouts),
@@ -206,6 +206,7 @@
             budgets: RefCell::default(),
             service_selectors: RefCell::default(),
             settings,
+            timings,
         }))
     }
 
@@ -247,7 +248,7 @@
         let own = self.own_peer();
         let now = Instant::now();
         let peers = self.peers.borrow();
-        if now.duration_since(self.started_at) >= LOST_AFTER {
+        if now.duration_since(self.started_at) >= self.timings.liveness.lost_after {
             return peers.is_watcher(&own, now);
         }
         let registered = self.registrations.borrow();
@@ -316,7 +317,8 @@
 
     /// Returns whether no call to the store failed recently.
     pub(crate) fn reaches_store(&self) -> bool {
-        self.store_failed_at.get().is_none_or(|at| at.elapsed() > STORE_RECOVERY_DELAY)
+        let delay = self.timings.propagation.store_recovery_delay;
+        self.store_failed_at.get().is_none_or(|at| at.elapsed() > delay)
     }
 
     /// Returns whether no accept failed recently.
--- a/crates/entry/src/process/relays.rs
+++ b/crates/entry/src/process/relays.rs
@@ -13,10 +13,6 @@
 /// Time for which a choice is reused, so that it is not made for each request.
 const CHOICE_TTL: Duration = Duration::from_millis(500);
 
-/// Time for which an instance is avoided after it failed to relay a request; by then, an instance that
-/// has stopped is detected as lost.
-const AVOID_DURATION: Duration = steering::placement::peers::LOST_AFTER;
-
 /// An instance that relays requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Relay {
@@ -38,14 +34,22 @@
 #[derive(Debug)]
 pub(crate) struct Relays {
     own_name: Arc<str>,
+    /// Time for which an instance is avoided after it failed to relay a request.
+    avoid_duration: Duration,
     chosen: HashMap<Arc<str>, CachedChoice>,
     avoided: HashMap<Incarnation, Instant>,
 }
 
 impl Relays {
-    /// Creates an empty set for the instance with this name.
-    pub(crate) fn new(own_name: Arc<str>) -> Self {
-        Self { own_name, chosen: HashMap::new(), avoided: HashMap::new() }
+    /// Creates an empty set for the instance with this name. A relay that failed is avoided for as long
+    /// as the detection of a lost instance takes.
+    pub(crate) fn new(own_name: Arc<str>, lost_after: Duration) -> Self {
+        Self {
+            own_name,
+            avoid_duration: lost_after,
+            chosen: HashMap::new(),
+            avoided: HashMap::new(),
+        }
     }
 
     /// Chooses the instance that relays requests to an availability zone; none if no instance can.
@@ -78,7 +82,7 @@
     /// Records that an instance failed to relay a request, and avoids it for a while.
     pub(crate) fn record_failure(&mut self, relay: &Relay, why: &str, now: Instant) {
         log::info!(target: "relays", name = &*relay.id.id, why; "avoided after a failure");
-        self.avoided.insert(relay.id.clone(), now + AVOID_DURATION);
+        self.avoided.insert(relay.id.clone(), now + self.avoid_duration);
         self.chosen.retain(|_, chosen| chosen.relay.as_ref() != Some(relay));
     }
 
--- a/crates/entry/src/process/resync.rs
+++ b/crates/entry/src/process/resync.rs
@@ -47,7 +47,7 @@
     }
     let as_of = instance.replica.borrow().all_as_of();
     let mut responses: FuturesUnordered<_> =
-        targets.into_iter().map(|target| fetch_update(target, as_of)).collect();
+        targets.into_iter().map(|target| fetch_update(&instance.timings, target, as_of)).collect();
     while let Some(response) = responses.next().await {
         if let Some(update) = response {
             apply_update(instance, update);
--- a/crates/entry/src/process/stop.rs
+++ b/crates/entry/src/process/stop.rs
@@ -17,6 +17,11 @@
 /// Interval at which the requests in flight are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which new connections are still served during a planned stop.
+pub(crate) fn leaving_time(grace: Duration) -> Duration {
+    grace.mul_f64(LEAVING_FRACTION)
+}
+
 /// Shuts the instance down; returns when the process may exit.
 pub async fn run(instance: &Instance) {
     let started = instance.clock.now();
@@ -24,7 +29,7 @@
     log::info!(target: "process", in_flight = instance.in_flight.get(); "stopping");
     instance.stop_deadline.set(Some(started + grace.mul_f64(DEADLINE_FRACTION)));
     instance.stop.send_replace(StopPhase::Leaving);
-    tokio::time::sleep(grace.mul_f64(LEAVING_FRACTION)).await;
+    tokio::time::sleep(leaving_time(grace)).await;
     instance.stop.send_replace(StopPhase::Closed);
     while instance.clock.now().since(started) < grace.mul_f64(END_FRACTION) {
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/crates/entry/src/process/store_sync.rs
+++ b/crates/entry/src/process/store_sync.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use steering::placement::BootstrapDelay;
-use steering::watch_timing::{POLICY_WAIT_MS, SHORT_WAIT_MS, WAIT_MS, WATCHER_CHECK_INTERVAL};
+use steering::terms::timings::WaitRange;
 
 /// Pause after a watch that returned changes, so that closely following changes share one call.
 const CHANGES_PAUSE: Duration = Duration::from_millis(100);
@@ -16,10 +16,6 @@
 /// Initial backoff after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 
-/// Upper bound of the backoff: calls have a cost, and changes missed meanwhile arrive from other
-/// instances.
-const MAX_BACKOFF: Duration = Duration::from_millis(1500);
-
 /// Interval at which an instance checks whether a subject has arrived from another instance.
 const UPDATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -50,7 +46,7 @@
             needed_list = NeededList::Nothing;
         }
         if needed_list == NeededList::Nothing && !instance.is_watcher() {
-            tokio::time::sleep(WATCHER_CHECK_INTERVAL).await;
+            tokio::time::sleep(instance.timings.watches.check_interval).await;
             continue;
         }
         let outcome = match needed_list {
@@ -89,7 +85,10 @@
                 let doubled = MIN_BACKOFF * (1 << failures.min(6));
                 failures = failures.saturating_add(1);
                 let jitter = 0.5 + rand::random::<f64>() / 2.0;
-                tokio::time::sleep(doubled.min(MAX_BACKOFF).mul_f64(jitter)).await;
+                tokio::time::sleep(
+                    doubled.min(instance.timings.propagation.max_backoff).mul_f64(jitter),
+                )
+                .await;
             }
         }
     }
@@ -141,16 +140,23 @@
     }
 }
 
+fn wait_range(instance: &Instance, subject: Subject) -> WaitRange {
+    let watches = &instance.timings.watches;
+    match subject {
+        Subject::Configuration => watches.configuration,
+        Subject::BackendServers => watches.servers,
+        Subject::Evacuations => watches.evacuations,
+        Subject::Rollouts => watches.rollouts,
+        Subject::Policies => watches.policies,
+    }
+}
+
 async fn watch(instance: &Rc<Instance>, subject: Subject) -> Result<(), StoreError> {
     let after = instance.replica.borrow().as_of(subject);
-    let [min_ms, max_ms] = match subject {
-        Subject::Configuration => SHORT_WAIT_MS,
-        Subject::BackendServers | Subject::Evacuations | Subject::Rollouts => WAIT_MS,
-        Subject::Policies => POLICY_WAIT_MS,
-    };
-    let wait_ms = rand::random_range(min_ms..max_ms);
+    let WaitRange { min, max } = wait_range(instance, subject);
+    let wait = rand::random_range(min..max);
     let changes = tokio::select! {
-        changes = instance.store.watch(subject, after, Duration::from_millis(wait_ms)) => changes?,
+        changes = instance.store.watch(subject, after, wait) => changes?,
         // An update from another instance has made this watch obsolete.
         () = instance.watch_interrupts[subject.index()].notified() => return Ok(()),
     };
--- a/crates/entry/src/request/health_check.rs
+++ b/crates/entry/src/request/health_check.rs
@@ -28,7 +28,7 @@
         };
         let result = tokio::time::timeout(
             CHECK_TIMEOUT,
-            http_client::get_response(address, &path, DIAL_TIMEOUT),
+            http_client::get_response(address, &path, DIAL_TIMEOUT, instance.timings.connections),
         )
         .await;
         let Ok(Some((status, headers, _))) = result else {
--- a/crates/entry/src/request/lookup.rs
+++ b/crates/entry/src/request/lookup.rs
@@ -2,16 +2,15 @@
 
 use super::body::{ResponseBody, full_body};
 use crate::process::instance::Instance;
+use crate::process::stop;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest time for which callers may cache a response.
-///
-/// A planned stop takes this long to move callers away. It is a third of the time for which a lost
-/// instance may still be listed.
+/// Longest time for which callers may cache a response: a third of the time for which a lost instance
+/// may still be listed.
 const MAX_TTL: Duration = Duration::from_secs(2);
 
 /// Answers a look-up with the addresses of instances.
@@ -29,7 +28,9 @@
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
     instance.metrics.look_ups.with_label_values(&["answered"]).inc();
-    let ttl = MAX_TTL.min(instance.settings.max_ttl);
+    // Callers with an older response must learn of a planned stop before the listeners close.
+    let leaving_time = stop::leaving_time(instance.settings.stop_grace);
+    let ttl = MAX_TTL.min(instance.settings.max_ttl).min(leaving_time);
     let mut response =
         Response::new(full_body(instance.wire.encode_look_up_response(&addresses, ttl)));
     let json = HeaderValue::from_static("application/json");
--- a/crates/entry/tests/dial.rs
+++ b/crates/entry/tests/dial.rs
@@ -6,6 +6,7 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
+use steering::terms::timings::ConnectionTimings;
 
 /// Timeout within which no connection is established while the listener's backlog is full: the lost SYN
 /// is retransmitted after a second.
@@ -32,9 +33,10 @@
 #[tokio::test]
 async fn dialing_waits_for_the_given_timeout() {
     let (listener, address, queued) = full_listener();
-    let error = dial(address, SHORT_TIMEOUT).await.expect_err("the backlog is full");
+    let timings = ConnectionTimings::default();
+    let error = dial(address, SHORT_TIMEOUT, timings).await.expect_err("the backlog is full");
     assert_eq!(error.kind(), ErrorKind::TimedOut);
-    let mut waiting = Box::pin(dial(address, LONG_TIMEOUT));
+    let mut waiting = Box::pin(dial(address, LONG_TIMEOUT, timings));
     // The SYN has been sent by now and is lost.
     assert!(waiting.as_mut().now_or_never().is_none());
     for _ in &queued {
--- a/crates/runpind/src/main.rs
+++ b/crates/runpind/src/main.rs
@@ -3,6 +3,7 @@
 use runpind::{Daemon, Dependencies, RawSettings, Settings};
 use std::path::Path;
 use std::process::ExitCode;
+use steering::terms::Timings;
 use users_platform::{PlatformClient, PlatformWire};
 
 /// Exit code for an invalid setting.
@@ -32,7 +33,8 @@
         Ok(settings) => settings,
         Err(error) => return report(&error, EXIT_SETTINGS),
     };
-    let store = PlatformClient::new(settings.store_address);
+    let timings = Timings::from(&settings.terms);
+    let store = PlatformClient::with_timings(settings.store_address, &timings);
     let outcome = entry::process::logging::start().and_then(|()| {
         entry::process::run(path, settings, Box::new(PlatformWire), Box::new(store))
     });
--- a/crates/steering/src/placement/choose.rs
+++ b/crates/steering/src/placement/choose.rs
@@ -4,7 +4,7 @@
 use super::rank::{key_position, weighted_rank};
 use super::request::{Choice, PlacementRequest, Refusal};
 use super::roster::{Roster, accepts_new_requests};
-use super::senders::Role;
+use super::senders::{ColdRate, Role};
 use super::service::ServiceState;
 use super::version_filter::VersionFilter;
 use crate::deployment::{Evacuations, RequestKind};
@@ -26,8 +26,8 @@
     /// Hashes of the live instances of the region.
     region_instances: &'a [u64],
     evacuated: &'a Evacuations,
-    /// Requests per second that a cold backend server of the service can take.
-    cold_rate_per_s: f64,
+    /// Rate of requests to a cold backend server of the service.
+    cold_rate: ColdRate,
 }
 
 /// The backend servers that may serve a request.
@@ -85,7 +85,7 @@
                 self.region,
                 server.hash_and_region(),
             );
-            if server.is_rate_limited(role, self.cold_rate_per_s, now) {
+            if server.is_rate_limited(role, self.cold_rate, now) {
                 continue;
             }
             let crosses_zones =
@@ -118,6 +118,7 @@
         request: &PlacementRequest<'_>,
         now: Instant,
     ) -> Result<Choice, Refusal> {
+        let cold_rate = self.cold_rate(request.service);
         let Some(state) = self.services.get_mut(request.service) else {
             return Err(Refusal { retry_after: RETRY_AFTER[1], usable: 0 });
         };
@@ -127,10 +128,7 @@
             region: &self.region,
             region_instances: &self.region_instances,
             evacuated: &self.evacuated,
-            cold_rate_per_s: self
-                .cold_limits
-                .get(request.service)
-                .map_or(0.0, |limits| limits.rate_per_s),
+            cold_rate,
         };
         let arm = self.arms.assign(request.key_hash).map(|(position, _)| position);
         let region_position = key_position(request.key_hash, REGION_SALT);
--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -2,6 +2,7 @@
 
 use super::senders::{Role, TokenBucket};
 use crate::gossip::FRESH_FOR;
+use crate::terms::timings::SenderLimits;
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
@@ -245,7 +246,12 @@
         let is_current =
             self.limit_confirmed_at.is_some_and(|at| now.duration_since(at) < LIMIT_TTL);
         let may_send = role != Role::Other || !is_current;
-        may_send && limit.bucket.has_token(limit.per_s.max(MIN_PROBE_RATE_PER_S), now)
+        may_send
+            && limit.bucket.has_token(
+                limit.per_s.max(MIN_PROBE_RATE_PER_S),
+                SenderLimits::default(),
+                now,
+            )
     }
 
     /// Counts a request that is sent to the backend server.
--- a/crates/steering/src/placement/liveness.rs
+++ b/crates/steering/src/placement/liveness.rs
@@ -6,24 +6,17 @@
 //! Instances of other zones count as alive for longer, as long as heartbeats of their zone arrive
 //! and no member of it reports them silent.
 
+use crate::terms::timings::LivenessTimings;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time without a new heartbeat after which an instance is left out of look-ups: twice the time in
-/// which a heartbeat reaches a hundred instances through gossip.
-pub const LOST_AFTER: Duration = Duration::from_millis(3800);
-
-/// Largest number of instances whose heartbeats all reach all others within [`LOST_AFTER`].
+/// Largest number of instances whose heartbeats all reach all others before they count as lost.
 const MAX_FULLY_REACHED_INSTANCES: usize = 300;
 
-/// Size of a zone from which on at least one heartbeat always arrives within [`LOST_AFTER`] while
-/// the zone is alive.
+/// Size of a zone from which on at least one heartbeat always arrives before all its instances
+/// count as lost while the zone is alive.
 const MIN_INSTANCES_OF_SILENT_ZONE: usize = 20;
 
-/// Age of the last heartbeat at which an instance that is lost in its own zone is reported to other
-/// zones.
-const REPORT_AFTER: Duration = Duration::from_millis(4600);
-
 /// Time for which a silence report is passed on: several times what it takes to reach all
 /// instances.
 const REPORT_FOR: Duration = Duration::from_secs(8);
@@ -83,6 +76,7 @@
 /// Liveness of availability zones, as seen from the own zone.
 #[derive(Debug, Default)]
 pub(super) struct Zones {
+    timings: LivenessTimings,
     own: Option<Arc<str>>,
     silent: Vec<Arc<str>>,
     /// Time without a heartbeat after which an instance of another zone is lost even if no instance
@@ -100,8 +94,13 @@
 
 impl Zones {
     /// Zones as seen from an instance of the zone `own`.
-    pub(super) fn in_zone(own: Arc<str>) -> Self {
-        Self { own: Some(own), ..Self::default() }
+    pub(super) fn in_zone(own: Arc<str>, timings: LivenessTimings) -> Self {
+        Self { own: Some(own), timings, ..Self::default() }
+    }
+
+    /// Timings of heartbeats and of failure detection.
+    pub(super) fn timings(&self) -> &LivenessTimings {
+        &self.timings
     }
 
     /// Updates which zones are silent, by the zone and heartbeats of each known instance.
@@ -112,6 +111,7 @@
     ) {
         let mut zones: Vec<Zone<'_>> = Vec::new();
         let mut count = 0;
+        let lost_after = self.timings.lost_after;
         for (name, record) in instances {
             count += 1;
             match zones.iter_mut().find(|zone| zone.name == name) {
@@ -123,10 +123,10 @@
             }
         }
         let fleet_ratio = count as f64 / MAX_FULLY_REACHED_INSTANCES as f64;
-        self.other_zone_lost_after = LOST_AFTER.mul_f64(fleet_ratio.max(1.0));
+        self.other_zone_lost_after = lost_after.mul_f64(fleet_ratio.max(1.0));
         let is_silent = |zone: &Zone<'_>| {
             zone.members >= MIN_INSTANCES_OF_SILENT_ZONE
-                && now.duration_since(zone.sent_at) >= LOST_AFTER
+                && now.duration_since(zone.sent_at) >= lost_after
         };
         let silent = zones.iter().filter(|zone| is_silent(zone));
         self.silent = silent.map(|zone| zone.name.clone()).collect();
@@ -134,14 +134,14 @@
 
     /// Returns whether there are too many instances for all heartbeats to reach all in time.
     pub(super) fn is_large(&self) -> bool {
-        self.own.is_some() && self.other_zone_lost_after > LOST_AFTER
+        self.own.is_some() && self.other_zone_lost_after > self.timings.lost_after
     }
 
     /// Returns whether an instance of a zone counts as alive.
     pub(super) fn is_alive(&self, zone: &Arc<str>, record: &HeartbeatRecord, now: Instant) -> bool {
         let silent_for = now.duration_since(record.received_at);
         if !self.is_large() || self.own.as_ref() == Some(zone) {
-            return silent_for < LOST_AFTER;
+            return silent_for < self.timings.lost_after;
         }
         silent_for < self.other_zone_lost_after
             && record.current_silence().is_none()
@@ -161,9 +161,10 @@
         }
         let silence = match self.own.as_ref() == Some(zone) {
             true if self.is_alive(zone, record, now) => return None,
-            true => {
-                Silence { heartbeat: record.heartbeat, reported_at: record.sent_at + REPORT_AFTER }
-            }
+            true => Silence {
+                heartbeat: record.heartbeat,
+                reported_at: record.sent_at + self.timings.report_after,
+            },
             false => record.current_silence()?,
         };
         let reported_for = now.checked_duration_since(silence.reported_at)?;
--- a/crates/steering/src/placement/own_demand.rs
+++ b/crates/steering/src/placement/own_demand.rs
@@ -4,15 +4,11 @@
 use super::peers::Demand;
 use super::roster::{DEMAND_WINDOW_S, Roster, demand_key, region_key};
 use super::service::ServiceState;
-use super::shares::MAX_OFFLOAD;
 use crate::deployment::{AllowedRegions, RequestKind};
+use crate::terms::timings::ShiftLimits;
 use std::sync::Arc;
 use std::time::Instant;
 
-/// Fraction of requests that may spill to another region than the one where they belong while
-/// nothing fails, as far as the moved shares leave a part of [`MAX_OFFLOAD`] unused.
-const SPILL_RATIO: f64 = 0.04;
-
 /// Most requests that may spill in a row.
 const MAX_SPILLS: f64 = 3.0;
 
@@ -32,7 +28,8 @@
         // Callers that return after a refusal meet the same full backend servers.  With a fixed
         // ratio of 0.04 beside a moved share, more requests changed region than allowed on 8 of 40
         // calm days; with the sum limited, on 1 of 73.
-        let allowance = (MAX_OFFLOAD - state.moved_fraction(&self.arms)).clamp(0.0, SPILL_RATIO);
+        let ShiftLimits { max_offload, spill_ratio, .. } = self.shift_limits;
+        let allowance = (max_offload - state.moved_fraction(&self.arms)).clamp(0.0, spill_ratio);
         state.spill_tokens = (state.spill_tokens + allowance).min(MAX_SPILLS);
         let per_s = 1.0 / DEMAND_WINDOW_S;
         match allowed {
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -5,20 +5,18 @@
 //! instance as of a heartbeat are kept apart, because the heartbeat usually arrives earlier.
 
 use super::incarnation::Incarnation;
-pub use super::liveness::LOST_AFTER;
 use super::liveness::{HeartbeatRecord, Zones};
 pub use super::peer::{Demand, Peer, PeerState};
 use super::peer_update::{Heartbeat, PeerUpdate, StartId};
 use super::rank::{name_hash, rank};
+use crate::terms::timings::LivenessTimings;
+pub use crate::terms::timings::{HEARTBEAT_INTERVAL, LOST_AFTER};
 use crate::watchers;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time between two heartbeats.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(800);
-
 /// Time without a heartbeat after which a lost instance is removed.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
@@ -72,8 +70,8 @@
 
 impl Peers {
     /// An empty table of an instance in an availability zone.
-    pub fn in_zone(zone: Arc<str>) -> Self {
-        Self { zones: Zones::in_zone(zone), ..Self::default() }
+    pub fn in_zone(zone: Arc<str>, timings: LivenessTimings) -> Self {
+        Self { zones: Zones::in_zone(zone, timings), ..Self::default() }
     }
 
     /// Records the description that an instance sent itself; returns whether it was newer than the
@@ -107,7 +105,7 @@
     pub fn alive_with_freshness(&self, now: Instant) -> impl Iterator<Item = (&Peer, Freshness)> {
         self.alive_entries(now).map(move |entry| {
             let intervals = now.duration_since(entry.record.received_at).as_millis()
-                / HEARTBEAT_INTERVAL.as_millis();
+                / self.zones.timings().heartbeat_interval.as_millis();
             let freshness = Freshness {
                 heartbeat: Heartbeat { id: entry.id, heartbeat: entry.record.heartbeat },
                 age: now.duration_since(entry.record.sent_at),
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -5,13 +5,15 @@
 use super::load::LoadReport;
 use super::rank::name_hash;
 use super::request::PlacementCounts;
-use super::senders::Role;
+use super::senders::{ColdRate, Role};
 use super::server::{Ending, Server};
 use super::service::ServiceState;
 use crate::deployment::{
     BackendServer, BackendServers, Deployment, Evacuations, Policies, Service,
 };
 use crate::policy::PolicyError;
+use crate::terms::Timings;
+use crate::terms::timings::{SenderLimits, ShiftLimits};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,8 +28,8 @@
 
 /// Configured limits for cold backend servers of a service.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ColdLimits {
-    pub(super) rate_per_s: f64,
+struct ColdLimits {
+    rate_per_s: f64,
     duration: Duration,
 }
 
@@ -40,7 +42,11 @@
     pub(super) regions: HashMap<Arc<str>, Arc<str>>,
     pub(super) services: BTreeMap<Arc<str>, ServiceState>,
     pub(super) evacuated: Evacuations,
-    pub(super) cold_limits: HashMap<Arc<str>, ColdLimits>,
+    cold_limits: HashMap<Arc<str>, ColdLimits>,
+    /// Limits on what this instance sends to one cold backend server.
+    cold_sender_limits: SenderLimits,
+    /// Limits on the requests that change their region.
+    pub(super) shift_limits: ShiftLimits,
     /// Name hashes of the live instances of the own region, this one included; empty while none are
     /// known.
     pub(super) region_instances: Vec<u64>,
@@ -63,6 +69,8 @@
             services: BTreeMap::new(),
             evacuated: Evacuations::new(),
             cold_limits: HashMap::new(),
+            cold_sender_limits: SenderLimits::default(),
+            shift_limits: ShiftLimits::default(),
             region_instances: Vec::new(),
             shares_updated_at: None,
             arms: Arms::default(),
@@ -70,6 +78,20 @@
         }
     }
 
+    /// Applies the limits that follow from the terms of the deployment.
+    #[must_use]
+    pub fn with_limits(mut self, timings: &Timings) -> Self {
+        self.cold_sender_limits = timings.cold_start;
+        self.shift_limits = timings.region_shift;
+        self
+    }
+
+    /// Rate of requests to a cold backend server of a service.
+    pub(super) fn cold_rate(&self, service: &str) -> ColdRate {
+        let per_s = self.cold_limits.get(service).map_or(0.0, |limits| limits.rate_per_s);
+        ColdRate { per_s, limits: self.cold_sender_limits }
+    }
+
     /// Applies the configuration of services.
     pub fn set_deployment(&mut self, deployment: &Deployment) {
         let limits = |service: &Service| ColdLimits {
--- a/crates/steering/src/placement/rounds.rs
+++ b/crates/steering/src/placement/rounds.rs
@@ -1,19 +1,19 @@
 //! Timing of an instance's gossip rounds.
 
 use super::gossip::TargetOrder;
-use super::peers::HEARTBEAT_INTERVAL;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Schedules heartbeats and the rounds between them.
 #[derive(Debug)]
 pub struct Rounds {
+    heartbeat_interval: Duration,
     next_heartbeat_at: Instant,
 }
 
 impl Rounds {
     /// Begins with a heartbeat that is due at once.
-    pub fn new(now: Instant) -> Self {
-        Self { next_heartbeat_at: now }
+    pub fn new(heartbeat_interval: Duration, now: Instant) -> Self {
+        Self { heartbeat_interval, next_heartbeat_at: now }
     }
 
     /// Time at which the next heartbeat is due.
@@ -36,7 +36,7 @@
         if now < self.next_heartbeat_at {
             return TargetOrder::OwnRegionFirst;
         }
-        self.next_heartbeat_at = now + HEARTBEAT_INTERVAL;
+        self.next_heartbeat_at = now + self.heartbeat_interval;
         TargetOrder::Random
     }
 }
--- a/crates/steering/src/placement/senders.rs
+++ b/crates/steering/src/placement/senders.rs
@@ -4,18 +4,12 @@
 //! fraction of the rate: those of the backend server's region with the lowest ranks.
 
 use super::rank::rank;
+use crate::terms::timings::SenderLimits;
 use std::time::Instant;
 
 /// Number of instances that send to a backend server with a low rate.
 pub const SENDERS_PER_SERVER: usize = 2;
 
-/// Fraction of the backend server's rate that one sender uses. Twice as many senders, while
-/// instances disagree on the membership, stay below 1.5 times the rate.
-const SENDER_SHARE: f64 = 0.35;
-
-/// Largest burst of one sender, in requests.
-const BURST: f64 = 1.25;
-
 /// Returns whether an instance is one of the senders to a backend server.
 ///
 /// `instances` holds the name hashes of all instances that may send, this one included.
@@ -50,6 +44,15 @@
     }
 }
 
+/// Rate of requests to a cold backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRate {
+    /// Requests per second that it can take, of all instances together.
+    pub per_s: f64,
+    /// Limits on what one sender uses of it.
+    pub limits: SenderLimits,
+}
+
 /// Token bucket of one instance for one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct TokenBucket {
@@ -65,9 +68,10 @@
 
     /// Refills the bucket and returns whether a sender may send a request now; the rate is that of
     /// all instances together.
-    pub fn has_token(&mut self, rate_per_s: f64, now: Instant) -> bool {
-        let gained = now.duration_since(self.filled_at).as_secs_f64() * rate_per_s * SENDER_SHARE;
-        self.tokens = (self.tokens + gained).min(BURST);
+    pub fn has_token(&mut self, rate_per_s: f64, limits: SenderLimits, now: Instant) -> bool {
+        let gained =
+            now.duration_since(self.filled_at).as_secs_f64() * rate_per_s * limits.rate_share;
+        self.tokens = (self.tokens + gained).min(limits.burst);
         self.filled_at = now;
         self.tokens >= 1.0
     }
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -4,7 +4,7 @@
 use super::incarnation::Incarnation;
 use super::load::{Load, LoadReport};
 use super::rank::{name_hash, rank};
-use super::senders::{Role, TokenBucket};
+use super::senders::{ColdRate, Role, TokenBucket};
 use crate::deployment::BackendServer;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -174,10 +174,10 @@
     }
 
     /// Returns whether the rate limit keeps the next request of an instance with this role away:
-    /// `cold_rate_per_s` while it is cold, and always the limit that it announces.
-    pub fn is_rate_limited(&mut self, role: Role, cold_rate_per_s: f64, now: Instant) -> bool {
+    /// `cold_rate` while it is cold, and always the limit that it announces.
+    pub fn is_rate_limited(&mut self, role: Role, cold_rate: ColdRate, now: Instant) -> bool {
         let may_send_cold = |bucket: &mut TokenBucket| {
-            role == Role::Sender && bucket.has_token(cold_rate_per_s, now)
+            role == Role::Sender && bucket.has_token(cold_rate.per_s, cold_rate.limits, now)
         };
         let exceeds_cold_rate = self.is_cold(now) && !may_send_cold(&mut self.bucket);
         exceeds_cold_rate || !self.condition.permits_request(role, now)
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -61,7 +61,8 @@
             state.remote_only_per_s.retain(|_, per_s| *per_s >= MIN_REMOTE_ONLY_PER_S);
             loads.insert(name.clone(), self.service_load(name, state, &demand, &warm_ms, now));
         }
-        let max_optional_offload = max_optional_offload(&self.region, loads.values());
+        let max_optional_offload =
+            max_optional_offload(&self.region, loads.values(), self.shift_limits.max_offload);
         let mut changes = Vec::new();
         self.policy_failures.clear();
         for ((name, state), ServiceLoad { loads, .. }) in services.iter_mut().zip(loads.values()) {
@@ -190,7 +191,7 @@
         // A service added after the policies starts from the built-in rule's share.
         state.arm_shares.resize(self.arms.len(), state.share.clone());
         if self.arms.is_empty() {
-            state.share.step(&built_in, own.slots, now);
+            state.share.step(&built_in, own.slots, &self.shift_limits, now);
             return;
         }
         let view = service_view(name, state, &self.zone, &self.region, &self.evacuated, now);
@@ -200,7 +201,7 @@
                 self.policy_failures.push(failure);
                 built_in.clone()
             });
-            state.arm_shares[arm].step(&target, own.slots, now);
+            state.arm_shares[arm].step(&target, own.slots, &self.shift_limits, now);
         }
     }
 }
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -4,37 +4,19 @@
 //! can serve at a common utilization, and the rest goes where there is headroom.  Shares change
 //! slowly while only traffic changes, and at once when backend servers are added or lost.
 
+use crate::terms::timings::ShiftLimits;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Utilization up to which a region keeps all of its own traffic: warm responses leave headroom for
 /// cold ones, which take three times as long.
 const OFFLOAD_UTILIZATION: f64 = 0.45;
 
-/// Utilization above which a region is overloaded; below it, no more than [`MAX_OFFLOAD`] of its
-/// traffic leaves.
+/// Utilization above which a region is overloaded; below it, no more than
+/// [`ShiftLimits::max_offload`] of its traffic leaves.
 const OVERLOAD_UTILIZATION: f64 = 0.55;
 
-/// Largest fraction of requests that leave a region while it is not overloaded: of each service,
-/// moved shares and others together; of all services, moved shares alone.
-///
-/// Requests that leave take longer.  When traffic drops, most of those that still arrive are on
-/// their way to other regions, which looks like a shift of traffic although no object moved.
-pub(super) const MAX_OFFLOAD: f64 = 0.06;
-
-/// Largest change of a share per second: less than half of what may shift between windows of two
-/// seconds.
-const MAX_CHANGE_PER_S: f64 = 0.03;
-
-/// Largest change of a share per second after backend servers were added or lost.  The demand
-/// measured until then says little, because responses wait and callers return.
-const MAX_SETTLING_CHANGE_PER_S: f64 = 0.15;
-
-/// Time for which the faster change applies: the time in which the measured demand is renewed
-/// twice.
-const SETTLING_TIME: Duration = Duration::from_secs(4);
-
 /// Relative change of a region's slots that counts as backend servers added or lost, not as noise.
 const CAPACITY_CHANGE: f64 = 0.2;
 
@@ -80,14 +62,15 @@
 }
 
 /// Fraction of each service's requests that a region may let go although it is not overloaded, so
-/// that no more than 0.06 of the requests of all services leave it.  What services must let go is
-/// subtracted first.
+/// that no more than `max_offload` of the requests of all services leave it.  What services must let
+/// go is subtracted first.
 ///
 /// A shift is counted over all services.  One small service at 0.8 of its slots that moved 0.30,
 /// beside two large ones that moved 0.06 each, made a shift of 0.39 on 1 of 33 calm days.
 pub fn max_optional_offload<'a>(
     region: &str,
     services: impl Iterator<Item = &'a ServiceLoad>,
+    max_offload: f64,
 ) -> f64 {
     let (mut requests_per_s, mut must_offload_per_s) = (0.0, 0.0);
     for ServiceLoad { loads, slot_s } in services {
@@ -96,9 +79,9 @@
         must_offload_per_s += (own.movable_above(OVERLOAD_UTILIZATION) + own.remote_only) / slot_s;
     }
     if requests_per_s <= 0.0 {
-        return MAX_OFFLOAD;
+        return max_offload;
     }
-    (MAX_OFFLOAD - must_offload_per_s / requests_per_s).max(0.0)
+    (max_offload - must_offload_per_s / requests_per_s).max(0.0)
 }
 
 /// Utilization assumed for all backend servers while there is no demand yet.
@@ -123,9 +106,10 @@
 /// Fractions of a region's movable traffic by the region that they go to.
 pub type Split = BTreeMap<Arc<str>, f64>;
 
-/// Computes the split of the movable traffic of `region`; the rest of 1 stays in the region.
+/// Computes the split of the movable traffic of `region` under the usual terms; the rest of 1 stays
+/// in the region.
 pub fn target_split(region: &str, loads: &BTreeMap<Arc<str>, RegionLoad>) -> Split {
-    target_split_within(region, loads, MAX_OFFLOAD)
+    target_split_within(region, loads, ShiftLimits::default().max_offload)
 }
 
 /// Computes the split as [`target_split`] does, where a region that is not overloaded lets go no
@@ -175,7 +159,7 @@
 
 impl RegionalShare {
     /// Changes the split towards the target; `slots` are those of the own region.
-    pub fn step(&mut self, target: &Split, slots: f64, now: Instant) {
+    pub fn step(&mut self, target: &Split, slots: f64, limits: &ShiftLimits, now: Instant) {
         let capacity_changed = (slots - self.slots).abs() > CAPACITY_CHANGE * self.slots.max(1.0);
         let Some(updated_at) = self.updated_at.replace(now) else {
             self.split = target.clone();
@@ -185,11 +169,14 @@
         if capacity_changed {
             self.split = target.clone();
             self.slots = slots;
-            self.settling_until = Some(now + SETTLING_TIME);
+            self.settling_until = Some(now + limits.settling_time);
             return;
         }
         let is_settling = self.settling_until.is_some_and(|until| until >= now);
-        let max_per_s = if is_settling { MAX_SETTLING_CHANGE_PER_S } else { MAX_CHANGE_PER_S };
+        let max_per_s = match is_settling {
+            true => limits.max_settling_change_per_s,
+            false => limits.max_change_per_s,
+        };
         let max_change = now.duration_since(updated_at).as_secs_f64() * max_per_s;
         for name in target.keys() {
             self.split.entry(name.clone()).or_insert(0.0);
--- a/crates/steering/src/terms/mod.rs
+++ b/crates/steering/src/terms/mod.rs
@@ -4,11 +4,17 @@
 //! Terms differ between deployments.  A term that the settings do not contain is not agreed:
 //! nothing is derived from it.
 
+mod conflict;
+mod description;
 mod error;
 mod raw;
+pub mod timings;
 
+pub use conflict::Conflict;
+pub use description::{DerivedValue, TermDescription, TermsDescription};
 pub use error::TermsError;
 pub use raw::{RawMachineTerms, RawStoreTerms, RawTerms, RawToleranceTerms};
+pub use timings::Timings;
 
 use std::time::Duration;
 
--- a/crates/steering/src/watch_timing.rs
+++ b/crates/steering/src/watch_timing.rs
@@ -1,5 +1,5 @@
-//! Timeouts of watches on the platform's store, and how soon another instance replaces a watcher
-//! that gets no response.
+//! Timeouts of watches on the platform's store under usual terms, and how soon another instance
+//! replaces a watcher that gets no response; [`crate::terms::Timings`] adapts them to the terms.
 //!
 //! An instance detects that the store does not respond when the wait of its watch is over.
 
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -12,6 +12,7 @@
 use steering::placement::peers::LOST_AFTER;
 use steering::placement::shares::{RegionLoad, RegionalShare, assume_demand, target_split};
 use steering::placement::{Ending, PeerState, Peers, RetryBudget, WeightedRoundRobin};
+use steering::terms::timings::ShiftLimits;
 
 /// Requests per second that a cold backend server takes in the fixtures, with the permitted overage
 /// and slack: 11 * 1.5 + 5.
@@ -141,7 +142,7 @@
         let movable = if (step_number / 5) % 2 == 0 { 5.0 } else { 60.0 };
         let loads = loads(&[("north", movable, 18.0), ("south", 20.0, 100.0)]);
         let now = start + Duration::from_millis(800) * step_number;
-        share.step(&target_split("north", &loads), 18.0, now);
+        share.step(&target_split("north", &loads), 18.0, &ShiftLimits::default(), now);
         let moved: f64 = share.split().values().sum();
         assert!((moved - last).abs() <= 0.03 * 0.8 + 1e-9, "moved from {last} to {moved}");
         last = moved;
@@ -154,10 +155,15 @@
     let start = Instant::now();
     let mut share = RegionalShare::default();
     let whole = loads(&[("north", 10.0, 30.0), ("south", 10.0, 60.0)]);
-    share.step(&target_split("north", &whole), 30.0, start);
+    share.step(&target_split("north", &whole), 30.0, &ShiftLimits::default(), start);
     assert!(share.split().is_empty());
     let lost = loads(&[("north", 10.0, 0.0), ("south", 10.0, 60.0)]);
-    share.step(&target_split("north", &lost), 0.0, start + Duration::from_millis(800));
+    share.step(
+        &target_split("north", &lost),
+        0.0,
+        &ShiftLimits::default(),
+        start + Duration::from_millis(800),
+    );
     assert_eq!(share.region_of(0.999).map(|region| &**region), Some("south"));
 }
 
@@ -168,21 +174,36 @@
     let step_time = Duration::from_millis(800);
     let moved = |share: &RegionalShare| share.split().values().sum::<f64>();
     let whole = loads(&[("north", 8.0, 20.0), ("south", 10.0, 60.0)]);
-    share.step(&target_split("north", &whole), 20.0, start);
+    share.step(&target_split("north", &whole), 20.0, &ShiftLimits::default(), start);
     // Half of the capacity is lost, and the demand rises only after that.
     let lost = loads(&[("north", 8.0, 10.0), ("south", 10.0, 60.0)]);
-    share.step(&target_split("north", &lost), 10.0, start + step_time);
+    share.step(&target_split("north", &lost), 10.0, &ShiftLimits::default(), start + step_time);
     let busy = loads(&[("north", 20.0, 10.0), ("south", 10.0, 60.0)]);
     let wanted: f64 = target_split("north", &busy).values().sum();
     assert!(wanted - moved(&share) > 0.2, "{wanted} {}", moved(&share));
     for number in 2..6 {
-        share.step(&target_split("north", &busy), 10.0, start + step_time * number);
+        share.step(
+            &target_split("north", &busy),
+            10.0,
+            &ShiftLimits::default(),
+            start + step_time * number,
+        );
     }
     assert!((moved(&share) - wanted).abs() < 1e-9, "{wanted} {}", moved(&share));
     let before = moved(&share);
     let calm = loads(&[("north", 5.0, 10.0), ("south", 10.0, 60.0)]);
-    share.step(&target_split("north", &calm), 10.0, start + step_time * 10);
-    share.step(&target_split("north", &calm), 10.0, start + step_time * 11);
+    share.step(
+        &target_split("north", &calm),
+        10.0,
+        &ShiftLimits::default(),
+        start + step_time * 10,
+    );
+    share.step(
+        &target_split("north", &calm),
+        10.0,
+        &ShiftLimits::default(),
+        start + step_time * 11,
+    );
     assert!(before - moved(&share) <= 0.03 * (step_time * 6).as_secs_f64() + 1e-9);
 }
 
--- a/crates/steering/tests/placement_telling.rs
+++ b/crates/steering/tests/placement_telling.rs
@@ -20,6 +20,7 @@
 use steering::placement::peers::{HEARTBEAT_INTERVAL, LOST_AFTER, PeerState};
 use steering::placement::rounds::Rounds;
 use steering::placement::{Peer, Peers};
+use steering::terms::timings::LivenessTimings;
 
 /// Fraction of the datagrams that are lost.
 const LOSS: f64 = 0.01;
@@ -46,7 +47,8 @@
         let now = Instant::now();
         let peers: Vec<Peer> = (0..count).map(|number| peer(number, 10.0)).collect();
         let instances = peers.iter().map(|own| {
-            let mut peer_table = Peers::in_zone(own.availability_zone.clone());
+            let mut peer_table =
+                Peers::in_zone(own.availability_zone.clone(), LivenessTimings::default());
             for other in peers.iter().filter(|other| other.name != own.name) {
                 peer_table.record(other.clone(), now);
             }
@@ -108,7 +110,10 @@
         let count = self.instances.len();
         let mut random = SmallRng::seed_from_u64(11);
         let mut rounds: Vec<Rounds> = (0..count)
-            .map(|_| Rounds::new(self.now + HEARTBEAT_INTERVAL.mul_f64(random.random())))
+            .map(|_| {
+                let first = self.now + HEARTBEAT_INTERVAL.mul_f64(random.random());
+                Rounds::new(HEARTBEAT_INTERVAL, first)
+            })
             .collect();
         let mut lost = 0;
         for tick in 0..time.as_millis() / 10 {
