Show terms to operators, and log conflicts and changes

Cause: nobody could see which terms an instance has, what follows from them and which can't be kept. Change: runpin entry terms and /v1/terms; a line for each conflict at start and at a reload, and one for terms that changed at a reload, which are in force from the next start. Invalid terms leave the settings in use, as before.

--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -3,7 +3,7 @@
 use super::instance::Instance;
 use super::listeners::Listeners;
 use super::reload::SettingsFile;
-use super::{gossip, resync, stop, store_sync};
+use super::{gossip, resync, stop, store_sync, terms};
 use crate::connection::listener;
 use crate::error::EntryError;
 use crate::platform_api::{Store, Subject, Wire};
@@ -52,6 +52,7 @@
         caller_address:% = settings.caller_address, version = env!("CARGO_PKG_VERSION");
         "started"
     );
+    terms::log_conflicts(&settings.terms);
     let Listeners { callers, look_ups, readiness, peers, operators, gossip } = listeners;
     listener::listen(instance, callers, request::handle);
     listener::listen(instance, look_ups, request::lookup::handle);
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -24,6 +24,7 @@
 pub mod stop;
 mod store_sync;
 pub(crate) mod suspects;
+mod terms;
 pub mod update_requests;
 
 pub use daemon::run;
--- a/crates/entry/src/process/reload.rs
+++ b/crates/entry/src/process/reload.rs
@@ -1,9 +1,10 @@
 //! Reloads the settings that can change while the process runs: the seeds.
 //!
-//! The file is reloaded on SIGHUP and when it has changed. Addresses, names and limits stay until the
-//! next start, as connections and budgets depend on them.
+//! The file is reloaded on SIGHUP and when it has changed. Addresses, names, limits and terms stay until
+//! the next start, as connections and budgets depend on them.
 
 use super::instance::Instance;
+use super::terms;
 use crate::settings::Settings;
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
@@ -32,6 +33,10 @@
             Ok(settings) => {
                 let seeds = settings.seeds.len();
                 instance.seeds.replace(settings.seeds);
+                if settings.terms != instance.settings.terms {
+                    log::info!(target: "terms", asked = by_signal; "changed; in force from the next start");
+                    terms::log_conflicts(&settings.terms);
+                }
                 log::info!(target: "process", asked = by_signal, seeds; "settings reloaded");
             }
             Err(error) => {
--- a/crates/entry/src/request/operators.rs
+++ b/crates/entry/src/request/operators.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use steering::placement::{PeerState, Roster};
+use steering::terms::TermsDescription;
 
 /// Path of the instance's status.
 const STATUS_PATH: &str = "/v1/status";
@@ -31,6 +32,9 @@
 /// Path of the roll-outs.
 const ROLLOUTS_PATH: &str = "/v1/rollouts";
 
+/// Path of the terms of the deployment.
+const TERMS_PATH: &str = "/v1/terms";
+
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -127,6 +131,7 @@
         }),
         ARMS_PATH => json(&arm_counts(&instance)),
         STATUS_PATH => json(&instance_status(&instance)),
+        TERMS_PATH => json(&TermsDescription::from(&instance.settings.terms)),
         ROLLOUTS_PATH => json(&rollouts::statuses(&instance)),
         _ => empty_response(StatusCode::NOT_FOUND),
     }
--- a/crates/runpin/src/command/entry/mod.rs
+++ b/crates/runpin/src/command/entry/mod.rs
@@ -5,6 +5,7 @@
 mod policy;
 mod rollout;
 mod status;
+mod terms;
 
 use crate::error::CommandError;
 use crate::exit::Exit;
@@ -14,6 +15,7 @@
 use policy::Policy;
 use rollout::Rollout;
 use status::Status;
+use terms::Terms;
 
 /// ask an instance on the users' platform, on its address for operators, and change its policies
 #[derive(Debug, FromArgs)]
@@ -31,6 +33,7 @@
     Explain(Explain),
     Policy(Policy),
     Rollout(Rollout),
+    Terms(Terms),
 }
 
 /// Runs the subcommand.
@@ -41,5 +44,6 @@
         Command::Explain(options) => explain::run(options).await,
         Command::Policy(options) => policy::run(options).await,
         Command::Rollout(options) => rollout::run(options).await,
+        Command::Terms(options) => terms::run(options).await,
     }
 }
--- a/crates/runpin/tests/entry_policy.rs
+++ b/crates/runpin/tests/entry_policy.rs
@@ -62,7 +62,7 @@
         quota_slack: 0.0,
         max_ttl_s: 5.0,
         stop_grace_s: 2.0,
-        terms: RawTerms::default(),
+        terms: RawTerms { cold_slack: Some(2.0), ..RawTerms::default() },
     };
     let mut settings = Settings::try_from(raw).expect("the settings are valid");
     settings.gossip_address.set_port(0);
@@ -107,6 +107,27 @@
     });
 }
 
+#[test]
+fn terms_are_shown_with_what_follows_from_them_and_conflicts() {
+    run(async {
+        let (store, environment) = start_platform().await;
+        let instance = start_instance(store).await;
+        let address = instance.settings.operators_address.to_string();
+
+        let output = runpin(&["entry", "terms", "--instance", &address], &environment).await;
+
+        assert_eq!(output.code, 0, "{}", output.stderr);
+        let lines: Vec<Vec<&str>> =
+            output.stdout.lines().map(|line| line.split_whitespace().collect()).collect();
+        let expected = [
+            vec!["reconnection_s", "not", "agreed", "heartbeat_interval_s", "0.800"],
+            vec!["cold_slack", "2", "cold_burst_requests", "1.000"],
+        ];
+        assert!(expected.iter().all(|line| lines.contains(line)), "{}", output.stdout);
+        assert!(output.stdout.contains("conflict: cold_slack: "), "{}", output.stdout);
+    });
+}
+
 #[test]
 fn invalid_input_or_a_conflict_is_reported_and_changes_nothing() {
     run(async {
