--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -26,5 +26,6 @@
 pub(crate) mod suspects;
 mod terms;
 pub mod update_requests;
+mod watch_handover;
 
 pub use daemon::run;
