--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -10,6 +10,7 @@
 use super::hedge;
 use super::problem::Problem;
 use super::progress::Progress;
+use super::unfinished::Unfinished;
 use http::{Response, StatusCode};
 use std::time::Instant;
 
@@ -25,10 +26,12 @@
     in_flight: InFlightGuard,
 ) -> Response<ResponseBody> {
     let instance = exchange.instance.clone();
-    let mut progress = Progress::default();
+    let mut unfinished = Unfinished::new(&exchange);
     // Boxed: moved into `with_deadline`, the future would occupy its size twice.
-    let attempts = Box::pin(send_within_quota(&exchange, body, &mut progress));
-    let outcome = match with_deadline(&instance, exchange.deadline, attempts).await {
+    let attempts = Box::pin(send_within_quota(&exchange, body, &mut unfinished.progress));
+    let outcome = with_deadline(&instance, exchange.deadline, attempts).await;
+    let progress = unfinished.finish();
+    let outcome = match outcome {
         Some(outcome) => outcome,
         None if progress.may_have_run() => Err(Problem::TimeoutAfterSend),
         None => Err(Problem::TimeoutBeforeSend),
@@ -147,7 +150,7 @@
                     ready_body = body.take();
                 }
                 let reached_server = !matches!(outcome, Outcome::NotSent | Outcome::NotForwarded);
-                let may_retry = !reached_server || exchange.instance.take_retry(&exchange.service);
+                let may_retry = !reached_server || progress.take_retry(exchange);
                 if ready_body.is_none() || !may_retry {
                     return Err(all_refused(exchange));
                 }
@@ -156,7 +159,7 @@
                 let may_retry = exchange.route.kind.is_idempotent()
                     && progress.attempt_count() < exchange.route.max_attempts
                     && body.can_be_sent()
-                    && exchange.instance.take_retry(&exchange.service);
+                    && progress.take_retry(exchange);
                 if !may_retry {
                     return Err(Problem::Broken);
                 }
@@ -170,13 +173,13 @@
 fn may_retry_failure(
     exchange: &Exchange,
     response: &attempt::ServerResponse,
-    progress: &Progress,
+    progress: &mut Progress,
 ) -> bool {
     response.status.is_server_error()
         && response.status != StatusCode::GATEWAY_TIMEOUT
         && exchange.route.kind.is_idempotent()
         && progress.attempt_count() < exchange.route.max_attempts
-        && exchange.instance.take_retry(&exchange.service)
+        && progress.take_retry(exchange)
 }
 
 fn all_refused(exchange: &Exchange) -> Problem {
