Bound timings by the terms, and fit a tight configuration's watch

Cause: the tests compared timings with the code's own constants, and only for one set of usual terms; some bounds followed from a derived value. The stricter bounds showed that the longest wait of the configuration's watches, the grace period and the interval of checks together took 1.19 s under a configuration term of 1 s.

Change: all timings are compared, as literal values, with those before terms, without terms and for drawn usual ones (drain and configuration 2.5 to 5 s, reconnection 3 to 5 s, evacuation and revocation 5 to 6 s, slack 5 to 10). Bounds come from the term: a timing and what has to follow it. Invalid values are tested for 20 fields. A configuration term under 2.5 s bounds the wait together with the grace period and the checks. The old bounds stay, but for three of the equality test that compared with the constants of the code; literal values replace them.

--- a/crates/steering/src/terms/timings/watches.rs
+++ b/crates/steering/src/terms/timings/watches.rs
@@ -51,6 +51,12 @@
         let scale = |wait: Duration, min| ratio.scale(wait, min, wait * max_growth);
         Self { min: scale(self.min, MIN_WAIT), max: scale(self.max, 2 * MIN_WAIT) }
     }
+
+    /// Shortens the waits to at most `max`, as far as the store bears it.
+    fn at_most(self, max: Duration) -> Self {
+        let max = self.max.min(max).max(2 * MIN_WAIT);
+        Self { min: self.min.min(max / 2), max }
+    }
 }
 
 /// Timings of watches on the store.
@@ -80,6 +86,14 @@
 
 impl From<&Propagation> for WatchTimings {
     fn from(terms: &Propagation) -> Self {
+        let all = Ratio::of_propagation(terms);
+        let response_grace = all.shorten(RESPONSE_GRACE, MIN_RESPONSE_GRACE);
+        let check_interval = all.shorten(WATCHER_CHECK_INTERVAL, MIN_CHECK_INTERVAL);
+        // Within a tight term, a silent store is detected and the watcher replaced.
+        let max_configuration = terms
+            .configuration
+            .filter(|term| term < USUAL_PROPAGATION.start())
+            .map_or(Duration::MAX, |term| term.saturating_sub(response_grace + check_interval));
         let configuration = Ratio::new(terms.configuration, &USUAL_PROPAGATION);
         // Keys are part of the configuration: a loose term for it must not delay a revocation.
         let configuration = match terms.key_revocation {
@@ -90,15 +104,16 @@
         };
         let servers = Ratio::new(terms.server_drain, &USUAL_PROPAGATION);
         let evacuations = Ratio::new(terms.evacuation, &USUAL_ORDER_PROPAGATION);
-        let all = Ratio::of_propagation(terms);
         Self {
-            configuration: WaitRange::CONFIGURATION.scale(configuration, MAX_CONFIGURATION_GROWTH),
+            configuration: WaitRange::CONFIGURATION
+                .scale(configuration, MAX_CONFIGURATION_GROWTH)
+                .at_most(max_configuration),
             servers: WaitRange::OTHER.scale(servers, MAX_GROWTH),
             evacuations: WaitRange::OTHER.scale(evacuations, MAX_GROWTH),
             rollouts: WaitRange::OTHER,
             policies: WaitRange::POLICIES,
-            response_grace: all.shorten(RESPONSE_GRACE, MIN_RESPONSE_GRACE),
-            check_interval: all.shorten(WATCHER_CHECK_INTERVAL, MIN_CHECK_INTERVAL),
+            response_grace,
+            check_interval,
         }
     }
 }
--- a/crates/steering/tests/terms.rs
+++ b/crates/steering/tests/terms.rs
@@ -3,13 +3,16 @@
 mod placement_common;
 
 use placement_common::peer;
+use proptest::option;
 use proptest::prelude::*;
 use std::time::Duration;
 use steering::placement::Peers;
 use steering::placement::peers::{HEARTBEAT_INTERVAL, LOST_AFTER};
-use steering::terms::timings::{SenderLimits, WaitRange};
+use steering::terms::timings::{
+    ConnectionTimings, LivenessTimings, PropagationTimings, SenderLimits, ShiftLimits, WaitRange,
+    WatchTimings,
+};
 use steering::terms::{Conflict, RawStoreTerms, RawTerms, Terms, TermsError, Timings};
-use steering::watch_timing::{RESPONSE_GRACE, SHORT_WAIT_MS, WAIT_MS, WATCHER_CHECK_INTERVAL};
 
 /// Largest number of senders to one cold backend server, while instances disagree on the
 /// membership.
@@ -18,9 +21,15 @@
 /// Time that a connection to another region and an update over it take.
 const MIN_FETCH_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Two round trips between regions: a connection and an update over it.
+const REMOTE_FETCH: Duration = Duration::from_millis(300);
+
 /// Slack for the rounding of durations.
 const ROUNDING: Duration = Duration::from_micros(1);
 
+/// Access to one term.
+type Accessor = fn(&mut RawTerms) -> &mut Option<f64>;
+
 /// Terms within the usual ranges.
 fn usual_terms() -> RawTerms {
     RawTerms {
@@ -79,25 +88,54 @@
     }
 }
 
-#[test]
-fn without_terms_and_under_usual_ones_timings_are_the_usual_ones() {
-    for raw in [RawTerms::default(), usual_terms()] {
-        let timings = timings(raw);
-
-        assert_eq!(timings, Timings::default());
-        let [min_ms, max_ms] = SHORT_WAIT_MS;
-        let wait =
-            WaitRange { min: Duration::from_millis(min_ms), max: Duration::from_millis(max_ms) };
-        assert_eq!(timings.watches.configuration, wait);
-        assert_eq!(timings.watches.servers.max, Duration::from_millis(WAIT_MS[1]));
-        assert_eq!(timings.watches.response_grace, RESPONSE_GRACE);
-        assert_eq!(timings.watches.check_interval, WATCHER_CHECK_INTERVAL);
-        assert_eq!(timings.liveness.heartbeat_interval, HEARTBEAT_INTERVAL);
-        assert_eq!(timings.liveness.lost_after, LOST_AFTER);
-        assert_eq!(timings.cold_start, SenderLimits { rate_share: 0.35, burst: 1.25 });
+/// The timings of deployments with usual terms, and of those without terms.
+fn usual_timings() -> Timings {
+    let ms = Duration::from_millis;
+    let range = |min_ms, max_ms| WaitRange { min: ms(min_ms), max: ms(max_ms) };
+    Timings {
+        propagation: PropagationTimings {
+            watch_grace: ms(300),
+            same_region_max_delay: ms(60),
+            other_region_delay: ms(500),
+            hedge_delay: ms(400),
+            connect_timeout: ms(1200),
+            fetch_timeout: ms(2500),
+            call_timeout: ms(1200),
+            max_backoff: ms(1500),
+            store_recovery_delay: ms(2000),
+        },
+        watches: WatchTimings {
+            configuration: range(1000, 2000),
+            servers: range(3000, 8000),
+            evacuations: range(3000, 8000),
+            rollouts: range(3000, 8000),
+            policies: range(15_000, 29_000),
+            response_grace: ms(600),
+            check_interval: ms(350),
+        },
+        liveness: LivenessTimings {
+            heartbeat_interval: ms(800),
+            lost_after: ms(3800),
+            report_after: ms(4600),
+        },
+        connections: ConnectionTimings { user_timeout: ms(3000), keepalive_interval: ms(2000) },
+        cold_start: SenderLimits { rate_share: 0.35, burst: 1.25 },
+        region_shift: ShiftLimits {
+            max_offload: 0.06,
+            max_change_per_s: 0.03,
+            max_settling_change_per_s: 0.15,
+            settling_time: ms(4000),
+            spill_ratio: 0.04,
+        },
     }
 }
 
+#[test]
+fn without_terms_timings_are_the_usual_ones() {
+    assert_eq!(timings(RawTerms::default()), usual_timings());
+    assert_eq!(Timings::default(), usual_timings());
+}
+
 #[test]
 fn a_loose_configuration_does_not_delay_the_revocation_of_a_key() {
     let raw = RawTerms { configuration_s: Some(60.0), ..usual_terms() };
@@ -118,12 +156,40 @@
 
 #[test]
 fn an_invalid_term_is_an_error_that_names_its_field() {
-    for value in [0.0, -3.0, f64::NAN, f64::INFINITY, 1e7] {
-        let raw = RawTerms { server_drain_s: Some(value), ..usual_terms() };
+    let fields: [(&str, Accessor); 20] = [
+        ("reconnection_s", |raw| &mut raw.reconnection_s),
+        ("configuration_s", |raw| &mut raw.configuration_s),
+        ("server_drain_s", |raw| &mut raw.server_drain_s),
+        ("evacuation_s", |raw| &mut raw.evacuation_s),
+        ("key_revocation_s", |raw| &mut raw.key_revocation_s),
+        ("outage_extension_s", |raw| &mut raw.outage_extension_s),
+        ("regression_s", |raw| &mut raw.regression_s),
+        ("recovery_s", |raw| &mut raw.recovery_s),
+        ("address_reuse_s", |raw| &mut raw.address_reuse_s),
+        ("cold_overage", |raw| &mut raw.cold_overage),
+        ("cold_slack", |raw| &mut raw.cold_slack),
+        ("max_region_shift", |raw| &mut raw.max_region_shift),
+        ("exposure_share", |raw| &mut raw.exposure_share),
+        ("exposure_slack", |raw| &mut raw.exposure_slack),
+        ("rollback_s", |raw| &mut raw.rollback_s),
+        ("machine.cores", |raw| &mut raw.machine.cores),
+        ("machine.memory_mb", |raw| &mut raw.machine.memory_mb),
+        ("store.writes_per_s", |raw| &mut raw.store.writes_per_s),
+        ("store.history_s", |raw| &mut raw.store.history_s),
+        ("store.registration_interval_s", |raw| &mut raw.store.registration_interval_s),
+    ];
+    for (name, field) in fields {
+        // None of the requests beyond a share is a valid term.
+        let zero = if name.ends_with("_slack") { -0.1 } else { 0.0 };
+        for value in [zero, -3.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY, 1e10, 1e300] {
+            let mut raw = usual_terms();
+            *field(&mut raw) = Some(value);
 
-        let error: TermsError = Terms::try_from(raw).expect_err("the value is invalid");
+            let error: TermsError = Terms::try_from(raw).expect_err("the value is invalid");
 
-        assert_eq!(error.field, "server_drain_s", "{value}");
+            assert_eq!(error.field, name, "{value}");
+            assert!(error.to_string().starts_with(name), "{error}");
+        }
     }
 }
 
@@ -189,6 +255,29 @@
 }
 
 proptest! {
+    #[test]
+    fn under_usual_terms_timings_are_the_usual_ones(
+        reconnection_s in option::of(3.0..=5.0),
+        configuration_s in option::of(2.5..=5.0),
+        server_drain_s in option::of(2.5..=5.0),
+        evacuation_s in option::of(5.0..=6.0),
+        key_revocation_s in option::of(5.0..=6.0),
+        cold_slack in option::of(5.0..=10.0),
+    ) {
+        let raw = RawTerms {
+            reconnection_s,
+            configuration_s,
+            server_drain_s,
+            evacuation_s,
+            key_revocation_s,
+            cold_slack,
+            max_region_shift: Some(0.15),
+            ..usual_terms()
+        };
+
+        prop_assert_eq!(timings(raw), usual_timings());
+    }
+
     #[test]
     fn timings_grow_with_terms(tight in 0.1..4.0, ratio in 1.0..10.0) {
         let (tight, loose) = (timings(scaled_terms(tight)), timings(scaled_terms(tight * ratio)));
@@ -215,7 +304,19 @@
 
         let Timings { propagation, watches, .. } = timings(raw);
 
+        // A silent store is detected and the watcher replaced within the term.  The usual wait, which
+        // is kept under all usual terms, is too long for the shortest of them.
+        let replaced = watches.configuration.max + watches.response_grace + watches.check_interval;
+        let is_usual = (2.5..=5.0).contains(&configuration_s);
+        let bound_s = if is_usual { configuration_s.max(2.95) } else { configuration_s };
+        prop_assert!(replaced <= seconds(bound_s) + ROUNDING, "{replaced:?}");
         prop_assert!(watches.configuration.max <= seconds(configuration_s));
+        prop_assert!(watches.configuration.min < watches.configuration.max);
+        // A watch without a response is abandoned, and another instance watches, within the term.
+        prop_assert!(watches.response_grace + watches.check_interval <= tightest);
+        // After a failed call, the next one starts and responds within the term.
+        prop_assert!(propagation.max_backoff + REMOTE_FETCH <= tightest);
+        prop_assert!(propagation.call_timeout <= tightest);
         prop_assert!(propagation.fetch_timeout <= tightest.max(MIN_FETCH_TIMEOUT) + ROUNDING);
         // A change that one instance lacks arrives by a hedged request in this time.
         let hedged = propagation.other_region_delay
@@ -223,6 +324,8 @@
             + propagation.hedge_delay
             + propagation.same_region_max_delay;
         prop_assert!(hedged <= tightest.mul_f64(0.6), "{hedged:?} of {tightest:?}");
+        prop_assert!(hedged + REMOTE_FETCH <= tightest, "{hedged:?} of {tightest:?}");
+        prop_assert!(propagation.connect_timeout < propagation.fetch_timeout);
         prop_assert!(propagation.store_recovery_delay > propagation.max_backoff);
     }
 
@@ -237,6 +340,26 @@
         prop_assert!(liveness.report_after > liveness.lost_after);
     }
 
+    #[test]
+    fn timings_of_liveness_stay_within_their_term(reconnection_s in 1.5..100.0) {
+        let term = seconds(reconnection_s);
+
+        let Timings { liveness, connections, region_shift, .. } =
+            timings(RawTerms { reconnection_s: Some(reconnection_s), ..usual_terms() });
+
+        // An instance that returns sends a heartbeat, which reaches all others in half the time
+        // after which it would count as lost.
+        prop_assert!(liveness.heartbeat_interval + liveness.lost_after / 2 <= term);
+        // Other zones hear of a lost instance after its own zone, and within the term after it.
+        let report_delay = liveness.report_after - liveness.lost_after;
+        prop_assert!(report_delay + ROUNDING >= liveness.heartbeat_interval);
+        prop_assert!(report_delay <= term);
+        prop_assert!(connections.user_timeout <= term + ROUNDING);
+        prop_assert!(connections.keepalive_interval <= connections.user_timeout);
+        // The measured demand is renewed once within the term.
+        prop_assert!(region_shift.settling_time / 2 <= term);
+    }
+
     #[test]
     fn senders_to_a_cold_server_stay_within_its_terms(
         overage in 1.0..10.0,
