Quote the text before an error of the settings

Cause: a term of the wrong type was reported by line and column only, so that the error did not name the field.

Change: the error quotes up to 60 bytes of text before the place.

--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -15,11 +15,13 @@
         source: std::io::Error,
     },
     /// The content of the settings file is invalid.
-    #[error("settings file {path}: {source}")]
+    #[error("settings file {path}: {source}, after `{before}`")]
     SettingsContent {
         /// Path of the file.
         path: PathBuf,
-        /// The error, with the name of the field.
+        /// Text just before the error, with the name of the field.
+        before: String,
+        /// The underlying error.
         source: serde_json::Error,
     },
     /// A setting has an invalid value.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,6 +11,9 @@
 use steering::rollout::ExposureLimit;
 use steering::terms::{RawTerms, Terms};
 
+/// Length of the text that an error quotes: the longest name of a field and a number.
+const MAX_CONTEXT_BYTES: usize = 60;
+
 /// Offset of the gossip port from `first_port`, which serves operators and metrics.
 const GOSSIP_PORT_OFFSET: u16 = 1;
 
@@ -112,12 +115,24 @@
     pub fn read(path: &Path) -> Result<Self, EntryError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| EntryError::SettingsFile { path: path.to_owned(), source })?;
-        let raw: RawSettings = serde_json::from_str(&text)
-            .map_err(|source| EntryError::SettingsContent { path: path.to_owned(), source })?;
+        let raw: RawSettings =
+            serde_json::from_str(&text).map_err(|source| EntryError::SettingsContent {
+                path: path.to_owned(),
+                before: text_before(&text, &source),
+                source,
+            })?;
         Self::try_from(raw)
     }
 }
 
+/// Returns the text of the line up to an error, at most [`MAX_CONTEXT_BYTES`] of it.
+fn text_before(text: &str, error: &serde_json::Error) -> String {
+    let line = text.lines().nth(error.line().saturating_sub(1)).unwrap_or_default().as_bytes();
+    let end = error.column().min(line.len());
+    let start = end.saturating_sub(MAX_CONTEXT_BYTES);
+    String::from_utf8_lossy(&line[start..end]).trim().to_owned()
+}
+
 impl TryFrom<RawSettings> for Settings {
     type Error = EntryError;
 
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -57,6 +57,30 @@
     }
 }
 
+#[test]
+fn errors_name_each_invalid_term() {
+    let wrong_values = [
+        ("0", "server_drain_s"),
+        ("-3.0", "server_drain_s"),
+        ("1e300", "server_drain_s"),
+        ("\"3\"", "server_drain_s"),
+        ("\"NaN\"", "cold_slack"),
+        ("true", "reconnection_s"),
+        ("[3]", "max_region_shift"),
+        ("{}", "exposure_share"),
+        ("1e999", "evacuation_s"),
+    ];
+    for (value, field) in wrong_values {
+        let mut fields = valid();
+        fields["terms"] = serde_json::json!({ "recovery_s": 15, field: "value" });
+        for text in [fields.to_string(), format!("{fields:#}")] {
+            let text = text.replace("\"value\"", value);
+            let error = read(&text).expect_err("a term is invalid");
+            assert!(error.contains(field), "{field}, {value}: {error}");
+        }
+    }
+}
+
 #[test]
 fn errors_name_a_missing_or_malformed_file() {
     let error = read("{").expect_err("the JSON is truncated");
