--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -7,6 +7,7 @@
 use super::service::ServiceState;
 use super::shares::{
     RegionLoad, ServiceLoad, assume_demand, max_optional_offload, target_split_within,
+    target_upload_split,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -68,13 +69,18 @@
         for ((name, state), ServiceLoad { loads, .. }) in services.iter_mut().zip(loads.values()) {
             self.update_service_shares(name, state, loads, max_optional_offload, now);
             let moved = state.moved_fraction(&self.arms);
-            if (moved - state.reported_share).abs() >= REPORTED_SHARE_CHANGE {
+            let moved_uploads = state.upload_share.moved_fraction();
+            if (moved - state.reported_share).abs() >= REPORTED_SHARE_CHANGE
+                || (moved_uploads - state.reported_upload_share).abs() >= REPORTED_SHARE_CHANGE
+            {
                 state.reported_share = moved;
+                state.reported_upload_share = moved_uploads;
                 let slots = loads.get(&self.region).map_or(0.0, |load| load.slots);
                 let demand = state.demand_slots;
                 changes.push(ShareChange {
                     service: name.clone(),
                     moved,
+                    moved_uploads,
                     slots,
                     demand,
                     max_description_lag,
@@ -187,6 +193,7 @@
     ) {
         let own = loads.get(&self.region).copied().unwrap_or_default();
         state.demand_slots = own.demand();
+        state.upload_share.step(&target_upload_split(&self.region, loads), own.slots, now);
         let built_in = target_split_within(&self.region, loads, max_optional_offload);
         // A service added after the policies starts from the built-in rule's share.
         state.arm_shares.resize(self.arms.len(), state.share.clone());
