Give the step of the shares of uploads its limits

Change: the shares of uploads move within the same limits as others, which are the usual values under usual terms.

--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -193,7 +193,12 @@
     ) {
         let own = loads.get(&self.region).copied().unwrap_or_default();
         state.demand_slots = own.demand();
-        state.upload_share.step(&target_upload_split(&self.region, loads), own.slots, now);
+        state.upload_share.step(
+            &target_upload_split(&self.region, loads),
+            own.slots,
+            &self.shift_limits,
+            now,
+        );
         let built_in = target_split_within(&self.region, loads, max_optional_offload);
         // A service added after the policies starts from the built-in rule's share.
         state.arm_shares.resize(self.arms.len(), state.share.clone());
