--- a/crates/entry/src/connection/read_ahead.rs
+++ b/crates/entry/src/connection/read_ahead.rs
@@ -11,7 +11,7 @@
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Bytes read at once.
+/// Largest number of bytes read at once.
 const PIECE_BYTES: usize = 4096;
 
 /// A connection whose bytes can be read before its reader asks for them.
@@ -23,7 +23,7 @@
     stream: S,
     /// Bytes that the reader has not taken yet.
     unread: BytesMut,
-    /// Most bytes in `unread`.
+    /// Largest length of `unread`.
     max_bytes: usize,
     /// Whether the reader itself waits for the stream.
     is_reader_waiting: bool,
@@ -54,7 +54,7 @@
 
     /// Reads ahead; ready when the other side has closed or reset the connection.
     ///
-    /// Does nothing while the reader itself waits for the stream, or when the bound is reached.
+    /// Does nothing while the reader itself waits for the stream, or when `max_bytes` are unread.
     pub fn poll_end(&self, context: &mut Context<'_>) -> Poll<()> {
         let mut state = self.0.borrow_mut();
         if state.is_reader_waiting {
--- a/crates/entry/src/process/clock.rs
+++ b/crates/entry/src/process/clock.rs
@@ -19,8 +19,8 @@
 /// with a shorter suspension on top, they are in force within the tightest bound of 2.5 s.
 const STALE_THRESHOLD: Duration = Duration::from_millis(300);
 
-/// Time of a machine's start on [`Clock`]: an instance learns of events before that from others and
-/// from the store, at most of orders that are several days old.
+/// Time on [`Clock`] at which the machine booted, so that earlier events have a time too: the oldest are
+/// roll-out orders that were given several days before.
 const BOOT_TIME: Duration = Duration::from_secs(30 * 24 * 3600);
 
 /// The clocks of a machine.
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -25,7 +25,7 @@
 use steering::placement::gossip::{self, TargetOrder};
 use steering::placement::rounds::Rounds;
 use steering::placement::{PlacementCounts, ShareChange};
-use steering::terms::timings::{PropagationTimings, Timings};
+use steering::terms::timings::Timings;
 use tokio::net::UdpSocket;
 
 /// Delay before a hedged request while the instance lacks the state to serve callers: a full update
@@ -250,23 +250,18 @@
             continue;
         }
         let has_required_state = instance.has_required_state();
-        let PropagationTimings {
-            watch_grace,
-            same_region_max_delay,
-            other_region_delay,
-            hedge_delay,
-            ..
-        } = instance.timings.propagation;
-        let response_delay = if has_required_state { hedge_delay } else { FULL_UPDATE_HEDGE_DELAY };
+        let timings = instance.timings.propagation;
+        let response_delay =
+            if has_required_state { timings.hedge_delay } else { FULL_UPDATE_HEDGE_DELAY };
         // An instance of the same region that has the change saves traffic between regions.
         let (delay, hedge_delay) =
             match (instance.is_watcher() && has_required_state, is_same_region) {
-                (true, _) => (watch_grace, watch_grace + response_delay),
+                (true, _) => (timings.watch_grace, timings.watch_grace + response_delay),
                 (false, true) => (
-                    same_region_max_delay.mul_f64(rand::random()),
-                    same_region_max_delay + response_delay,
+                    timings.same_region_max_delay.mul_f64(rand::random()),
+                    timings.same_region_max_delay + response_delay,
                 ),
-                (false, false) => (other_region_delay, Duration::ZERO),
+                (false, false) => (timings.other_region_delay, Duration::ZERO),
             };
         if requests.borrow_mut().begin(address, hedge_delay, Instant::now()) {
             let instance = instance.clone();
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -164,11 +164,11 @@
             demand: Vec::new(),
             objects: Vec::new(),
         };
-        let terms = settings.exposure.unwrap_or(ExposureLimit::NONE);
+        let exposure = settings.exposure.unwrap_or(ExposureLimit::NONE);
         let rollouts = RolloutTable::new(
             MemberId::from_name(&settings.name),
             own.started_ms,
-            terms,
+            exposure,
             clock.now(),
         );
         let quotas = Quotas::new(&settings.name, own.started_ms, settings.quota_terms);
--- a/crates/entry/src/process/store_sync.rs
+++ b/crates/entry/src/process/store_sync.rs
@@ -50,7 +50,7 @@
         }
         if needed_list == NeededList::Nothing
             && !instance.is_watcher()
-            && !receives_handover(&instance, subject).await
+            && !wait_for_handover(&instance, subject).await
         {
             continue;
         }
@@ -107,8 +107,8 @@
 }
 
 /// Waits until this instance has to check again whether it should watch the subject; returns whether
-/// another instance handed its watch over before.
-async fn receives_handover(instance: &Instance, subject: Subject) -> bool {
+/// another instance handed its watch over meanwhile.
+async fn wait_for_handover(instance: &Instance, subject: Subject) -> bool {
     tokio::select! {
         () = tokio::time::sleep(instance.timings.watches.check_interval) => false,
         () = instance.watch_handovers[subject.index()].notified() => true,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,7 +11,8 @@
 use steering::rollout::ExposureLimit;
 use steering::terms::{RawTerms, Terms};
 
-/// Length of the text that an error quotes: the longest name of a field and a number.
+/// Maximum length of the text that an error quotes, which has room for the longest name of a field and
+/// a number.
 const MAX_CONTEXT_BYTES: usize = 60;
 
 /// Offset of the gossip port from `first_port`, which serves operators and metrics.
--- a/crates/runpind/tests/soak/callers.rs
+++ b/crates/runpind/tests/soak/callers.rs
@@ -1,4 +1,4 @@
-//! Callers that keep connections, send requests ahead and leave early.
+//! Callers that keep connections, pipeline requests, and disconnect before they get responses.
 
 use crate::checks;
 use crate::common::caller::{read_next_response, request_text};
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Time after which a caller leaves; the requests carry a deadline of three seconds.
+/// Time after which a caller disconnects; the requests carry a deadline of three seconds.
 const PATIENCE: Duration = Duration::from_millis(3_500);
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -38,9 +38,9 @@
 enum Behavior {
     /// Sends a request and waits for the response.
     Wait,
-    /// Sends this many requests at once.
+    /// Pipelines this many requests.
     SendAhead(usize),
-    /// Leaves after a time.
+    /// Disconnects after a time.
     Leave(Duration),
 }
 
@@ -111,7 +111,7 @@
         match timeout(patience, reading).await {
             Ok(is_open) => is_open,
             Err(_) => {
-                // The end of the connection is what makes the caller leave.
+                // Makes the drop of the connection a reset; if that fails, it is a close.
                 if rng.random() {
                     let _ = self.stream.set_zero_linger();
                 }
--- a/crates/runpind/tests/soak/faults.rs
+++ b/crates/runpind/tests/soak/faults.rs
@@ -1,4 +1,4 @@
-//! Brings the steps of a plan about.
+//! Runs the steps of a plan.
 
 use crate::CHECK_INTERVAL;
 use crate::common::server::ResponseMode;
--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -50,7 +50,7 @@
 /// Availability zone that is evacuated.
 pub(crate) const EVACUATED_ZONE: &str = "north-b";
 
-/// An order in the store, from its acknowledgement until its deadline or until it is taken back.
+/// An order in the store, from its acknowledgement until its deadline or its withdrawal.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Order {
     pub(crate) from: Instant,
@@ -155,7 +155,7 @@
     pub(crate) history: Rc<History>,
     /// The last evacuation.
     pub(crate) evacuation: Cell<Option<Order>>,
-    /// The present roll-out of a bad version, until its backend servers have ended.
+    /// The current roll-out of a bad version, until its backend servers have ended.
     pub(crate) rollout: Cell<Option<Order>>,
     /// Whether the route `extra` exists, and since when.
     pub(crate) extra_route: Cell<(bool, Instant)>,
@@ -331,11 +331,10 @@
 }
 
 fn settings_of(number: usize, store: SocketAddr) -> Value {
-    let host_of = host;
-    let at = |port: u16| SocketAddr::new(host_of(number), port).to_string();
+    let at = |port: u16| SocketAddr::new(host(number), port).to_string();
     let others = (0..INSTANCES).filter(|other| *other != number);
     let seeds: Vec<String> =
-        others.map(|other| SocketAddr::new(host_of(other), PEER_PORT).to_string()).collect();
+        others.map(|other| SocketAddr::new(host(other), PEER_PORT).to_string()).collect();
     json!({
         "name": format!("instance-{number}"),
         "availability_zone": ZONES[number],
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -41,11 +41,11 @@
 /// Interval of the checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Delay of the test's own timer from which its times are too late to judge by.
+/// Delay of the test's own timer that counts as a disruption, as the times that it records are late.
 const OWN_DELAY: Duration = Duration::from_millis(150);
 
 /// Time after the last request in which the last records arrive.
-const END: Duration = Duration::from_secs(6);
+const LAST_RECORDS_TIME: Duration = Duration::from_secs(6);
 
 /// Whether any task of the test has panicked.
 static HAS_PANICKED: AtomicBool = AtomicBool::new(false);
@@ -113,7 +113,7 @@
     }
     let mut checker = Checker::new(fleet.clone());
     let mut last = Instant::now();
-    while Instant::now() < until + END && history.violations.borrow().is_empty() {
+    while Instant::now() < until + LAST_RECORDS_TIME && history.violations.borrow().is_empty() {
         tokio::time::sleep(CHECK_INTERVAL).await;
         if last.elapsed() > CHECK_INTERVAL + OWN_DELAY {
             history.record_own_delay(last);
--- a/crates/runpind/tests/soak/plan.rs
+++ b/crates/runpind/tests/soak/plan.rs
@@ -1,4 +1,4 @@
-//! The faults of a run, drawn from its seed.
+//! The steps of a run, planned work and faults, and its limits, drawn from its seed.
 
 use crate::common::server::ResponseMode;
 use crate::common::store::Failure;
@@ -17,7 +17,7 @@
 /// Time at the end of a round in which nothing new begins.
 const QUIET_END: Duration = Duration::from_secs(3);
 
-/// Something that happens to the fleet.
+/// Planned work or a fault.
 #[derive(Clone, Debug)]
 pub(crate) enum Fault {
     /// SIGTERM, and a new process after the end.
--- a/crates/runpind/tests/soak/proxy.rs
+++ b/crates/runpind/tests/soak/proxy.rs
@@ -95,7 +95,7 @@
     };
     if !is_complete {
         let _ = (to_far.to.as_ref().set_zero_linger(), to_near.to.as_ref().set_zero_linger());
-        // Dropping these halves would end the connections in order before they are reset.
+        // Dropping these halves would close the connections with a FIN before they are reset.
         to_far.to.forget();
         to_near.to.forget();
     }
--- a/crates/runpind/tests/soak/windows.rs
+++ b/crates/runpind/tests/soak/windows.rs
@@ -26,7 +26,7 @@
 const EXPOSURE_SHARE: f64 = 0.1;
 const EXPOSURE_SLACK: f64 = 50.0;
 
-/// Bad answers after which a version has to be rolled back, and the time for that.
+/// Bad responses after which a version has to be rolled back, and the time for that.
 const ROLLBACK_ANSWERS: usize = 50;
 const ROLLBACK_BOUND: Duration = Duration::from_secs(5);
 
--- a/crates/steering/src/placement/budget.rs
+++ b/crates/steering/src/placement/budget.rs
@@ -18,7 +18,7 @@
     ratio: f64,
     extra: f64,
     tokens: f64,
-    /// Most tokens that the last request allowed.
+    /// Largest number of tokens that may be saved, as of the last request.
     max_tokens: f64,
 }
 
--- a/crates/steering/src/placement/own_demand.rs
+++ b/crates/steering/src/placement/own_demand.rs
@@ -25,9 +25,8 @@
         let state = self.services.entry(service.clone()).or_default();
         state.keys.record(key_hash, now);
         state.objects.record(key_hash, now);
-        // Callers that return after a refusal meet the same full backend servers.  With a fixed
-        // ratio of 0.04 beside a moved share, more requests changed region than allowed on 8 of 40
-        // calm days; with the sum limited, on 1 of 73.
+        // Spilled requests and moved shares count towards the same limit on requests that change
+        // their region.
         let ShiftLimits { max_offload, spill_ratio, .. } = self.shift_limits;
         let allowance = (max_offload - state.moved_fraction(&self.arms)).clamp(0.0, spill_ratio);
         state.spill_tokens = (state.spill_tokens + allowance).min(MAX_SPILLS);
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -70,8 +70,7 @@
 /// that no more than `max_offload` of the requests of all services leave it.  What services must let
 /// go is subtracted first.
 ///
-/// A shift is counted over all services.  One small service at 0.8 of its slots that moved 0.30,
-/// beside two large ones that moved 0.06 each, made a shift of 0.39 on 1 of 33 calm days.
+/// A shift is counted over all services, so a service that must let go much leaves less to others.
 pub fn max_optional_offload<'a>(
     region: &str,
     services: impl Iterator<Item = &'a ServiceLoad>,
--- a/crates/steering/src/rollout/active_rollout.rs
+++ b/crates/steering/src/rollout/active_rollout.rs
@@ -185,8 +185,8 @@
         self.tallies.values().map(|route| route.target.bad()).sum()
     }
 
-    /// The reports for the judges: what this instance has counted, and what a fleet before it had, if
-    /// this instance has read that.
+    /// The reports for the judges: what this instance has counted, and the stored responses if this
+    /// instance has read them.
     pub(super) fn next_reports(
         &mut self,
         member: MemberId,
@@ -268,7 +268,7 @@
 
     /// Gives the version all requests if its share still grows; returns whether it did. Instances
     /// then finish their requests to other versions before the outcome is decided.
-    fn completes_growth(&mut self, now: Time) -> bool {
+    fn complete_growth(&mut self, now: Time) -> bool {
         let grows = self.rule(now).is_some_and(|rule| matches!(rule.reach, Reach::Spreading(_)));
         if grows {
             self.spreading_since = Some(now - self.schedule.growth());
@@ -294,7 +294,7 @@
         self.spreading_since.is_some() && (is_recent || !is_decidable)
     }
 
-    /// Responses that were reported to this judge, without those of a fleet before.
+    /// Responses that were reported to this judge, without the stored ones.
     pub(super) fn responses_since_start(&self) -> VersionTallies {
         let (_, totals) = self.judge.totals();
         totals - self.judge.stored_totals()
@@ -343,7 +343,7 @@
             }
             () if is_observed => found(RolloutOutcome::Succeeded),
             () if !must_decide => return None,
-            () if self.completes_growth(now) => Change::Spreads { age, assessment },
+            () if self.complete_growth(now) => Change::Spreads { age, assessment },
             () if all_done || !self.is_growth_cut_short || self.schedule.is_almost_over(age) => {
                 found(RolloutOutcome::Succeeded)
             }
--- a/crates/steering/src/rollout/judge.rs
+++ b/crates/steering/src/rollout/judge.rs
@@ -66,8 +66,7 @@
     }
 }
 
-/// Sender of reports that contain the responses in the store, counted by a fleet that has lost its
-/// state since.
+/// Sender of the report with the stored responses, which were counted before all instances restarted.
 pub(super) fn stored_responses_id() -> MemberId {
     MemberId::from_name("stored responses")
 }
@@ -161,7 +160,7 @@
         self.routes.iter().map(|(hash, route)| (*hash, route.total)).collect()
     }
 
-    /// The responses that a fleet before this one had counted.
+    /// The stored responses, which were counted before all instances restarted.
     pub(super) fn stored_totals(&self) -> VersionTallies {
         let mut total = VersionTallies::default();
         let report = self.last_reports.get(&stored_responses_id());
--- a/crates/steering/src/rollout/progress.rs
+++ b/crates/steering/src/rollout/progress.rs
@@ -1,4 +1,5 @@
-//! The progress of a rollout as the store keeps it, for a fleet that loses its memory.
+//! The progress of a rollout as the store keeps it, from which instances resume after all of them have
+//! restarted.
 
 use super::tally::{Tally, VersionTallies};
 use crate::deployment::{RolloutOrder, RolloutOutcome};
--- a/crates/steering/src/rollout/resumption.rs
+++ b/crates/steering/src/rollout/resumption.rs
@@ -18,10 +18,11 @@
     pub(super) resumed_at: Option<Time>,
     /// When this instance learned of the order.
     pub(super) learned_at: Time,
+    /// When this instance last began to synchronize the progress with the store.
     pub(super) synced_at: Option<Time>,
     /// What the store holds at least.
     pub(super) saved: Option<Milestone>,
-    /// Responses that a fleet before this one had counted.
+    /// Report with the stored responses, which were counted before all instances restarted.
     pub(super) earlier: Option<Report>,
 }
 
--- a/crates/steering/src/terms/description.rs
+++ b/crates/steering/src/terms/description.rs
@@ -8,7 +8,8 @@
 /// Terms, what is derived from each, and conflicts between them.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct TermsDescription {
-    /// The terms, in the order of the settings.
+    /// The terms, in the order of the settings; without the tolerance and the limits of the machine and
+    /// the store.
     pub terms: Vec<TermDescription>,
     /// Conflicts, in words.
     pub conflicts: Vec<String>,
@@ -56,14 +57,22 @@
         seconds(
             "configuration_s",
             propagation.configuration,
-            path(&timings, watches.configuration),
+            propagation_values(&timings, watches.configuration),
+        ),
+        seconds(
+            "server_drain_s",
+            propagation.server_drain,
+            propagation_values(&timings, watches.servers),
+        ),
+        seconds(
+            "evacuation_s",
+            propagation.evacuation,
+            propagation_values(&timings, watches.evacuations),
         ),
-        seconds("server_drain_s", propagation.server_drain, path(&timings, watches.servers)),
-        seconds("evacuation_s", propagation.evacuation, path(&timings, watches.evacuations)),
         seconds(
             "key_revocation_s",
             propagation.key_revocation,
-            path(&timings, watches.configuration),
+            propagation_values(&timings, watches.configuration),
         ),
         seconds("outage_extension_s", terms.outage_extension, Vec::new()),
         seconds("regression_s", terms.regression, Vec::new()),
@@ -114,7 +123,7 @@
 
 /// Values derived from a bound on propagation: the path is the same for all kinds of changes, only
 /// the wait of the watch differs.
-fn path(timings: &Timings, wait: WaitRange) -> Vec<DerivedValue> {
+fn propagation_values(timings: &Timings, wait: WaitRange) -> Vec<DerivedValue> {
     let (propagation, watches) = (timings.propagation, timings.watches);
     vec![
         duration("min_watch_wait_s", wait.min),
--- a/crates/steering/src/terms/timings/cold_start.rs
+++ b/crates/steering/src/terms/timings/cold_start.rs
@@ -6,14 +6,13 @@
 /// membership: twice as many as otherwise.
 pub(in crate::terms) const MAX_SENDERS: f64 = 4.0;
 
-/// Fraction of the backend server's rate that one sender uses; for all together, it must not exceed
-/// the overage.
+/// Fraction of the backend server's rate that one sender uses under usual terms.
 const SENDER_SHARE: f64 = 0.35;
 
 /// Part of the overage that all senders together use.
 const USED_OVERAGE: f64 = 0.95;
 
-/// Largest burst of one sender, in requests.
+/// Largest burst of one sender under usual terms, in requests.
 const BURST: f64 = 1.25;
 
 /// Limits on the requests of one instance to a backend server with a low rate.
--- a/crates/steering/src/terms/timings/region_shift.rs
+++ b/crates/steering/src/terms/timings/region_shift.rs
@@ -10,7 +10,7 @@
 /// Limits on the requests that change their region.
 ///
 /// All fractions together must stay well below the term, which also counts requests that leave
-/// for other reasons, as customers that may only be served elsewhere.
+/// for other reasons, such as those of customers that may only be served elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ShiftLimits {
     /// Largest fraction of requests that leave a region while it is not overloaded: of each
@@ -41,15 +41,15 @@
 
 impl From<&Terms> for ShiftLimits {
     fn from(terms: &Terms) -> Self {
-        let tightness =
+        let shift_ratio =
             terms.max_region_shift.map_or(1.0, |max_shift| (max_shift / USUAL_MAX_SHIFT).min(1.0));
         let reconnection = Ratio::new(terms.reconnection, &USUAL_RECONNECTION);
         Self {
-            max_offload: 0.06 * tightness,
-            max_change_per_s: 0.03 * tightness,
-            max_settling_change_per_s: 0.15 * tightness,
+            max_offload: 0.06 * shift_ratio,
+            max_change_per_s: 0.03 * shift_ratio,
+            max_settling_change_per_s: 0.15 * shift_ratio,
             settling_time: reconnection.shorten(Duration::from_secs(4), Duration::ZERO),
-            spill_ratio: 0.04 * tightness,
+            spill_ratio: 0.04 * shift_ratio,
         }
     }
 }
--- a/crates/steering/tests/placement_uploads.rs
+++ b/crates/steering/tests/placement_uploads.rs
@@ -8,9 +8,8 @@
 //! the slots needed, half of the requests were late, responses had a median of 2.5 s where 0.95 s
 //! is expected, and 6 to 18 requests waited at half of the backend servers.
 //!
-//! Guards also against refused uploads beside free slots. A region with 2 of 28 backend servers and
-//! a third of the callers got more uploads than its slots can serve. As uploads never left their
-//! region, most were refused there, while the other regions had free slots.
+//! Guards also against uploads that are refused in a region with few backend servers, while other
+//! regions have free slots.
 
 mod placement_common;
 
--- a/crates/steering/tests/terms.rs
+++ b/crates/steering/tests/terms.rs
@@ -18,8 +18,8 @@
 /// membership.
 const MAX_SENDERS: f64 = 4.0;
 
-/// Time that a connection to another region and an update over it take.
-const MIN_FETCH_TIMEOUT: Duration = Duration::from_millis(900);
+/// Shortest timeout for fetching an update from another instance under any terms.
+const MIN_UPDATE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Two round trips between regions: a connection and an update over it.
 const REMOTE_FETCH: Duration = Duration::from_millis(300);
@@ -317,7 +317,7 @@
         // After a failed call, the next one starts and responds within the term.
         prop_assert!(propagation.max_backoff + REMOTE_FETCH <= tightest);
         prop_assert!(propagation.call_timeout <= tightest);
-        prop_assert!(propagation.fetch_timeout <= tightest.max(MIN_FETCH_TIMEOUT) + ROUNDING);
+        prop_assert!(propagation.fetch_timeout <= tightest.max(MIN_UPDATE_TIMEOUT) + ROUNDING);
         // A change that one instance lacks arrives by a hedged request in this time.
         let hedged = propagation.other_region_delay
             + propagation.watch_grace
