--- a/crates/steering/tests/rollout.rs
+++ b/crates/steering/tests/rollout.rs
@@ -197,6 +197,13 @@
     );
 }
 
+// Schedules that a search over 10,000 further seeds found.
+#[test]
+fn bad_versions_stay_within_the_exposure_limit_in_found_schedules() {
+    let violations = violations([2_317, 3_439, 3_862, 6_642, 9_817].into_iter(), Defect::None);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 #[test]
 fn the_bounds_detect_injected_defects() {
     for defect in [
