Write the shortest response time to compare with once

Cause: the same constant stood in two files. Change: roll-outs use that of backend servers. Result: clippy clean, the tests of the structure pass.

--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -39,7 +39,7 @@
 
 /// Lower bound of the response time that slowness is relative to: below it, the network and the
 /// instance's scheduling add as much as the backend server.
-const MIN_WARM_MS: f64 = 10.0;
+pub(crate) const MIN_WARM_MS: f64 = 10.0;
 
 /// Time without a response after which slowness and failures no longer count: the backend server
 /// gets its objects back, and its next responses decide.
--- a/crates/steering/src/rollout/tally.rs
+++ b/crates/steering/src/rollout/tally.rs
@@ -1,6 +1,7 @@
 //! Counts how the responses of a version's backend servers end.
 
 use crate::placement::Ending;
+use crate::placement::server::MIN_WARM_MS;
 use serde::{Deserialize, Serialize};
 use std::fmt::{self, Display, Formatter};
 use std::ops::{AddAssign, Sub};
@@ -10,10 +11,6 @@
 /// it 2.
 const SLOW_FACTOR: f64 = 2.5;
 
-/// Warm latencies below this one are too short to compare with: the network and an instance's own
-/// scheduling add as much.
-const MIN_WARM_MS: f64 = 10.0;
-
 /// One exchange with a backend server, as far as it is relevant for its version.
 #[derive(Clone, Copy, Debug)]
 pub struct Observation {
