Let log lines read the time of day where roll-outs do

Cause: the time of day in milliseconds was computed in the logger and, since roll-outs need it, in Clock. Change: the logger calls Clock::unix_ms; no behaviour changes.

--- a/crates/entry/src/process/logging.rs
+++ b/crates/entry/src/process/logging.rs
@@ -3,13 +3,13 @@
 //! Lines pass through a bounded queue to a writer thread. Lines over the rate limit or the queue's
 //! capacity are dropped and counted; the next line that is written carries the count.
 
+use super::clock::Clock;
 use crate::error::EntryError;
 use log::kv::{Error as KeyValueError, Key, Value, VisitSource};
 use serde_json::{Map, Value as Json};
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Capacity of the queue to the writer thread.
 const QUEUE_LINES: usize = 512;
@@ -77,8 +77,7 @@
     }
 
     fn log(&self, record: &log::Record<'_>) {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let now_ms = Clock::unix_ms();
         // Changes of state are rare and are always logged.
         if record.target() == "request" && !self.admit(now_ms) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
