Log why slots changed, how a share followed, and by which role limited servers get requests

Cause: the hypotheses of the incident could not be told apart. A line 'moved' did not say whether servers were lost, cold, limited or divided between versions, nor whether the share jumped; 'placed' counted a request that left because no server of its region could be chosen as one that found all slots taken; 'requests sent under a limit' did not say by which right an instance sent.

Change: 'moved' has step, listed_slots, cold_slots, limited_slots, versioned_slots and slot_s; 'placed' has displaced; 'requests sent under a limit' has role and instances. No decision changes.

--- a/crates/entry/src/process/conditions.rs
+++ b/crates/entry/src/process/conditions.rs
@@ -89,12 +89,12 @@
 /// Logs how many requests were sent to backend servers that report a limit.
 pub(super) fn log_limited(instance: &Instance) {
     let limited = instance.roster.borrow_mut().take_limited_requests(Instant::now());
-    for RateLimitUsage { id, per_s, sent, reported_ago } in
-        limited.into_iter().take(MAX_LIMITED_LINES)
-    {
+    for usage in limited.into_iter().take(MAX_LIMITED_LINES) {
+        let RateLimitUsage { id, per_s, sent, reported_ago, role, known_instances } = usage;
         let told_ago_s = reported_ago.as_secs_f64();
         log::info!(
-            target: "backend-server", id = &*id, per_s, sent, told_ago_s;
+            target: "backend-server", id = &*id, per_s, sent, told_ago_s, role = role.as_str(),
+            instances = known_instances;
             "requests sent under a limit"
         );
     }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -24,7 +24,7 @@
 use std::time::{Duration, Instant};
 use steering::placement::gossip::{self, TargetOrder};
 use steering::placement::rounds::Rounds;
-use steering::placement::{PlacementCounts, ShareChange};
+use steering::placement::{PlacementCounts, ShareChange, SlotCounts};
 use steering::terms::timings::Timings;
 use tokio::net::UdpSocket;
 
@@ -146,19 +146,23 @@
     with_placement: bool,
 ) {
     for change in share_changes {
-        let ShareChange { service, moved, moved_uploads, slots, demand, max_description_lag } =
-            change;
+        let SlotCounts { listed, cold, limited, versioned } = change.slot_counts;
         log::info!(
-            target: "shares", service = &*service, moved, moved_uploads, slots, demand, alive,
-            stale_beats = max_description_lag;
+            target: "shares", service = &*change.service, moved = change.moved,
+            moved_uploads = change.moved_uploads, step = change.step.as_str(),
+            slots = change.slots, demand = change.demand, listed_slots = listed, cold_slots = cold,
+            limited_slots = limited, versioned_slots = versioned, slot_s = change.slot_s, alive,
+            stale_beats = change.max_description_lag;
             "moved"
         );
     }
     if with_placement {
         let counts = instance.roster.borrow_mut().take_placements();
-        for (service, PlacementCounts { stayed, homed, moved, spilled, opened }) in counts {
+        for (service, counts) in counts {
+            let PlacementCounts { stayed, homed, moved, spilled, displaced, opened } = counts;
             log::info!(
-                target: "shares", service = &*service, stayed, homed, moved, spilled, opened;
+                target: "shares", service = &*service, stayed, homed, moved, spilled, displaced,
+                opened;
                 "placed"
             );
         }
--- a/crates/steering/src/placement/choose.rs
+++ b/crates/steering/src/placement/choose.rs
@@ -35,6 +35,8 @@
     candidates: Vec<Candidate>,
     /// Whether more than half of those in the home region have failed or asked for a backoff.
     is_failing: bool,
+    /// Whether any of them is in the home region.
+    has_home: bool,
 }
 
 impl LocalContext<'_> {
@@ -103,7 +105,9 @@
         if versions.prefers_home_region() {
             candidates.retain(Candidate::is_home);
         }
-        EligibleServers { candidates, is_failing: 2 * unavailable_at_home > listed_at_home }
+        let has_home = candidates.iter().any(Candidate::is_home);
+        let is_failing = 2 * unavailable_at_home > listed_at_home;
+        EligibleServers { candidates, is_failing, has_home }
     }
 }
 
@@ -144,7 +148,7 @@
                 if versions == VersionFilter::NonTargetFallback && usable > 0 {
                     return None;
                 }
-                let EligibleServers { mut candidates, is_failing } =
+                let EligibleServers { mut candidates, is_failing, has_home } =
                     local.eligible_servers(state, &home, request, versions, now);
                 usable += candidates.len();
                 let mean_response_time = state.mean_response_time();
@@ -165,9 +169,9 @@
                 let is_warm =
                     |incarnation| state.warmth.is_warm(request.key_hash, incarnation, now);
                 let best = select_candidate(&mut candidates, &state.servers, is_warm, context)?;
-                Some((best, is_failing))
+                Some((best, is_failing, has_home))
             });
-        let Some((best, is_failing)) = found else {
+        let Some((best, is_failing, has_home)) = found else {
             let retry_after = state.mean_response_time().clamp(RETRY_AFTER[0], RETRY_AFTER[1]);
             return Err(Refusal { retry_after, usable });
         };
@@ -179,7 +183,10 @@
             () if server.region == self.region => state.placed.stayed += 1,
             () if !request.allowed_regions.permits(&self.region) => state.placed.homed += 1,
             () if server.region == home => state.placed.moved += 1,
-            () => state.placed.spilled += 1,
+            () => {
+                state.placed.spilled += 1;
+                state.placed.displaced += u64::from(!has_home);
+            }
         }
         let cold = server.is_cold(now);
         let load = server.load.estimate(sending_instances, now);
--- a/crates/steering/src/placement/condition_gossip.rs
+++ b/crates/steering/src/placement/condition_gossip.rs
@@ -8,6 +8,7 @@
 use super::incarnation::ServerRef;
 use super::request::RateLimitUsage;
 use super::roster::Roster;
+use super::senders::Role;
 use super::server::Server;
 use crate::gossip::{self, Age};
 use rand::Rng;
@@ -124,14 +125,18 @@
 
     /// Takes the counts of requests that were sent to rate-limited backend servers.
     pub fn take_limited_requests(&mut self, now: Instant) -> Vec<RateLimitUsage> {
+        let (own_hash, region, instances) = (self.own_hash, &self.region, &self.region_instances);
         let servers = self.services.values_mut().flat_map(|state| &mut state.servers);
         let limited = servers.filter_map(|server| {
+            let role = Role::for_server(own_hash, instances, region, server.hash_and_region());
             let limit = server.condition.limit.as_mut()?;
             Some(RateLimitUsage {
                 id: server.id.clone(),
                 per_s: limit.per_s,
                 sent: std::mem::take(&mut limit.sent),
                 reported_ago: now.duration_since(server.condition.limit_confirmed_at?),
+                role,
+                known_instances: instances.len(),
             })
         });
         limited.filter(|limited| limited.sent > 0).collect()
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -37,6 +37,7 @@
 mod service;
 mod share_update;
 pub mod shares;
+pub mod slot_counts;
 mod version_filter;
 mod warmth;
 
@@ -49,8 +50,9 @@
 pub use incarnation::{Incarnation, ServerRef};
 pub use peers::{Peer, PeerState, Peers};
 pub use request::{
-    Choice, PlacementCounts, PlacementRequest, RateLimitUsage, Refusal, ShareChange,
+    Choice, PlacementCounts, PlacementRequest, RateLimitUsage, Refusal, ShareChange, ShareStep,
 };
 pub use roster::Roster;
 pub use server::Ending;
+pub use slot_counts::SlotCounts;
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/steering/src/placement/request.rs
+++ b/crates/steering/src/placement/request.rs
@@ -1,6 +1,8 @@
 //! The input and results of placing a request on a backend server.
 
 use super::incarnation::Incarnation;
+use super::senders::Role;
+use super::slot_counts::SlotCounts;
 use crate::deployment::{AllowedRegions, RequestKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -76,6 +78,32 @@
     /// Largest number of heartbeats between the description of another instance, with its demand,
     /// and its latest heartbeat.
     pub max_description_lag: u64,
+    /// Slots in the own region by what keeps them from use.
+    pub slot_counts: SlotCounts,
+    /// Time that a request occupies a slot, in seconds.
+    pub slot_s: f64,
+    /// Whether the share followed its target at once since it was last reported.
+    pub step: ShareStep,
+}
+
+/// How a share changed towards its target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ShareStep {
+    /// By no more than its limited pace.
+    #[default]
+    Paced,
+    /// To the target at once, because of a change of capacity.
+    AtOnce,
+}
+
+impl ShareStep {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Paced => "paced",
+            Self::AtOnce => "at-once",
+        }
+    }
 }
 
 /// Requests of one service, counted by the region they were sent to.
@@ -89,6 +117,9 @@
     pub moved: u64,
     /// Sent to another region because the region where they belong had no capacity.
     pub spilled: u64,
+    /// Those of `spilled` for which no backend server of the region where they belong could be
+    /// chosen at all.
+    pub displaced: u64,
     /// Those sent to another region that waited for a new connection.
     pub opened: u64,
 }
@@ -111,6 +142,10 @@
     pub sent: u64,
     /// Time since the latest response known to have reported the limit.
     pub reported_ago: Duration,
+    /// Role in which this instance may send to it.
+    pub role: Role,
+    /// Live instances of the region that this one knows, itself included; 0 while it knows none.
+    pub known_instances: usize,
 }
 
 /// Error: no backend server may take the request now.
--- a/crates/steering/src/placement/senders.rs
+++ b/crates/steering/src/placement/senders.rs
@@ -30,6 +30,15 @@
 }
 
 impl Role {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Sender => "sender",
+            Self::SoleInstance => "sole-instance",
+            Self::Other => "other",
+        }
+    }
+
     /// Returns the role of the instance with the name hash `own` in `region`. `instances` holds the
     /// name hashes of all live instances of its region, this one included, or nothing while it
     /// knows none.
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -183,10 +183,10 @@
         exceeds_cold_rate || !self.condition.permits_request(role, now)
     }
 
-    /// Returns the slots that can be used, if a request occupies one for `slot_s` seconds.
-    pub fn usable_slots(&self, slot_s: f64, now: Instant) -> f64 {
+    /// Returns the slots that count, a rate limit aside: fewer while it is cold.
+    pub fn warm_slots(&self, now: Instant) -> f64 {
         let fraction = if self.is_cold(now) { COLD_SLOT_FRACTION } else { 1.0 };
-        self.condition.usable_slots(f64::from(self.record.slots) * fraction, slot_s)
+        f64::from(self.record.slots) * fraction
     }
 
     /// Returns whether it is paused after a failure.
--- a/crates/steering/src/placement/service.rs
+++ b/crates/steering/src/placement/service.rs
@@ -6,9 +6,10 @@
 use super::objects::RegionObjects;
 use super::overdue::OverdueThreshold;
 use super::quantile::QuantileEstimator;
-use super::request::PlacementCounts;
+use super::request::{PlacementCounts, ShareStep};
 use super::server::Server;
 use super::shares::RegionalShare;
+use super::slot_counts::SlotCounts;
 use super::warmth::Warmth;
 use crate::deployment::BackendServer;
 use crate::rollout::VersionRule;
@@ -88,6 +89,10 @@
     pub(super) placed: PlacementCounts,
     /// Busy slots that the own region's requests need, as of the last update of the shares.
     pub(super) demand_slots: f64,
+    /// Slots in the own region, as of the last update of the shares.
+    pub(super) slot_counts: SlotCounts,
+    /// Whether a share followed its target at once since the shares were last reported.
+    pub(super) unreported_step: ShareStep,
     /// Division of requests between versions during a rollout.
     pub(super) version_rule: Option<VersionRule>,
 }
@@ -118,6 +123,8 @@
             reported_upload_share: 0.0,
             placed: PlacementCounts::default(),
             demand_slots: 0.0,
+            slot_counts: SlotCounts::default(),
+            unreported_step: ShareStep::Paced,
             version_rule: None,
         }
     }
@@ -192,6 +199,13 @@
         self.arm_shares = vec![self.share.clone(); count];
     }
 
+    /// Records how a share changed, until it is reported.
+    pub(super) fn record_step(&mut self, step: ShareStep) {
+        if step == ShareStep::AtOnce {
+            self.unreported_step = step;
+        }
+    }
+
     fn mean_share(&self, arms: &Arms) -> RegionalShare {
         let parts = self.arm_shares.iter().zip(0..arms.len());
         let parts: Vec<_> = parts.map(|(share, arm)| (share, arms.object_fraction(arm))).collect();
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -5,6 +5,7 @@
 use super::request::ShareChange;
 use super::roster::{DEMAND_WINDOW_S, Roster, accepts_new_requests, demand_key, region_key};
 use super::service::ServiceState;
+use super::slot_counts::SlotCounts;
 use super::shares::{
     RegionLoad, ServiceLoad, assume_demand, max_optional_offload, target_split_within,
     target_upload_split,
@@ -66,7 +67,9 @@
             max_optional_offload(&self.region, loads.values(), self.shift_limits.max_offload);
         let mut changes = Vec::new();
         self.policy_failures.clear();
-        for ((name, state), ServiceLoad { loads, .. }) in services.iter_mut().zip(loads.values()) {
+        for ((name, state), ServiceLoad { loads, slot_s }) in
+            services.iter_mut().zip(loads.values())
+        {
             self.update_service_shares(name, state, loads, max_optional_offload, now);
             let moved = state.moved_fraction(&self.arms);
             let moved_uploads = state.upload_share.moved_fraction();
@@ -84,6 +87,9 @@
                     slots,
                     demand,
                     max_description_lag,
+                    slot_counts: state.slot_counts,
+                    slot_s: *slot_s,
+                    step: std::mem::take(&mut state.unreported_step),
                 });
             }
         }
@@ -130,15 +136,20 @@
             }
         }
         let mut servers = 0;
+        let mut slot_counts: BTreeMap<Arc<str>, SlotCounts> = BTreeMap::new();
         // Paused backend servers count: they come and go with load alone.
         for server in
             state.servers.iter().filter(|server| accepts_new_requests(server, &self.evacuated))
         {
             let part = state.version_share(server);
-            loads.entry(server.region.clone()).or_default().slots +=
-                part * server.usable_slots(slot_s, now);
+            let counts = slot_counts.entry(server.region.clone()).or_default();
+            counts.add(server, part, slot_s, now);
             servers += usize::from(part > 0.0);
         }
+        for (region, counts) in &slot_counts {
+            loads.entry(region.clone()).or_default().slots = counts.usable();
+        }
+        state.slot_counts = slot_counts.remove(&self.region).unwrap_or_default();
         assume_demand(&mut loads);
         // With fewer objects than backend servers, one replica each would leave some backend
         // servers idle.  While a region's objects are not counted yet, requests must not spread.
@@ -193,17 +204,16 @@
     ) {
         let own = loads.get(&self.region).copied().unwrap_or_default();
         state.demand_slots = own.demand();
-        state.upload_share.step(
-            &target_upload_split(&self.region, loads),
-            own.slots,
-            &self.shift_limits,
-            now,
-        );
+        let upload_target = target_upload_split(&self.region, loads);
+        let upload_step =
+            state.upload_share.step(&upload_target, own.slots, &self.shift_limits, now);
+        state.record_step(upload_step);
         let built_in = target_split_within(&self.region, loads, max_optional_offload);
         // A service added after the policies starts from the built-in rule's share.
         state.arm_shares.resize(self.arms.len(), state.share.clone());
         if self.arms.is_empty() {
-            state.share.step(&built_in, own.slots, &self.shift_limits, now);
+            let step = state.share.step(&built_in, own.slots, &self.shift_limits, now);
+            state.record_step(step);
             return;
         }
         let view = service_view(name, state, &self.zone, &self.region, &self.evacuated, now);
@@ -213,7 +223,8 @@
                 self.policy_failures.push(failure);
                 built_in.clone()
             });
-            state.arm_shares[arm].step(&target, own.slots, &self.shift_limits, now);
+            let step = state.arm_shares[arm].step(&target, own.slots, &self.shift_limits, now);
+            state.record_step(step);
         }
     }
 }
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -4,6 +4,7 @@
 //! can serve at a common utilization, and the rest goes where there is headroom.  Shares change
 //! slowly while only traffic changes, and at once when backend servers are added or lost.
 
+use super::request::ShareStep;
 use crate::terms::timings::ShiftLimits;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -180,18 +181,24 @@
 
 impl RegionalShare {
     /// Changes the split towards the target; `slots` are those of the own region.
-    pub fn step(&mut self, target: &Split, slots: f64, limits: &ShiftLimits, now: Instant) {
+    pub fn step(
+        &mut self,
+        target: &Split,
+        slots: f64,
+        limits: &ShiftLimits,
+        now: Instant,
+    ) -> ShareStep {
         let capacity_changed = (slots - self.slots).abs() > CAPACITY_CHANGE * self.slots.max(1.0);
         let Some(updated_at) = self.updated_at.replace(now) else {
             self.split = target.clone();
             self.slots = slots;
-            return;
+            return ShareStep::AtOnce;
         };
         if capacity_changed {
             self.split = target.clone();
             self.slots = slots;
             self.settling_until = Some(now + limits.settling_time);
-            return;
+            return ShareStep::AtOnce;
         }
         let is_settling = self.settling_until.is_some_and(|until| until >= now);
         let max_per_s = match is_settling {
@@ -207,6 +214,7 @@
             *share += (target_share - *share).clamp(-max_change, max_change);
         }
         self.split.retain(|_, share| *share > 0.0);
+        ShareStep::Paced
     }
 
     /// The mean of shares weighted by fractions, with the age of the first.
--- a/crates/steering/tests/placement_leaving.rs
+++ b/crates/steering/tests/placement_leaving.rs
@@ -107,7 +107,7 @@
     let full = LoadReport { running: SLOTS, waiting: 40 * SLOTS, slots: SLOTS };
     roster.record_ending("north-a-0", Ending::Shed, Some(full), now);
     assert_eq!(request(&mut roster).as_deref(), Ok("south-a"));
-    let counts = PlacementCounts { spilled: 1, ..PlacementCounts::default() };
+    let counts = PlacementCounts { spilled: 1, displaced: 1, ..PlacementCounts::default() };
     assert_eq!(roster.take_placements(), [(service.clone(), counts)]);
     assert!(roster.take_placements().is_empty(), "the counts were reset");
 }
