Move a region's share at its pace where servers state limits or versions divide requests

What callers saw: much of a region's traffic changed its region from one moment to the next, with no server lost.

Cause: a share took its target at once when usable slots changed by more than a fifth, which was meant for lost servers; limits that servers state, and the division of requests between versions, change usable slots too. Class: one figure for two questions, how much can be used and whether something was lost.

Evidence: limits_of_some_servers_shift_no_traffic_at_once failed before (0.158 to 0.234 of the requests from one window of 2 s to the next where 0.4 or more of the servers state limits; 0.15 allowed), also on the way back, when limits end (0.199).

Change: a region's load has installed slots beside usable ones; only these, of servers that are listed, accept requests and are warm, decide whether a share jumps. Lost and cold servers still move shares at once (tests).

--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -5,11 +5,11 @@
 use super::request::ShareChange;
 use super::roster::{DEMAND_WINDOW_S, Roster, accepts_new_requests, demand_key, region_key};
 use super::service::ServiceState;
-use super::slot_counts::SlotCounts;
 use super::shares::{
     RegionLoad, ServiceLoad, assume_demand, max_optional_offload, target_split_within,
     target_upload_split,
 };
+use super::slot_counts::SlotCounts;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Instant;
@@ -147,7 +147,9 @@
             servers += usize::from(part > 0.0);
         }
         for (region, counts) in &slot_counts {
-            loads.entry(region.clone()).or_default().slots = counts.usable();
+            let load = loads.entry(region.clone()).or_default();
+            load.slots = counts.usable();
+            load.installed_slots = counts.installed();
         }
         state.slot_counts = slot_counts.remove(&self.region).unwrap_or_default();
         assume_demand(&mut loads);
@@ -206,13 +208,13 @@
         state.demand_slots = own.demand();
         let upload_target = target_upload_split(&self.region, loads);
         let upload_step =
-            state.upload_share.step(&upload_target, own.slots, &self.shift_limits, now);
+            state.upload_share.step(&upload_target, own.installed_slots, &self.shift_limits, now);
         state.record_step(upload_step);
         let built_in = target_split_within(&self.region, loads, max_optional_offload);
         // A service added after the policies starts from the built-in rule's share.
         state.arm_shares.resize(self.arms.len(), state.share.clone());
         if self.arms.is_empty() {
-            let step = state.share.step(&built_in, own.slots, &self.shift_limits, now);
+            let step = state.share.step(&built_in, own.installed_slots, &self.shift_limits, now);
             state.record_step(step);
             return;
         }
@@ -223,7 +225,8 @@
                 self.policy_failures.push(failure);
                 built_in.clone()
             });
-            let step = state.arm_shares[arm].step(&target, own.slots, &self.shift_limits, now);
+            let step =
+                state.arm_shares[arm].step(&target, own.installed_slots, &self.shift_limits, now);
             state.record_step(step);
         }
     }
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -1,8 +1,8 @@
 //! The share of a region's traffic for a service that other regions serve.
 //!
 //! The rule is the same on all instances of a region: each region keeps what its backend servers
-//! can serve at a common utilization, and the rest goes where there is headroom.  Shares change
-//! slowly while only traffic changes, and at once when backend servers are added or lost.
+//! can serve at a common utilization, and the rest goes where there is headroom.  Shares change at
+//! once when backend servers are added or lost, and slowly otherwise.
 
 use super::request::ShareStep;
 use crate::terms::timings::ShiftLimits;
@@ -18,7 +18,7 @@
 /// [`ShiftLimits::max_offload`] of its traffic leaves.
 const OVERLOAD_UTILIZATION: f64 = 0.55;
 
-/// Relative change of a region's slots that counts as backend servers added or lost, not as noise.
+/// Relative change of a region's installed slots that counts as backend servers added or lost.
 const CAPACITY_CHANGE: f64 = 0.2;
 
 /// Demand and capacity of one region for one service, in slots.
@@ -34,6 +34,8 @@
     pub remote_only: f64,
     /// Slots of backend servers that may be used.
     pub slots: f64,
+    /// Slots of warm backend servers, including those that limits or versions keep from use.
+    pub installed_slots: f64,
 }
 
 impl RegionLoad {
@@ -173,30 +175,33 @@
 #[derive(Clone, Debug, Default)]
 pub struct RegionalShare {
     split: Split,
-    slots: f64,
+    installed_slots: f64,
     updated_at: Option<Instant>,
     /// Time until which the share changes faster.
     settling_until: Option<Instant>,
 }
 
 impl RegionalShare {
-    /// Changes the split towards the target; `slots` are those of the own region.
+    /// Changes the split towards the target; `installed_slots` are those of the own region.
+    ///
+    /// Slots that limits or versions keep from use are not lost: a change of them is paced.
     pub fn step(
         &mut self,
         target: &Split,
-        slots: f64,
+        installed_slots: f64,
         limits: &ShiftLimits,
         now: Instant,
     ) -> ShareStep {
-        let capacity_changed = (slots - self.slots).abs() > CAPACITY_CHANGE * self.slots.max(1.0);
+        let change = (installed_slots - self.installed_slots).abs();
+        let capacity_changed = change > CAPACITY_CHANGE * self.installed_slots.max(1.0);
         let Some(updated_at) = self.updated_at.replace(now) else {
             self.split = target.clone();
-            self.slots = slots;
+            self.installed_slots = installed_slots;
             return ShareStep::AtOnce;
         };
         if capacity_changed {
             self.split = target.clone();
-            self.slots = slots;
+            self.installed_slots = installed_slots;
             self.settling_until = Some(now + limits.settling_time);
             return ShareStep::AtOnce;
         }
--- a/crates/steering/src/placement/slot_counts.rs
+++ b/crates/steering/src/placement/slot_counts.rs
@@ -29,8 +29,14 @@
         self.versioned += usable * (1.0 - version_share);
     }
 
+    /// Slots of warm backend servers, whether limits and versions let them be used or not: they
+    /// change only as backend servers are added, lost, or start.
+    pub fn installed(&self) -> f64 {
+        self.listed - self.cold
+    }
+
     /// Slots that can be used.
     pub fn usable(&self) -> f64 {
-        self.listed - self.cold - self.limited - self.versioned
+        self.installed() - self.limited - self.versioned
     }
 }
