Bound what leaves a region whose servers state limits, and refuse the rest at once

What callers saw: traffic of a service left its region at once when its servers there stated limits, with no server lost.

Cause: few instances send to a limited server. Where all servers of a service in a region state limits, every other instance had no candidate there, and the selection then took the servers of all other regions for near ones, without a bound. The share counted the slots of limited servers by their limits, as if all instances could reach them. Class: a fallback for lost servers was taken where servers only take less.

Change: without a candidate in its region a request goes anywhere only if the region lists no server of the service, or most of them failed, are silent or cold; otherwise it may spill within the bound of spills, or is refused at once. Usable slots of a limited server are what its senders may send and what arrives at them, so the share takes the rest elsewhere. A service that is short of usable slots changes its share faster, as long as all services together change at 0.04 of the served requests a second: its callers are refused until then.

--- a/crates/steering/src/placement/candidate.rs
+++ b/crates/steering/src/placement/candidate.rs
@@ -46,6 +46,8 @@
     pub(super) cold_penalty_ms: f64,
     /// Whether the request may leave its home region.
     pub(super) may_spill: bool,
+    /// Whether all other regions count as the home region if it has no candidate.
+    pub(super) may_displace: bool,
     /// Whether the request already runs on another backend server, so that it goes only to one with
     /// low utilization.
     pub(super) is_hedge: bool,
@@ -72,8 +74,7 @@
     is_warm: impl Fn(u64) -> bool,
     context: SelectionContext,
 ) -> Option<Candidate> {
-    if !candidates.iter().any(Candidate::is_home) {
-        // The home region has no backend server at all.
+    if context.may_displace && !candidates.iter().any(Candidate::is_home) {
         candidates.iter_mut().for_each(|candidate| candidate.tier = 1);
     }
     let replica_count = context.replicas.clamp(1, candidates.len().max(1));
--- a/crates/steering/src/placement/choose.rs
+++ b/crates/steering/src/placement/choose.rs
@@ -37,6 +37,9 @@
     is_failing: bool,
     /// Whether any of them is in the home region.
     has_home: bool,
+    /// Whether requests may go to any other region while none of them is in the home region: it has
+    /// no backend servers, or most of them failed or are cold.
+    may_displace: bool,
 }
 
 impl LocalContext<'_> {
@@ -65,7 +68,8 @@
         let avoids_zone_crossing =
             request.kind == RequestKind::Upload && !state.uploads_share_region;
         let mut candidates = Vec::new();
-        let (mut listed_at_home, mut unavailable_at_home) = (0usize, 0usize);
+        let (mut listed_at_home, mut unavailable_at_home, mut lost_at_home) =
+            (0usize, 0usize, 0usize);
         for (index, server) in state.servers.iter_mut().enumerate() {
             let allowed =
                 request.allowed_regions.permits(&server.region) && versions.admits(server);
@@ -78,6 +82,7 @@
             let at_home = server.region == *home;
             listed_at_home += usize::from(at_home);
             unavailable_at_home += usize::from(at_home && server.is_unavailable(now));
+            lost_at_home += usize::from(at_home && server.is_lost(mean_response_time, now));
             if server.is_paused(mean_response_time, now) {
                 continue;
             }
@@ -107,7 +112,8 @@
         }
         let has_home = candidates.iter().any(Candidate::is_home);
         let is_failing = 2 * unavailable_at_home > listed_at_home;
-        EligibleServers { candidates, is_failing, has_home }
+        let may_displace = listed_at_home == 0 || 2 * lost_at_home > listed_at_home;
+        EligibleServers { candidates, is_failing, has_home, may_displace }
     }
 }
 
@@ -148,7 +154,7 @@
                 if versions == VersionFilter::NonTargetFallback && usable > 0 {
                     return None;
                 }
-                let EligibleServers { mut candidates, is_failing, has_home } =
+                let EligibleServers { mut candidates, is_failing, has_home, may_displace } =
                     local.eligible_servers(state, &home, request, versions, now);
                 usable += candidates.len();
                 let mean_response_time = state.mean_response_time();
@@ -162,6 +168,7 @@
                     cold_penalty_ms: state.cold_penalty_ms(),
                     // Load alone must not move these requests, but failures of backend servers may.
                     may_spill: is_failing || state.spill_tokens >= 1.0,
+                    may_displace,
                     is_hedge: request.is_hedge,
                     sending_instances,
                     now,
--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -1,6 +1,6 @@
 //! Conditions that a backend server announces in its responses: a rate limit, leaving, a backoff.
 
-use super::senders::{Role, TokenBucket};
+use super::senders::{Role, SenderCount, TokenBucket};
 use crate::gossip::FRESH_FOR;
 use crate::terms::timings::SenderLimits;
 use serde::{Deserialize, Serialize};
@@ -281,8 +281,11 @@
     }
 
     /// Returns how many of `slots` the limit lets be used, if a request occupies one for `slot_s`
-    /// seconds.
-    pub fn usable_slots(&self, slots: f64, slot_s: f64) -> f64 {
-        self.limit.map_or(slots, |limit| slots.min(limit.per_s * slot_s))
+    /// seconds: no more than the senders may send, and than arrives at them.
+    pub fn usable_slots(&self, slots: f64, slot_s: f64, senders: SenderCount) -> f64 {
+        self.limit.map_or(slots, |limit| {
+            let permitted = limit.per_s * senders.rate_fraction() * slot_s;
+            permitted.min(slots * senders.request_fraction())
+        })
     }
 }
--- a/crates/steering/src/placement/policy_view.rs
+++ b/crates/steering/src/placement/policy_view.rs
@@ -1,6 +1,7 @@
 //! Input of a policy program: the backend servers of one service, by availability zone.
 
 use super::roster::accepts_new_requests;
+use super::senders::SenderCount;
 use super::service::ServiceState;
 use crate::deployment::Evacuations;
 use crate::policy::{SiteView, View};
@@ -33,6 +34,7 @@
     zone: &Arc<str>,
     region: &Arc<str>,
     evacuated: &Evacuations,
+    region_sizes: &BTreeMap<Arc<str>, usize>,
     now: Instant,
 ) -> View {
     let slot_s = state.warm_response_ms() / 1_000.0;
@@ -41,7 +43,9 @@
         let site = sums.entry(&server.record.availability_zone).or_default();
         site.region = server.region.clone();
         site.servers += 1.0;
-        site.slots += server.condition.usable_slots(server.record.slots.into(), slot_s);
+        let senders =
+            SenderCount::in_region(region_sizes.get(&server.region).copied().unwrap_or(0));
+        site.slots += server.condition.usable_slots(server.record.slots.into(), slot_s, senders);
         site.load += server.load.estimate(1, now);
         if let Some(response_ms) = server.response_ms() {
             site.response_ms += response_ms;
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -50,6 +50,8 @@
     /// Name hashes of the live instances of the own region, this one included; empty while none are
     /// known.
     pub(super) region_instances: Vec<u64>,
+    /// Number of live instances by region.
+    pub(super) region_sizes: BTreeMap<Arc<str>, usize>,
     pub(super) shares_updated_at: Option<Instant>,
     /// The active policies.
     pub(super) arms: Arms,
@@ -72,6 +74,7 @@
             cold_sender_limits: SenderLimits::default(),
             shift_limits: ShiftLimits::default(),
             region_instances: Vec::new(),
+            region_sizes: BTreeMap::new(),
             shares_updated_at: None,
             arms: Arms::default(),
             policy_failures: Vec::new(),
--- a/crates/steering/src/placement/senders.rs
+++ b/crates/steering/src/placement/senders.rs
@@ -18,6 +18,31 @@
     instances.iter().filter(|other| rank(server, **other) < own_rank).count() < SENDERS_PER_SERVER
 }
 
+/// The senders to a backend server, as a part of the instances of its region.
+#[derive(Clone, Copy, Debug)]
+pub struct SenderCount {
+    senders: usize,
+    instances: usize,
+}
+
+impl SenderCount {
+    /// The senders in a region of `instances`; one if none is known.
+    pub fn in_region(instances: usize) -> Self {
+        let instances = instances.max(1);
+        Self { senders: SENDERS_PER_SERVER.min(instances), instances }
+    }
+
+    /// Fraction of the region's requests that arrive at a sender.
+    pub fn request_fraction(self) -> f64 {
+        self.senders as f64 / self.instances as f64
+    }
+
+    /// Fraction of a rate limit that all senders use together.
+    pub fn rate_fraction(self) -> f64 {
+        self.senders as f64 * SenderLimits::default().rate_share
+    }
+}
+
 /// Role of an instance towards a backend server with a low rate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Role {
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -203,10 +203,20 @@
     /// had no free slot or is silent; `mean_response_time` is the mean response time of its
     /// service.
     pub fn is_paused(&self, mean_response_time: Duration, now: Instant) -> bool {
+        self.is_silent(mean_response_time, now)
+            || self.is_unavailable(now)
+            || self.shed_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns whether it failed, is silent, is cold or asked for a backoff: neither load nor a rate
+    /// limit keeps requests away.
+    pub fn is_lost(&self, mean_response_time: Duration, now: Instant) -> bool {
+        self.is_silent(mean_response_time, now) || self.is_unavailable(now) || self.is_cold(now)
+    }
+
+    fn is_silent(&self, mean_response_time: Duration, now: Instant) -> bool {
         let silence = SILENCE_TIMEOUT.0.max(mean_response_time.mul_f64(SILENCE_TIMEOUT.1));
-        let is_silent =
-            self.load.in_flight > 0 && now.duration_since(self.last_response_at) > silence;
-        is_silent || self.is_unavailable(now) || self.shed_until.is_some_and(|until| until > now)
+        self.load.in_flight > 0 && now.duration_since(self.last_response_at) > silence
     }
 
     /// Returns the moving average of failures among its responses, in `0.0..=1.0`.
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -4,12 +4,14 @@
 use super::policy_view::service_view;
 use super::request::ShareChange;
 use super::roster::{DEMAND_WINDOW_S, Roster, accepts_new_requests, demand_key, region_key};
+use super::senders::SenderCount;
 use super::service::ServiceState;
 use super::shares::{
-    RegionLoad, ServiceLoad, assume_demand, max_optional_offload, target_split_within,
-    target_upload_split,
+    RegionLoad, ServiceLoad, assume_demand, limits_of_short_services, max_optional_offload,
+    target_split_within, target_upload_split,
 };
 use super::slot_counts::SlotCounts;
+use crate::terms::timings::ShiftLimits;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Instant;
@@ -46,6 +48,7 @@
         if !self.region_instances.is_empty() {
             self.region_instances.push(self.own_hash);
         }
+        self.region_sizes = region_sizes(own, peers, now);
         let demand = regional_demand(own, peers, now);
         self.merge_objects(&own.region, peers, now);
         let warm_ms = mean_warm_ms(own, peers, now);
@@ -65,12 +68,18 @@
         }
         let max_optional_offload =
             max_optional_offload(&self.region, loads.values(), self.shift_limits.max_offload);
+        let moved = services.values().map(|state| state.moved_fraction(&self.arms));
+        let short_limits =
+            limits_of_short_services(&self.region, loads.values().zip(moved), &self.shift_limits);
         let mut changes = Vec::new();
         self.policy_failures.clear();
         for ((name, state), ServiceLoad { loads, slot_s }) in
             services.iter_mut().zip(loads.values())
         {
-            self.update_service_shares(name, state, loads, max_optional_offload, now);
+            let is_short =
+                loads.get(&self.region).is_some_and(RegionLoad::is_short_of_usable_slots);
+            let limits = if is_short { short_limits } else { self.shift_limits };
+            self.update_service_shares(name, state, loads, max_optional_offload, &limits, now);
             let moved = state.moved_fraction(&self.arms);
             let moved_uploads = state.upload_share.moved_fraction();
             if (moved - state.reported_share).abs() >= REPORTED_SHARE_CHANGE
@@ -143,7 +152,8 @@
         {
             let part = state.version_share(server);
             let counts = slot_counts.entry(server.region.clone()).or_default();
-            counts.add(server, part, slot_s, now);
+            let region_size = self.region_sizes.get(&server.region).copied().unwrap_or(0);
+            counts.add(server, part, slot_s, SenderCount::in_region(region_size), now);
             servers += usize::from(part > 0.0);
         }
         for (region, counts) in &slot_counts {
@@ -202,36 +212,52 @@
         state: &mut ServiceState,
         loads: &BTreeMap<Arc<str>, RegionLoad>,
         max_optional_offload: f64,
+        limits: &ShiftLimits,
         now: Instant,
     ) {
         let own = loads.get(&self.region).copied().unwrap_or_default();
         state.demand_slots = own.demand();
         let upload_target = target_upload_split(&self.region, loads);
-        let upload_step =
-            state.upload_share.step(&upload_target, own.installed_slots, &self.shift_limits, now);
+        let upload_step = state.upload_share.step(&upload_target, own.installed_slots, limits, now);
         state.record_step(upload_step);
         let built_in = target_split_within(&self.region, loads, max_optional_offload);
         // A service added after the policies starts from the built-in rule's share.
         state.arm_shares.resize(self.arms.len(), state.share.clone());
         if self.arms.is_empty() {
-            let step = state.share.step(&built_in, own.installed_slots, &self.shift_limits, now);
+            let step = state.share.step(&built_in, own.installed_slots, limits, now);
             state.record_step(step);
             return;
         }
-        let view = service_view(name, state, &self.zone, &self.region, &self.evacuated, now);
+        let view = service_view(
+            name,
+            state,
+            &self.zone,
+            &self.region,
+            &self.evacuated,
+            &self.region_sizes,
+            now,
+        );
         for arm in 0..self.arms.len() {
             let target = self.arms.target_split(arm, &view, loads, &built_in);
             let target = target.unwrap_or_else(|failure| {
                 self.policy_failures.push(failure);
                 built_in.clone()
             });
-            let step =
-                state.arm_shares[arm].step(&target, own.installed_slots, &self.shift_limits, now);
+            let step = state.arm_shares[arm].step(&target, own.installed_slots, limits, now);
             state.record_step(step);
         }
     }
 }
 
+/// Number of live instances by region, this one included.
+fn region_sizes(own: &Peer, peers: &Peers, now: Instant) -> BTreeMap<Arc<str>, usize> {
+    let mut sizes = BTreeMap::new();
+    for peer in peers.alive(now).chain(std::iter::once(own)) {
+        *sizes.entry(peer.region.clone()).or_insert(0) += 1;
+    }
+    sizes
+}
+
 /// Demand of all instances, by service and region.
 fn regional_demand(own: &Peer, peers: &Peers, now: Instant) -> HashMap<(u32, Arc<str>), Demand> {
     let mut demand: HashMap<(u32, Arc<str>), Demand> = HashMap::new();
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -21,6 +21,13 @@
 /// Relative change of a region's installed slots that counts as backend servers added or lost.
 const CAPACITY_CHANGE: f64 = 0.2;
 
+/// Lower bound of the fraction of served requests that stay in the region, for the pace of services
+/// that are short of usable slots.
+const MIN_STAYED_FRACTION: f64 = 0.1;
+
+/// Lowest pace of a service that is short of usable slots, per second.
+const MIN_SHORT_CHANGE_PER_S: f64 = 0.005;
+
 /// Demand and capacity of one region for one service, in slots.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RegionLoad {
@@ -44,6 +51,11 @@
         self.movable + self.pinned + self.inbound
     }
 
+    /// Whether limits or versions keep so many slots from use that the rest can't serve its traffic.
+    pub fn is_short_of_usable_slots(&self) -> bool {
+        self.slots < self.installed_slots && self.demand() > self.slots
+    }
+
     /// Busy slots, in any region, that the requests of its callers need.
     fn caller_demand(&self) -> f64 {
         self.movable + self.pinned + self.remote_only
@@ -94,6 +106,40 @@
     (max_offload - must_offload_per_s / requests_per_s).max(0.0)
 }
 
+/// The limits of services that are short of usable slots: their shares change as fast as the shift
+/// of all services together permits.
+///
+/// What such a service can't serve is refused until its share has changed, so its share should
+/// change fast. A shift is counted over the requests of all services that are served: the fewer are
+/// served in the region, the more a request counts that leaves it. `services` are given with the
+/// fraction of their requests that leaves the region.
+pub fn limits_of_short_services<'a>(
+    region: &str,
+    services: impl Iterator<Item = (&'a ServiceLoad, f64)>,
+    limits: &ShiftLimits,
+) -> ShiftLimits {
+    let (mut short_per_s, mut others_per_s, mut left_per_s, mut stayed_per_s) =
+        (0.0, 0.0, 0.0, 0.0);
+    for (ServiceLoad { loads, slot_s }, moved) in services {
+        let Some(own) = loads.get(region).filter(|_| *slot_s > 0.0) else { continue };
+        let per_s = own.caller_demand() / slot_s;
+        left_per_s += per_s * moved;
+        stayed_per_s += (per_s * (1.0 - moved)).min(own.slots / slot_s);
+        let sum = if own.is_short_of_usable_slots() { &mut short_per_s } else { &mut others_per_s };
+        *sum += per_s;
+    }
+    if short_per_s <= 0.0 {
+        return *limits;
+    }
+    let served_per_s = stayed_per_s + left_per_s;
+    let served_per_stayed = served_per_s / stayed_per_s.max(MIN_STAYED_FRACTION * served_per_s);
+    let max_total_change = limits.max_total_change_per_s * served_per_s * served_per_stayed;
+    let change_of_others = limits.max_change_per_s * others_per_s;
+    let max_change_per_s =
+        ((max_total_change - change_of_others) / short_per_s).clamp(MIN_SHORT_CHANGE_PER_S, 1.0);
+    ShiftLimits { max_change_per_s, ..*limits }
+}
+
 /// Utilization assumed for all backend servers while there is no demand yet.
 const EXPECTED_UTILIZATION: f64 = 0.5;
 
--- a/crates/steering/src/placement/slot_counts.rs
+++ b/crates/steering/src/placement/slot_counts.rs
@@ -1,5 +1,6 @@
 //! Slots of one service's backend servers in a region, by what keeps them from use.
 
+use super::senders::SenderCount;
 use super::server::Server;
 use std::time::Instant;
 
@@ -19,10 +20,17 @@
 impl SlotCounts {
     /// Adds a backend server, if a request occupies a slot for `slot_s` seconds and `version_share`
     /// of its slots counts.
-    pub(super) fn add(&mut self, server: &Server, version_share: f64, slot_s: f64, now: Instant) {
+    pub(super) fn add(
+        &mut self,
+        server: &Server,
+        version_share: f64,
+        slot_s: f64,
+        senders: SenderCount,
+        now: Instant,
+    ) {
         let listed = f64::from(server.record.slots);
         let warm = server.warm_slots(now);
-        let usable = server.condition.usable_slots(warm, slot_s);
+        let usable = server.condition.usable_slots(warm, slot_s, senders);
         self.listed += listed;
         self.cold += listed - warm;
         self.limited += warm - usable;
--- a/crates/steering/src/terms/description.rs
+++ b/crates/steering/src/terms/description.rs
@@ -116,6 +116,7 @@
     vec![
         DerivedValue { name: "max_offload", value: limits.max_offload },
         DerivedValue { name: "max_change_per_s", value: limits.max_change_per_s },
+        DerivedValue { name: "max_total_change_per_s", value: limits.max_total_change_per_s },
         DerivedValue { name: "max_settling_change_per_s", value: limits.max_settling_change_per_s },
         DerivedValue { name: "spill_ratio", value: limits.spill_ratio },
     ]
--- a/crates/steering/src/terms/timings/region_shift.rs
+++ b/crates/steering/src/terms/timings/region_shift.rs
@@ -22,6 +22,9 @@
     /// Largest change of a share per second: less than half of what may shift between windows of
     /// two seconds.
     pub max_change_per_s: f64,
+    /// Largest change per second of the requests of all services together, where some of them are
+    /// short of usable slots: about half of what may shift between windows of two seconds.
+    pub max_total_change_per_s: f64,
     /// Largest change of a share per second after backend servers were added or lost.  The demand
     /// measured until then says little, because responses wait and callers return.
     pub max_settling_change_per_s: f64,
@@ -47,6 +50,7 @@
         Self {
             max_offload: 0.06 * shift_ratio,
             max_change_per_s: 0.03 * shift_ratio,
+            max_total_change_per_s: 0.04 * shift_ratio,
             max_settling_change_per_s: 0.15 * shift_ratio,
             settling_time: reconnection.shorten(Duration::from_secs(4), Duration::ZERO),
             spill_ratio: 0.04 * shift_ratio,
--- a/crates/steering/tests/terms.rs
+++ b/crates/steering/tests/terms.rs
@@ -123,6 +123,7 @@
         region_shift: ShiftLimits {
             max_offload: 0.06,
             max_change_per_s: 0.03,
+            max_total_change_per_s: 0.04,
             max_settling_change_per_s: 0.15,
             settling_time: ms(4000),
             spill_ratio: 0.04,
@@ -388,6 +389,8 @@
 
         let within_two_seconds = 2.0 * limits.max_change_per_s + limits.spill_ratio;
         prop_assert!(within_two_seconds <= 0.7 * max_shift);
+        let of_short_services = 2.0 * limits.max_total_change_per_s + limits.spill_ratio;
+        prop_assert!(of_short_services <= max_shift);
         prop_assert!(limits.max_offload <= 0.5 * max_shift);
         prop_assert!(limits.settling_time <= seconds(reconnection_s * 4.0 / 3.0) + ROUNDING);
     }
