Let each new sender to a limited server begin without saved requests

What callers saw: a backend server was given more than it has room for (LIMIT).

Cause: each instance that took itself for a sender to a server that states a limit had more than one request at hand, and nothing bounded the sum over instances that took turns. Class: a bound for each holder of a role, where the holders change.

Change: an instance begins without tokens, earns them only while it is a sender, and loses what it saved when it is none. Its view of its region, and the role that follows, have a file of their own; the role is worked out for servers with a low rate only, not for each server and request.

Why it works: what a sender may send then follows from the time in its role, and the times of those who follow each other add up to that of one.

--- a/crates/steering/src/placement/choose.rs
+++ b/crates/steering/src/placement/choose.rs
@@ -2,9 +2,10 @@
 
 use super::candidate::{Candidate, SelectionContext, select_candidate};
 use super::rank::{key_position, weighted_rank};
+use super::region_view::RegionView;
 use super::request::{Choice, PlacementRequest, Refusal};
 use super::roster::{Roster, accepts_new_requests};
-use super::senders::{ColdRate, Role};
+use super::senders::ColdRate;
 use super::service::ServiceState;
 use super::version_filter::VersionFilter;
 use crate::deployment::{Evacuations, RequestKind};
@@ -20,11 +21,9 @@
 /// Location of this instance, and the inputs of a selection that don't depend on the backend
 /// server.
 struct LocalContext<'a> {
-    own_hash: u64,
     zone: &'a Arc<str>,
     region: &'a Arc<str>,
-    /// Hashes of the live instances of the region.
-    region_instances: &'a [u64],
+    region_view: &'a RegionView,
     evacuated: &'a Evacuations,
     /// Rate of requests to a cold backend server of the service.
     cold_rate: ColdRate,
@@ -86,13 +85,7 @@
             if server.is_paused(mean_response_time, now) {
                 continue;
             }
-            let role = Role::for_server(
-                self.own_hash,
-                self.region_instances,
-                self.region,
-                server.hash_and_region(),
-            );
-            if server.is_rate_limited(role, self.cold_rate, now) {
+            if server.is_rate_limited(self.region_view, self.cold_rate, now) {
                 continue;
             }
             let crosses_zones =
@@ -133,10 +126,9 @@
             return Err(Refusal { retry_after: RETRY_AFTER[1], usable: 0 });
         };
         let local = LocalContext {
-            own_hash: self.own_hash,
             zone: &self.zone,
             region: &self.region,
-            region_instances: &self.region_instances,
+            region_view: &self.region_view,
             evacuated: &self.evacuated,
             cold_rate,
         };
@@ -147,7 +139,7 @@
             _ => state.share_of(arm).region_of(region_position),
         };
         let home = local.home(moved_to, request);
-        let sending_instances = self.region_instances.len().max(1);
+        let sending_instances = self.region_view.size();
         let mut usable = 0;
         let found =
             state.version_filters(request.key_hash).into_iter().flatten().find_map(|versions| {
--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -197,7 +197,8 @@
         self.limit_confirmed_at = Some(at);
         self.limit = claim.per_s.map(|per_s| match before {
             Some(current) => AnnouncedLimit { per_s, ..current },
-            None => AnnouncedLimit { per_s, bucket: TokenBucket::new(now), sent: 0 },
+            // Each new sender starts without tokens, however many follow each other.
+            None => AnnouncedLimit { per_s, bucket: TokenBucket::empty(now), sent: 0 },
         });
         if before_per_s == claim.per_s {
             return None;
@@ -245,13 +246,21 @@
         let Some(limit) = &mut self.limit else { return true };
         let is_current =
             self.limit_confirmed_at.is_some_and(|at| now.duration_since(at) < LIMIT_TTL);
-        let may_send = role != Role::Other || !is_current;
-        may_send
-            && limit.bucket.has_token(
-                limit.per_s.max(MIN_PROBE_RATE_PER_S),
-                SenderLimits::default(),
-                now,
-            )
+        if !role.is_sender() && is_current {
+            limit.bucket.drain(now);
+            return false;
+        }
+        let per_s = limit.per_s.max(MIN_PROBE_RATE_PER_S);
+        limit.bucket.has_token(per_s, SenderLimits::default(), now)
+    }
+
+    /// Removes the saved tokens of an instance that is no sender.
+    pub fn drain_former_sender(&mut self, role: Role, now: Instant) {
+        let is_current =
+            self.limit_confirmed_at.is_some_and(|at| now.duration_since(at) < LIMIT_TTL);
+        if let Some(limit) = self.limit.as_mut().filter(|_| !role.is_sender() && is_current) {
+            limit.bucket.drain(now);
+        }
     }
 
     /// Counts a request that is sent to the backend server.
--- a/crates/steering/src/placement/condition_gossip.rs
+++ b/crates/steering/src/placement/condition_gossip.rs
@@ -8,7 +8,6 @@
 use super::incarnation::ServerRef;
 use super::request::RateLimitUsage;
 use super::roster::Roster;
-use super::senders::Role;
 use super::server::Server;
 use crate::gossip::{self, Age};
 use rand::Rng;
@@ -123,12 +122,24 @@
         restricted.map(|server| (&server.id, &server.condition))
     }
 
+    /// Removes the tokens that this instance saved for limited backend servers whose sender it is no
+    /// longer.
+    pub(super) fn drain_former_senders(&mut self, now: Instant) {
+        let view = &self.region_view;
+        for server in self.services.values_mut().flat_map(|state| &mut state.servers) {
+            if server.condition.limit.is_some() {
+                let role = view.role_for(server.hash_and_region());
+                server.condition.drain_former_sender(role, now);
+            }
+        }
+    }
+
     /// Takes the counts of requests that were sent to rate-limited backend servers.
     pub fn take_limited_requests(&mut self, now: Instant) -> Vec<RateLimitUsage> {
-        let (own_hash, region, instances) = (self.own_hash, &self.region, &self.region_instances);
+        let view = &self.region_view;
         let servers = self.services.values_mut().flat_map(|state| &mut state.servers);
         let limited = servers.filter_map(|server| {
-            let role = Role::for_server(own_hash, instances, region, server.hash_and_region());
+            let role = view.role_for(server.hash_and_region());
             let limit = server.condition.limit.as_mut()?;
             Some(RateLimitUsage {
                 id: server.id.clone(),
@@ -136,7 +147,7 @@
                 sent: std::mem::take(&mut limit.sent),
                 reported_ago: now.duration_since(server.condition.limit_confirmed_at?),
                 role,
-                known_instances: instances.len(),
+                known_instances: view.size(),
             })
         });
         limited.filter(|limited| limited.sent > 0).collect()
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -29,6 +29,7 @@
 mod policy_view;
 mod quantile;
 pub mod rank;
+mod region_view;
 pub mod request;
 pub mod roster;
 pub mod rounds;
--- /dev/null
+++ b/crates/steering/src/placement/region_view.rs
@@ -0,0 +1,54 @@
+//! What an instance knows of the instances of its region, and its role towards a backend server.
+
+use super::rank::rank;
+use super::senders::{Role, SENDERS_PER_SERVER};
+use std::sync::Arc;
+
+/// The instances of an instance's own region, as it knows them.
+#[derive(Debug)]
+pub(super) struct RegionView {
+    region: Arc<str>,
+    /// Name hash of this instance.
+    own: u64,
+    /// Name hashes of the live instances, this one included; empty while no other is known.
+    live: Vec<u64>,
+}
+
+impl RegionView {
+    /// The view of an instance with the name hash `own` that knows no other.
+    pub(super) fn new(region: Arc<str>, own: u64) -> Self {
+        Self { region, own, live: Vec::new() }
+    }
+
+    /// Applies the name hashes of the other live instances.
+    pub(super) fn update(&mut self, other_live: Vec<u64>) {
+        self.live = other_live;
+        if !self.live.is_empty() {
+            self.live.push(self.own);
+        }
+    }
+
+    /// Returns whether no other instance is known to be live.
+    pub(super) fn is_alone(&self) -> bool {
+        self.live.is_empty()
+    }
+
+    /// Returns the number of live instances, this one included.
+    pub(super) fn size(&self) -> usize {
+        self.live.len().max(1)
+    }
+
+    /// Returns the role of this instance towards a backend server, by its hash and region.
+    pub(super) fn role_for(&self, (server, server_region): (u64, &str)) -> Role {
+        let is_remote = *server_region != *self.region;
+        if self.is_alone() {
+            return if is_remote { Role::Other } else { Role::SoleInstance };
+        }
+        if is_remote {
+            return Role::Other;
+        }
+        let own_rank = rank(server, self.own);
+        let position = self.live.iter().filter(|other| rank(server, **other) < own_rank).count();
+        if position < SENDERS_PER_SERVER { Role::Sender } else { Role::Other }
+    }
+}
--- a/crates/steering/src/placement/request.rs
+++ b/crates/steering/src/placement/request.rs
@@ -144,7 +144,7 @@
     pub reported_ago: Duration,
     /// Role in which this instance may send to it.
     pub role: Role,
-    /// Live instances of the region that this one knows, itself included; 0 while it knows none.
+    /// Live instances of its region that this one knows, itself included.
     pub known_instances: usize,
 }
 
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -4,6 +4,7 @@
 use super::incarnation::{Incarnation, ServerRef};
 use super::load::LoadReport;
 use super::rank::name_hash;
+use super::region_view::RegionView;
 use super::request::PlacementCounts;
 use super::senders::{ColdRate, Role};
 use super::server::{Ending, Server};
@@ -36,7 +37,6 @@
 /// State that an instance has of all backend servers.
 #[derive(Debug)]
 pub struct Roster {
-    pub(super) own_hash: u64,
     pub(super) zone: Arc<str>,
     pub(super) region: Arc<str>,
     pub(super) regions: HashMap<Arc<str>, Arc<str>>,
@@ -47,9 +47,8 @@
     cold_sender_limits: SenderLimits,
     /// Limits on the requests that change their region.
     pub(super) shift_limits: ShiftLimits,
-    /// Name hashes of the live instances of the own region, this one included; empty while none are
-    /// known.
-    pub(super) region_instances: Vec<u64>,
+    /// The instances of the own region.
+    pub(super) region_view: RegionView,
     /// Number of live instances by region.
     pub(super) region_sizes: BTreeMap<Arc<str>, usize>,
     pub(super) shares_updated_at: Option<Instant>,
@@ -64,8 +63,8 @@
     pub fn new(name: &str, zone: Arc<str>, regions: HashMap<Arc<str>, Arc<str>>) -> Self {
         let region = regions.get(&zone).cloned().unwrap_or_else(|| zone.clone());
         Self {
-            own_hash: name_hash(name),
             zone,
+            region_view: RegionView::new(region.clone(), name_hash(name)),
             region,
             regions,
             services: BTreeMap::new(),
@@ -73,7 +72,6 @@
             cold_limits: HashMap::new(),
             cold_sender_limits: SenderLimits::default(),
             shift_limits: ShiftLimits::default(),
-            region_instances: Vec::new(),
             region_sizes: BTreeMap::new(),
             shares_updated_at: None,
             arms: Arms::default(),
@@ -161,12 +159,10 @@
         let restored_zones: Vec<Arc<str>> = self.evacuated.difference(evacuated).cloned().collect();
         self.evacuated = evacuated.clone();
         let mut unchecked = Vec::new();
-        let (own, region_instances, region) = (self.own_hash, &self.region_instances, &self.region);
+        let view = &self.region_view;
         // While no other instance is known, this one has to check.
         let should_check = |server: &Server| {
-            region_instances.is_empty()
-                || Role::for_server(own, region_instances, region, server.hash_and_region())
-                    == Role::Sender
+            view.is_alone() || view.role_for(server.hash_and_region()) == Role::Sender
         };
         for (name, state) in &mut self.services {
             let cold_time =
--- a/crates/steering/src/placement/senders.rs
+++ b/crates/steering/src/placement/senders.rs
@@ -3,21 +3,12 @@
 //! The total rate stays bounded without coordination if only a few instances send, each at a
 //! fraction of the rate: those of the backend server's region with the lowest ranks.
 
-use super::rank::rank;
 use crate::terms::timings::SenderLimits;
 use std::time::Instant;
 
 /// Number of instances that send to a backend server with a low rate.
 pub const SENDERS_PER_SERVER: usize = 2;
 
-/// Returns whether an instance is one of the senders to a backend server.
-///
-/// `instances` holds the name hashes of all instances that may send, this one included.
-pub fn is_sender(own: u64, server: u64, instances: &[u64]) -> bool {
-    let own_rank = rank(server, own);
-    instances.iter().filter(|other| rank(server, **other) < own_rank).count() < SENDERS_PER_SERVER
-}
-
 /// The senders to a backend server, as a part of the instances of its region.
 #[derive(Clone, Copy, Debug)]
 pub struct SenderCount {
@@ -64,17 +55,9 @@
         }
     }
 
-    /// Returns the role of the instance with the name hash `own` in `region`. `instances` holds the
-    /// name hashes of all live instances of its region, this one included, or nothing while it
-    /// knows none.
-    pub fn for_server(own: u64, instances: &[u64], region: &str, server: (u64, &str)) -> Self {
-        let (server_hash, server_region) = server;
-        match () {
-            () if server_region != region => Self::Other,
-            () if instances.is_empty() => Self::SoleInstance,
-            () if is_sender(own, server_hash, instances) => Self::Sender,
-            () => Self::Other,
-        }
+    /// Returns whether it sends under a limit that responses confirm.
+    pub(super) fn is_sender(self) -> bool {
+        matches!(self, Self::Sender | Self::SoleInstance)
     }
 }
 
@@ -100,6 +83,17 @@
         Self { tokens: 1.0, filled_at: now }
     }
 
+    /// Starts without tokens.
+    pub fn empty(now: Instant) -> Self {
+        Self { tokens: 0.0, filled_at: now }
+    }
+
+    /// Removes all tokens.
+    pub fn drain(&mut self, now: Instant) {
+        self.tokens = self.tokens.min(0.0);
+        self.filled_at = now;
+    }
+
     /// Refills the bucket and returns whether a sender may send a request now; the rate is that of
     /// all instances together.
     pub fn has_token(&mut self, rate_per_s: f64, limits: SenderLimits, now: Instant) -> bool {
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -4,6 +4,7 @@
 use super::incarnation::Incarnation;
 use super::load::{Load, LoadReport};
 use super::rank::{name_hash, rank};
+use super::region_view::RegionView;
 use super::senders::{ColdRate, Role, TokenBucket};
 use crate::deployment::BackendServer;
 use std::sync::Arc;
@@ -173,9 +174,18 @@
         self.cold_until.is_some_and(|until| until > now)
     }
 
-    /// Returns whether the rate limit keeps the next request of an instance with this role away:
-    /// `cold_rate` while it is cold, and always the limit that it announces.
-    pub fn is_rate_limited(&mut self, role: Role, cold_rate: ColdRate, now: Instant) -> bool {
+    /// Returns whether the rate limit keeps the next request of this instance away: `cold_rate`
+    /// while it is cold, and always the limit that it announces.
+    pub(super) fn is_rate_limited(
+        &mut self,
+        view: &RegionView,
+        cold_rate: ColdRate,
+        now: Instant,
+    ) -> bool {
+        if !self.is_cold(now) && self.condition.limit.is_none() {
+            return false;
+        }
+        let role = view.role_for(self.hash_and_region());
         let may_send_cold = |bucket: &mut TokenBucket| {
             role == Role::Sender && bucket.has_token(cold_rate.per_s, cold_rate.limits, now)
         };
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -44,10 +44,8 @@
             .replace(now)
             .map_or(0.0, |at| now.duration_since(at).as_secs_f64());
         let decay = (-elapsed / DEMAND_WINDOW_S).exp();
-        self.region_instances = peers.alive_name_hashes(&self.region, now);
-        if !self.region_instances.is_empty() {
-            self.region_instances.push(self.own_hash);
-        }
+        self.region_view.update(peers.alive_name_hashes(&self.region, now));
+        self.drain_former_senders(now);
         self.region_sizes = region_sizes(own, peers, now);
         let demand = regional_demand(own, peers, now);
         self.merge_objects(&own.region, peers, now);
