Divide a limit between the parts of a region that don't hear each other

What callers saw: a backend server was given more than it has room for (LIMIT).

Cause: an instance works out the senders to a limited server from those that it hears, so each part of a region has two of its own, and an instance that hears nobody sends as one. Two parts were allowed for, more were not. Class: as many holders of a role as there are views.

Evidence: a_limit_holds_while_a_region_is_in_pieces failed before: 19 of 18 requests in 4 s with three parts of 12 instances, 67 of 37 with six, 100 of 37 with 25 instances that hear nobody.

Change: a sender uses its part of the rate times the fraction of the recently live instances of its region (of the last minute) that it still hears.

Why it works: the fractions of all parts add up to one, however many there are.

Left: after a minute apart the parts forget each other, and each takes itself for the whole.

--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -241,8 +241,9 @@
     /// Returns whether the limit lets this instance send one more request.
     ///
     /// The limit applies to all instances together, and each of them knows the total, so only a few
-    /// instances send, each at a fraction of the rate.
-    pub fn permits_request(&mut self, role: Role, now: Instant) -> bool {
+    /// instances send, each at a fraction of the rate; `live_fraction` is that of
+    /// [`RegionView::live_fraction`](super::region_view::RegionView::live_fraction).
+    pub fn permits_request(&mut self, role: Role, live_fraction: f64, now: Instant) -> bool {
         let Some(limit) = &mut self.limit else { return true };
         let is_current =
             self.limit_confirmed_at.is_some_and(|at| now.duration_since(at) < LIMIT_TTL);
@@ -250,7 +251,7 @@
             limit.bucket.drain(now);
             return false;
         }
-        let per_s = limit.per_s.max(MIN_PROBE_RATE_PER_S);
+        let per_s = limit.per_s.max(MIN_PROBE_RATE_PER_S) * live_fraction;
         limit.bucket.has_token(per_s, SenderLimits::default(), now)
     }
 
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -268,6 +268,12 @@
             .collect()
     }
 
+    /// The number of instances of a region that are live, or were lost less than
+    /// [`FORGOTTEN_AFTER`] ago.
+    pub fn count_in_region(&self, region: &str) -> usize {
+        self.all().filter(|peer| *peer.region == *region).count()
+    }
+
     /// Returns whether a known instance runs at a host.
     pub fn has_host(&self, host: IpAddr) -> bool {
         self.all().any(|peer| peer.knowledge_address.ip() == host)
--- a/crates/steering/src/placement/region_view.rs
+++ b/crates/steering/src/placement/region_view.rs
@@ -12,16 +12,20 @@
     own: u64,
     /// Name hashes of the live instances, this one included; empty while no other is known.
     live: Vec<u64>,
+    /// Number of instances that were live recently, this one included.
+    recently_live: usize,
 }
 
 impl RegionView {
     /// The view of an instance with the name hash `own` that knows no other.
     pub(super) fn new(region: Arc<str>, own: u64) -> Self {
-        Self { region, own, live: Vec::new() }
+        Self { region, own, live: Vec::new(), recently_live: 1 }
     }
 
-    /// Applies the name hashes of the other live instances.
-    pub(super) fn update(&mut self, other_live: Vec<u64>) {
+    /// Applies the name hashes of the other live instances, and the number of others that were
+    /// live recently.
+    pub(super) fn update(&mut self, other_live: Vec<u64>, other_recently_live: usize) {
+        self.recently_live = other_recently_live + 1;
         self.live = other_live;
         if !self.live.is_empty() {
             self.live.push(self.own);
@@ -38,6 +42,14 @@
         self.live.len().max(1)
     }
 
+    /// Returns the fraction of the recently live instances that still are.
+    ///
+    /// Parts of a region that lost each other each have senders; if each uses this fraction of a
+    /// rate, all of them together don't exceed it.
+    pub(super) fn live_fraction(&self) -> f64 {
+        self.size() as f64 / self.recently_live.max(self.size()) as f64
+    }
+
     /// Returns the role of this instance towards a backend server, by its hash and region.
     pub(super) fn role_for(&self, (server, server_region): (u64, &str)) -> Role {
         let is_remote = *server_region != *self.region;
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -190,7 +190,7 @@
             role == Role::Sender && bucket.has_token(cold_rate.per_s, cold_rate.limits, now)
         };
         let exceeds_cold_rate = self.is_cold(now) && !may_send_cold(&mut self.bucket);
-        exceeds_cold_rate || !self.condition.permits_request(role, now)
+        exceeds_cold_rate || !self.condition.permits_request(role, view.live_fraction(), now)
     }
 
     /// Returns the slots that count, a rate limit aside: fewer while it is cold.
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -44,7 +44,10 @@
             .replace(now)
             .map_or(0.0, |at| now.duration_since(at).as_secs_f64());
         let decay = (-elapsed / DEMAND_WINDOW_S).exp();
-        self.region_view.update(peers.alive_name_hashes(&self.region, now));
+        self.region_view.update(
+            peers.alive_name_hashes(&self.region, now),
+            peers.count_in_region(&self.region),
+        );
         self.drain_former_senders(now);
         self.region_sizes = region_sizes(own, peers, now);
         let demand = regional_demand(own, peers, now);
