Let one instance at a time probe a limit that no response confirms

What callers saw: a backend server was given more than it has room for (LIMIT).

Cause: a minute after the last response with the limit every instance might probe for itself, so all did as requests came. Class: a time-out that ends for all at once.

Evidence: a_limit_holds_where_no_sender_gets_requests failed before: 8 and 9 of 5 requests in 4 s with 25 and 100 instances, at a server that takes none.

Change: the other instances of the server's region take turns of 5 s with one probe each, by their ranks; those of other regions likewise after two minutes.

Why it works: a turn is long enough for a response to be known everywhere, which ends all turns.

The role 'other' in log lines became 'standby' and 'remote'.

--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -13,11 +13,26 @@
 /// is probed: only its responses show that it takes more again.
 const MIN_PROBE_RATE_PER_S: f64 = 0.3;
 
-/// Time after the last confirmation of a limit at which every instance may probe for itself,
-/// because no sender is left that would see the limit end. A change reaches all instances many
-/// times over within this time.
+/// Time after the last confirmation of a limit at which the other instances of the region probe in
+/// turn, because no sender is left that would see the limit end; those of other regions begin after
+/// twice this time. A change reaches all instances many times over within this time.
 const LIMIT_TTL: Duration = Duration::from_secs(60);
 
+/// Time for which one instance of a region may send one probe, before it is the next one's turn:
+/// enough for the response to reach all instances.
+const PROBE_TURN: Duration = Duration::from_secs(5);
+
+/// Returns whether it is this instance's turn to probe a limit that was not confirmed for a time.
+fn is_turn_to_probe(role: Role, unconfirmed_for: Duration) -> bool {
+    let (turn, begins_after) = match role {
+        Role::Standby(turn) => (turn, LIMIT_TTL),
+        Role::Remote(turn) => (turn, 2 * LIMIT_TTL),
+        Role::Sender | Role::SoleInstance => return false,
+    };
+    let Some(elapsed) = unconfirmed_for.checked_sub(begins_after) else { return false };
+    turn.is_current(elapsed.as_millis() / PROBE_TURN.as_millis())
+}
+
 /// Time in which no response may announce the limit before it counts as lifted. Responses sent
 /// before and after a change can arrive out of order, so one response without the limit proves
 /// nothing.
@@ -52,6 +67,8 @@
     /// Requests per second that the backend server takes from all instances together.
     pub per_s: f64,
     bucket: TokenBucket,
+    /// Time of this instance's latest request under the limit.
+    last_sent_at: Option<Instant>,
     /// Requests that this instance sent since the count was last taken.
     pub sent: u64,
 }
@@ -198,7 +215,12 @@
         self.limit = claim.per_s.map(|per_s| match before {
             Some(current) => AnnouncedLimit { per_s, ..current },
             // Each new sender starts without tokens, however many follow each other.
-            None => AnnouncedLimit { per_s, bucket: TokenBucket::empty(now), sent: 0 },
+            None => AnnouncedLimit {
+                per_s,
+                bucket: TokenBucket::empty(now),
+                last_sent_at: None,
+                sent: 0,
+            },
         });
         if before_per_s == claim.per_s {
             return None;
@@ -245,29 +267,31 @@
     /// [`RegionView::live_fraction`](super::region_view::RegionView::live_fraction).
     pub fn permits_request(&mut self, role: Role, live_fraction: f64, now: Instant) -> bool {
         let Some(limit) = &mut self.limit else { return true };
-        let is_current =
-            self.limit_confirmed_at.is_some_and(|at| now.duration_since(at) < LIMIT_TTL);
-        if !role.is_sender() && is_current {
-            limit.bucket.drain(now);
-            return false;
+        let unconfirmed_for =
+            self.limit_confirmed_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        if role.is_sender() {
+            let per_s = limit.per_s.max(MIN_PROBE_RATE_PER_S) * live_fraction;
+            return limit.bucket.has_token(per_s, SenderLimits::default(), now);
         }
-        let per_s = limit.per_s.max(MIN_PROBE_RATE_PER_S) * live_fraction;
-        limit.bucket.has_token(per_s, SenderLimits::default(), now)
+        limit.bucket.drain(now);
+        let has_probed = limit.last_sent_at.is_some_and(|at| now.duration_since(at) < PROBE_TURN);
+        is_turn_to_probe(role, unconfirmed_for) && !has_probed
     }
 
     /// Removes the saved tokens of an instance that is no sender.
     pub fn drain_former_sender(&mut self, role: Role, now: Instant) {
-        let is_current =
-            self.limit_confirmed_at.is_some_and(|at| now.duration_since(at) < LIMIT_TTL);
-        if let Some(limit) = self.limit.as_mut().filter(|_| !role.is_sender() && is_current) {
+        if let Some(limit) = &mut self.limit
+            && !role.is_sender()
+        {
             limit.bucket.drain(now);
         }
     }
 
     /// Counts a request that is sent to the backend server.
-    pub fn record_sent(&mut self) {
+    pub fn record_sent(&mut self, now: Instant) {
         if let Some(limit) = &mut self.limit {
             limit.bucket.take_token();
+            limit.last_sent_at = Some(now);
             limit.sent += 1;
         }
     }
--- a/crates/steering/src/placement/region_view.rs
+++ b/crates/steering/src/placement/region_view.rs
@@ -25,11 +25,11 @@
     /// Applies the name hashes of the other live instances, and the number of others that were
     /// live recently.
     pub(super) fn update(&mut self, other_live: Vec<u64>, other_recently_live: usize) {
-        self.recently_live = other_recently_live + 1;
         self.live = other_live;
         if !self.live.is_empty() {
             self.live.push(self.own);
         }
+        self.recently_live = other_recently_live + 1;
     }
 
     /// Returns whether no other instance is known to be live.
@@ -54,13 +54,31 @@
     pub(super) fn role_for(&self, (server, server_region): (u64, &str)) -> Role {
         let is_remote = *server_region != *self.region;
         if self.is_alone() {
-            return if is_remote { Role::Other } else { Role::SoleInstance };
-        }
-        if is_remote {
-            return Role::Other;
+            return if is_remote { Role::Remote(Turn::ONLY) } else { Role::SoleInstance };
         }
         let own_rank = rank(server, self.own);
         let position = self.live.iter().filter(|other| rank(server, **other) < own_rank).count();
-        if position < SENDERS_PER_SERVER { Role::Sender } else { Role::Other }
+        let turn = Turn { position, instances: self.live.len() };
+        match () {
+            () if is_remote => Role::Remote(turn),
+            () if position < SENDERS_PER_SERVER => Role::Sender,
+            () => Role::Standby(turn),
+        }
+    }
+}
+
+/// Place of an instance among those of its region that take turns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Turn {
+    position: usize,
+    instances: usize,
+}
+
+impl Turn {
+    const ONLY: Self = Self { position: 0, instances: 1 };
+
+    /// Returns whether the instance is the one whose turn has this number.
+    pub(super) fn is_current(self, number: u128) -> bool {
+        number % self.instances as u128 == self.position as u128
     }
 }
--- a/crates/steering/src/placement/senders.rs
+++ b/crates/steering/src/placement/senders.rs
@@ -3,6 +3,7 @@
 //! The total rate stays bounded without coordination if only a few instances send, each at a
 //! fraction of the rate: those of the backend server's region with the lowest ranks.
 
+use super::region_view::Turn;
 use crate::terms::timings::SenderLimits;
 use std::time::Instant;
 
@@ -41,8 +42,10 @@
     Sender,
     /// It knows no other instance, so it can't tell who the senders are.
     SoleInstance,
-    /// Not a sender.
-    Other,
+    /// Another instance of the backend server's region.
+    Standby(Turn),
+    /// An instance of another region.
+    Remote(Turn),
 }
 
 impl Role {
@@ -51,7 +54,8 @@
         match self {
             Self::Sender => "sender",
             Self::SoleInstance => "sole-instance",
-            Self::Other => "other",
+            Self::Standby(_) => "standby",
+            Self::Remote(_) => "remote",
         }
     }
 
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -274,7 +274,7 @@
             self.last_response_at = now;
         }
         self.load.in_flight += 1;
-        self.condition.record_sent();
+        self.condition.record_sent(now);
         if self.is_cold(now) {
             self.bucket.take_token();
         }
