Give roles, share steps and slot counts files without cycles

Cause: the structure test was red since: what a log line shows of slots and roles stood in files that depend on those who use it. Change: role.rs, share_step.rs and slot_counts.rs hold plain data; a server counts its own slots. Result: the structure test passes; no behaviour changes.

--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -1,6 +1,7 @@
 //! Conditions that a backend server announces in its responses: a rate limit, leaving, a backoff.
 
-use super::senders::{Role, SenderCount, TokenBucket};
+use super::role::Role;
+use super::senders::{SenderCount, TokenBucket};
 use crate::gossip::FRESH_FOR;
 use crate::terms::timings::SenderLimits;
 use serde::{Deserialize, Serialize};
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -31,11 +31,13 @@
 pub mod rank;
 mod region_view;
 pub mod request;
+pub mod role;
 pub mod roster;
 pub mod rounds;
 pub mod senders;
 pub mod server;
 mod service;
+mod share_step;
 mod share_update;
 pub mod shares;
 pub mod slot_counts;
@@ -51,9 +53,10 @@
 pub use incarnation::{Incarnation, ServerRef};
 pub use peers::{Peer, PeerState, Peers};
 pub use request::{
-    Choice, PlacementCounts, PlacementRequest, RateLimitUsage, Refusal, ShareChange, ShareStep,
+    Choice, PlacementCounts, PlacementRequest, RateLimitUsage, Refusal, ShareChange,
 };
 pub use roster::Roster;
 pub use server::Ending;
+pub use share_step::ShareStep;
 pub use slot_counts::SlotCounts;
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/steering/src/placement/region_view.rs
+++ b/crates/steering/src/placement/region_view.rs
@@ -1,7 +1,8 @@
 //! What an instance knows of the instances of its region, and its role towards a backend server.
 
 use super::rank::rank;
-use super::senders::{Role, SENDERS_PER_SERVER};
+use super::role::{Role, Turn};
+use super::senders::SENDERS_PER_SERVER;
 use std::sync::Arc;
 
 /// The instances of an instance's own region, as it knows them.
@@ -66,19 +67,3 @@
         }
     }
 }
-
-/// Place of an instance among those of its region that take turns.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Turn {
-    position: usize,
-    instances: usize,
-}
-
-impl Turn {
-    const ONLY: Self = Self { position: 0, instances: 1 };
-
-    /// Returns whether the instance is the one whose turn has this number.
-    pub(super) fn is_current(self, number: u128) -> bool {
-        number % self.instances as u128 == self.position as u128
-    }
-}
--- a/crates/steering/src/placement/request.rs
+++ b/crates/steering/src/placement/request.rs
@@ -1,7 +1,8 @@
 //! The input and results of placing a request on a backend server.
 
 use super::incarnation::Incarnation;
-use super::senders::Role;
+use super::role::Role;
+use super::share_step::ShareStep;
 use super::slot_counts::SlotCounts;
 use crate::deployment::{AllowedRegions, RequestKind};
 use std::net::SocketAddr;
@@ -86,26 +87,6 @@
     pub step: ShareStep,
 }
 
-/// How a share changed towards its target.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum ShareStep {
-    /// By no more than its limited pace.
-    #[default]
-    Paced,
-    /// To the target at once, because of a change of capacity.
-    AtOnce,
-}
-
-impl ShareStep {
-    /// Name in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Paced => "paced",
-            Self::AtOnce => "at-once",
-        }
-    }
-}
-
 /// Requests of one service, counted by the region they were sent to.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PlacementCounts {
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -6,7 +6,8 @@
 use super::rank::name_hash;
 use super::region_view::RegionView;
 use super::request::PlacementCounts;
-use super::senders::{ColdRate, Role};
+use super::role::Role;
+use super::senders::ColdRate;
 use super::server::{Ending, Server};
 use super::service::ServiceState;
 use crate::deployment::{
--- a/crates/steering/src/placement/senders.rs
+++ b/crates/steering/src/placement/senders.rs
@@ -3,7 +3,6 @@
 //! The total rate stays bounded without coordination if only a few instances send, each at a
 //! fraction of the rate: those of the backend server's region with the lowest ranks.
 
-use super::region_view::Turn;
 use crate::terms::timings::SenderLimits;
 use std::time::Instant;
 
@@ -35,36 +34,6 @@
     }
 }
 
-/// Role of an instance towards a backend server with a low rate.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Role {
-    /// One of the senders.
-    Sender,
-    /// It knows no other instance, so it can't tell who the senders are.
-    SoleInstance,
-    /// Another instance of the backend server's region.
-    Standby(Turn),
-    /// An instance of another region.
-    Remote(Turn),
-}
-
-impl Role {
-    /// Name in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Sender => "sender",
-            Self::SoleInstance => "sole-instance",
-            Self::Standby(_) => "standby",
-            Self::Remote(_) => "remote",
-        }
-    }
-
-    /// Returns whether it sends under a limit that responses confirm.
-    pub(super) fn is_sender(self) -> bool {
-        matches!(self, Self::Sender | Self::SoleInstance)
-    }
-}
-
 /// Rate of requests to a cold backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRate {
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -5,7 +5,9 @@
 use super::load::{Load, LoadReport};
 use super::rank::{name_hash, rank};
 use super::region_view::RegionView;
-use super::senders::{ColdRate, Role, TokenBucket};
+use super::role::Role;
+use super::senders::{ColdRate, SenderCount, TokenBucket};
+use super::slot_counts::SlotCounts;
 use crate::deployment::BackendServer;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -193,10 +195,24 @@
         exceeds_cold_rate || !self.condition.permits_request(role, view.live_fraction(), now)
     }
 
-    /// Returns the slots that count, a rate limit aside: fewer while it is cold.
-    pub fn warm_slots(&self, now: Instant) -> f64 {
-        let fraction = if self.is_cold(now) { COLD_SLOT_FRACTION } else { 1.0 };
-        f64::from(self.record.slots) * fraction
+    /// Returns its slots by what keeps them from use, if a request occupies one for `slot_s` seconds
+    /// and `version_share` of its slots counts.
+    pub fn slot_counts(
+        &self,
+        version_share: f64,
+        slot_s: f64,
+        senders: SenderCount,
+        now: Instant,
+    ) -> SlotCounts {
+        let listed = f64::from(self.record.slots);
+        let warm = if self.is_cold(now) { COLD_SLOT_FRACTION * listed } else { listed };
+        let usable = self.condition.usable_slots(warm, slot_s, senders);
+        SlotCounts {
+            listed,
+            cold: listed - warm,
+            limited: warm - usable,
+            versioned: usable * (1.0 - version_share),
+        }
     }
 
     /// Returns whether it is paused after a failure.
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -152,9 +152,10 @@
             state.servers.iter().filter(|server| accepts_new_requests(server, &self.evacuated))
         {
             let part = state.version_share(server);
-            let counts = slot_counts.entry(server.region.clone()).or_default();
             let region_size = self.region_sizes.get(&server.region).copied().unwrap_or(0);
-            counts.add(server, part, slot_s, SenderCount::in_region(region_size), now);
+            let senders = SenderCount::in_region(region_size);
+            *slot_counts.entry(server.region.clone()).or_default() +=
+                server.slot_counts(part, slot_s, senders, now);
             servers += usize::from(part > 0.0);
         }
         for (region, counts) in &slot_counts {
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -4,7 +4,7 @@
 //! can serve at a common utilization, and the rest goes where there is headroom.  Shares change at
 //! once when backend servers are added or lost, and slowly otherwise.
 
-use super::request::ShareStep;
+use super::share_step::ShareStep;
 use crate::terms::timings::ShiftLimits;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/steering/src/placement/slot_counts.rs
+++ b/crates/steering/src/placement/slot_counts.rs
@@ -1,8 +1,6 @@
 //! Slots of one service's backend servers in a region, by what keeps them from use.
 
-use super::senders::SenderCount;
-use super::server::Server;
-use std::time::Instant;
+use std::ops::AddAssign;
 
 /// Slots of the backend servers of one service in one region that may get new requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -18,25 +16,6 @@
 }
 
 impl SlotCounts {
-    /// Adds a backend server, if a request occupies a slot for `slot_s` seconds and `version_share`
-    /// of its slots counts.
-    pub(super) fn add(
-        &mut self,
-        server: &Server,
-        version_share: f64,
-        slot_s: f64,
-        senders: SenderCount,
-        now: Instant,
-    ) {
-        let listed = f64::from(server.record.slots);
-        let warm = server.warm_slots(now);
-        let usable = server.condition.usable_slots(warm, slot_s, senders);
-        self.listed += listed;
-        self.cold += listed - warm;
-        self.limited += warm - usable;
-        self.versioned += usable * (1.0 - version_share);
-    }
-
     /// Slots of warm backend servers, whether limits and versions let them be used or not: they
     /// change only as backend servers are added, lost, or start.
     pub fn installed(&self) -> f64 {
@@ -48,3 +27,12 @@
         self.installed() - self.limited - self.versioned
     }
 }
+
+impl AddAssign for SlotCounts {
+    fn add_assign(&mut self, other: Self) {
+        self.listed += other.listed;
+        self.cold += other.cold;
+        self.limited += other.limited;
+        self.versioned += other.versioned;
+    }
+}
