Change a share fast only while what stays exceeds the usable slots

What callers would see: traffic of a service that limits leave too few slots went on to leave its region fast, after the rest had become enough for what stays.

Cause: whether a service is short compared its slots with the demand of all its callers, those whose requests leave included, so it stayed short until its share had reached its target; and the pace counted a request of another service as one that had been refused.

Change: short is a service whose remaining demand exceeds its usable slots; the change of the others is taken off what is served.

--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -77,8 +77,9 @@
         for ((name, state), ServiceLoad { loads, slot_s }) in
             services.iter_mut().zip(loads.values())
         {
-            let is_short =
-                loads.get(&self.region).is_some_and(RegionLoad::is_short_of_usable_slots);
+            let moved = state.moved_fraction(&self.arms);
+            let own_load = loads.get(&self.region);
+            let is_short = own_load.is_some_and(|own| own.is_short_of_usable_slots(moved));
             let limits = if is_short { short_limits } else { self.shift_limits };
             self.update_service_shares(name, state, loads, max_optional_offload, &limits, now);
             let moved = state.moved_fraction(&self.arms);
--- a/crates/steering/src/placement/shares.rs
+++ b/crates/steering/src/placement/shares.rs
@@ -51,9 +51,10 @@
         self.movable + self.pinned + self.inbound
     }
 
-    /// Whether limits or versions keep so many slots from use that the rest can't serve its traffic.
-    pub fn is_short_of_usable_slots(&self) -> bool {
-        self.slots < self.installed_slots && self.demand() > self.slots
+    /// Whether limits or versions keep so many slots from use that the rest can't serve what stays
+    /// in the region, if the fraction `moved` of the movable requests leaves it.
+    pub fn is_short_of_usable_slots(&self, moved: f64) -> bool {
+        self.slots < self.installed_slots && self.demand() - self.movable * moved > self.slots
     }
 
     /// Busy slots, in any region, that the requests of its callers need.
@@ -125,7 +126,8 @@
         let per_s = own.caller_demand() / slot_s;
         left_per_s += per_s * moved;
         stayed_per_s += (per_s * (1.0 - moved)).min(own.slots / slot_s);
-        let sum = if own.is_short_of_usable_slots() { &mut short_per_s } else { &mut others_per_s };
+        let sum =
+            if own.is_short_of_usable_slots(moved) { &mut short_per_s } else { &mut others_per_s };
         *sum += per_s;
     }
     if short_per_s <= 0.0 {
@@ -133,10 +135,12 @@
     }
     let served_per_s = stayed_per_s + left_per_s;
     let served_per_stayed = served_per_s / stayed_per_s.max(MIN_STAYED_FRACTION * served_per_s);
-    let max_total_change = limits.max_total_change_per_s * served_per_s * served_per_stayed;
-    let change_of_others = limits.max_change_per_s * others_per_s;
+    // A request of another service leaves after it was served in the region, one of a short service
+    // after it was refused: the first counts as one of those served, the second also adds to them.
+    let left_for_short =
+        limits.max_total_change_per_s * served_per_s - limits.max_change_per_s * others_per_s;
     let max_change_per_s =
-        ((max_total_change - change_of_others) / short_per_s).clamp(MIN_SHORT_CHANGE_PER_S, 1.0);
+        (left_for_short * served_per_stayed / short_per_s).clamp(MIN_SHORT_CHANGE_PER_S, 1.0);
     ShiftLimits { max_change_per_s, ..*limits }
 }
 
--- a/crates/steering/tests/region_outflow/main.rs
+++ b/crates/steering/tests/region_outflow/main.rs
@@ -99,6 +99,10 @@
     }
 }
 
+/// Seed of a schedule in which demand rises while a service is short of slots that another one has
+/// again: the share of a service that bears what stays must not follow fast.
+const RISING_DEMAND_SEED: u64 = 88;
+
 /// Schedules of events that may overlap.
 fn draw_schedule(random: &mut StdRng) -> Vec<Scheduled> {
     (0..random.random_range(2..=4))
@@ -141,7 +145,7 @@
 // Guards against any combination of limits, backoffs, demand and earlier losses that shifts traffic.
 #[test]
 fn drawn_schedules_shift_no_traffic_but_after_losses() {
-    for seed in 0..40 {
+    for seed in (0..40).chain([RISING_DEMAND_SEED]) {
         let mut random = StdRng::seed_from_u64(seed);
         let schedule = draw_schedule(&mut random);
         let utilization = random.random_range(0.3..0.6);
