--- a/crates/runpind/tests/soak/faults.rs
+++ b/crates/runpind/tests/soak/faults.rs
@@ -3,7 +3,7 @@
 use crate::CHECK_INTERVAL;
 use crate::common::server::ResponseMode;
 use crate::common::store::Failure;
-use crate::fleet::{Backend, EVACUATED_ZONE, Fleet, GRACE, Node, Order, send_signal};
+use crate::fleet::{Backend, EVACUATED_ZONE, Fleet, GRACE, Node, Order, StatedLimit, send_signal};
 use crate::history::Scope;
 use crate::plan::{Fault, Step};
 use crate::proxy::{Link, Proxy};
@@ -77,6 +77,12 @@
             }
             Ok(())
         }
+        Fault::Limited(number, per_s) => {
+            if let Some(backend) = pick(fleet, number) {
+                limit(&backend, per_s, duration).await;
+            }
+            Ok(())
+        }
         Fault::Drain(number) => match pick(fleet, number) {
             Some(backend) => {
                 fleet.add_backend(backend.zone, backend.version, true).await?;
@@ -156,6 +162,18 @@
     Ok(())
 }
 
+/// Lets a backend server state a limit, unless it does already.
+async fn limit(backend: &Backend, per_s: f64, duration: Duration) {
+    if backend.limit.get().is_some() {
+        return;
+    }
+    backend.mock.extra_headers.replace(format!("Server-Limit: {per_s:.1}\r\n"));
+    backend.limit.set(Some(StatedLimit { per_s, from: Instant::now() }));
+    sleep(duration).await;
+    backend.mock.extra_headers.take();
+    backend.limit.set(None);
+}
+
 async fn drain(fleet: &Fleet, backend: &Backend) {
     let id = &backend.mock.id;
     fleet.store.put("servers", id, backend.spec("draining"));
--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -66,6 +66,17 @@
     /// When it started, if it started cold.
     pub(crate) cold_from: Option<Instant>,
     pub(crate) draining_from: Cell<Option<Instant>>,
+    /// The limit that it states now.
+    pub(crate) limit: Cell<Option<StatedLimit>>,
+}
+
+/// A limit that a backend server states in its responses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StatedLimit {
+    /// Requests per second of all instances together.
+    pub(crate) per_s: f64,
+    /// Time of the first response that may have stated it.
+    pub(crate) from: Instant,
 }
 
 impl Backend {
@@ -235,7 +246,9 @@
         let proxy = Proxy::start(mock.address).await?;
         let cold_from = is_cold.then(Instant::now);
         let draining_from = Cell::new(None);
-        let backend = Rc::new(Backend { mock, proxy, zone, version, cold_from, draining_from });
+        let limit = Cell::new(None);
+        let backend =
+            Rc::new(Backend { mock, proxy, zone, version, cold_from, draining_from, limit });
         if is_cold {
             backend.mock.cold_ms.set(COLD.as_millis() as u64);
             let warming = backend.clone();
--- a/crates/runpind/tests/soak/plan.rs
+++ b/crates/runpind/tests/soak/plan.rs
@@ -17,6 +17,15 @@
 /// Time at the end of a round in which nothing new begins.
 const QUIET_END: Duration = Duration::from_secs(3);
 
+/// Salt of the seed from which limits are drawn, so that the other steps don't depend on them.
+const LIMIT_SALT: u64 = 0x006c_696d_6974;
+
+/// Time for which a backend server states a limit.
+const LIMIT_TIME_MS: std::ops::Range<u64> = 6_000..15_000;
+
+/// Limits that backend servers state, in requests per second.
+const LIMITS_PER_S: [f64; 4] = [0.0, 1.0, 3.0, 6.0];
+
 /// Planned work or a fault.
 #[derive(Clone, Debug)]
 pub(crate) enum Fault {
@@ -40,6 +49,8 @@
     Compact,
     /// A backend server responds to a few requests in a mode.
     Responses(usize, ResponseMode),
+    /// A backend server states a limit in its responses, in requests per second.
+    Limited(usize, f64),
     /// A backend server drains and is replaced by a cold one.
     Drain(usize),
     /// A backend server crashes and is replaced by a cold one.
@@ -105,10 +116,30 @@
         is_planned = !is_planned;
         start += ROUND;
     }
+    steps.extend(limit_steps(seed, length));
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Draws when backend servers state limits, in rounds of any kind.
+fn limit_steps(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ LIMIT_SALT);
+    let rounds = length.div_duration_f64(ROUND) as u64;
+    let mut steps = Vec::new();
+    for _ in 0..rounds {
+        for _ in 0..rng.random_range(0..=2) {
+            let at_ms = rng.random_range(0..length.as_millis() as u64);
+            let per_s = *LIMITS_PER_S.choose(&mut rng).expect("there are limits");
+            steps.push(Step {
+                at: Duration::from_millis(at_ms),
+                duration: Duration::from_millis(rng.random_range(LIMIT_TIME_MS)),
+                fault: Fault::Limited(rng.random_range(0..16), per_s),
+            });
+        }
+    }
+    steps
+}
+
 fn planned_work(rng: &mut StdRng) -> Fault {
     let (instance, server) = (rng.random_range(0..INSTANCES), rng.random_range(0..16));
     match rng.random_range(0..8) {
--- a/crates/runpind/tests/soak/windows.rs
+++ b/crates/runpind/tests/soak/windows.rs
@@ -1,7 +1,8 @@
-//! Rules about the number of requests in a span of time: quotas, retries, cold servers, roll-outs.
+//! Rules about the number of requests in a span of time: quotas, retries, cold and limited servers,
+//! roll-outs.
 
 use crate::fleet::{Backend, COLD, Fleet, Order, SMALL_QUOTA};
-use crate::history::{Request, Visit};
+use crate::history::{RECONNECTION, Request, Visit};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,6 +23,11 @@
 /// Requests a second that a cold server may get: its rate, the agreed overage and the slack.
 const COLD_LIMIT: f64 = 11.0 * 1.5 + 8.0;
 
+/// Window over which a stated limit is counted, the agreed overage and the slack.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_OVERAGE: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
 /// Fraction of a service's requests that a bad version may get, and requests in addition.
 const EXPOSURE_SHARE: f64 = 0.1;
 const EXPOSURE_SLACK: f64 = 50.0;
@@ -42,6 +48,7 @@
     let backends = fleet.backends.borrow();
     for backend in backends.iter() {
         check_cold(fleet, &requests, backend);
+        check_limit(fleet, &requests, backend, now);
     }
     if let Some(order) = fleet.rollout.get() {
         check_exposure(fleet, &requests, &backends, order);
@@ -109,6 +116,31 @@
     }
 }
 
+/// Requests to a server that states a limit keep within it, from the time on at which all instances
+/// in touch have to know it.
+fn check_limit(fleet: &Fleet, requests: &Requests, backend: &Backend, now: Instant) {
+    let Some(limit) = backend.limit.get() else { return };
+    let begin = (limit.from + RECONNECTION).max(now - LIMIT_WINDOW);
+    let is_counted = |request: &Request, visit: &Visit| {
+        *visit.server == *backend.mock.id
+            && visit.at >= begin
+            && fleet.history.in_touch(request.instance, visit.at, visit.at)
+    };
+    let count = requests
+        .values()
+        .flat_map(|request| request.visits.iter().map(move |visit| (request, visit)))
+        .filter(|(request, visit)| is_counted(request, visit))
+        .count();
+    let allowed = LIMIT_OVERAGE * limit.per_s * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+    if count as f64 > allowed {
+        let detail = format!(
+            "{count} requests in {LIMIT_WINDOW:?} to {}, {allowed} allowed",
+            backend.mock.id
+        );
+        fleet.history.record_violation("limit", detail, &[]);
+    }
+}
+
 /// Returns whether the server responded 421, which counts towards no limit.
 fn is_replaced(visit: &Visit) -> bool {
     visit.mode == crate::common::server::ResponseMode::Replaced
