--- /dev/null
+++ b/crates/entry/src/request/attempt_guard.rs
@@ -0,0 +1,86 @@
+//! A request in progress at a backend server, and the record of how it ended.
+
+use super::exchange::Exchange;
+use super::sent_flag::SentFlag;
+use crate::process::instance::Instance;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+use steering::deployment::Route;
+use steering::placement::load::LoadReport;
+use steering::placement::{Choice, Ending, Incarnation};
+use steering::rollout::{Observation, OrderId};
+
+/// Tracks a request at a backend server; records the ending when it is dropped.
+pub(super) struct AttemptGuard {
+    instance: Rc<Instance>,
+    pub(super) server: Incarnation,
+    service: Arc<str>,
+    route: Arc<Route>,
+    /// The roll-out that the attempt is counted for.
+    rollout_order: Option<OrderId>,
+    /// Whether the backend server runs the target version of the roll-out.
+    is_target: bool,
+    /// Whether it was in its cold start when it was chosen.
+    was_cold: bool,
+    /// Whether it was known then to have the object in its cache.
+    was_object_warm: bool,
+    pub(super) sent_at: Instant,
+    /// Set when a connection was available and sending the request began.
+    pub(super) sent_flag: SentFlag,
+    ending: Ending,
+    pub(super) report: Option<LoadReport>,
+}
+
+impl AttemptGuard {
+    /// Begins an attempt at a chosen backend server, and counts it for a roll-out if there is one.
+    pub(super) fn new(exchange: &Exchange, choice: &Choice, sent_flag: SentFlag) -> Self {
+        let mut rollouts = exchange.instance.rollouts.borrow_mut();
+        Self {
+            rollout_order: rollouts.record_request(&exchange.service, choice.is_target),
+            instance: exchange.instance.clone(),
+            server: choice.incarnation(),
+            service: exchange.service.clone(),
+            route: exchange.route.clone(),
+            is_target: choice.is_target,
+            was_cold: choice.cold,
+            was_object_warm: choice.was_object_warm,
+            sent_at: Instant::now(),
+            sent_flag,
+            ending: Ending::Abandoned,
+            report: None,
+        }
+    }
+
+    pub(super) fn set_ending(&mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        let name = match self.ending {
+            Ending::Answered { .. } => "answered",
+            Ending::Erred => "erred",
+            Ending::Shed => "shed",
+            Ending::Failed => "failed",
+            Ending::Replaced => "replaced",
+            Ending::Abandoned => "abandoned",
+            Ending::Unsent => "unsent",
+        };
+        self.instance.metrics.attempts.with_label_values(&[&*self.service, name]).inc();
+        let mut roster = self.instance.roster.borrow_mut();
+        roster.record_ending(&self.server, self.ending, self.report, Instant::now());
+        let Some(order) = self.rollout_order else { return };
+        let observation = Observation {
+            // An unreachable host says nothing about the version.
+            ending: if self.sent_flag.is_set() { self.ending } else { Ending::Unsent },
+            elapsed: self.sent_at.elapsed(),
+            was_object_warm: self.was_object_warm,
+            was_cold: self.was_cold,
+            warm_ms: roster.warm_response_ms(&self.service),
+        };
+        let mut rollouts = self.instance.rollouts.borrow_mut();
+        rollouts.record_ending(order, self.is_target, &self.route.name, &observation);
+    }
+}
--- a/crates/entry/src/request/hedge.rs
+++ b/crates/entry/src/request/hedge.rs
@@ -1,7 +1,8 @@
 //! Sends a request to one backend server, and a hedged request to another when the response is
 //! overdue.
 
-use super::attempt::{self, AttemptGuard, Outcome};
+use super::attempt::{self, Outcome};
+use super::attempt_guard::AttemptGuard;
 use super::body::RequestBody;
 use super::caller_body::CallerBody;
 use super::choose::choose_for_hedge;
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -11,6 +11,7 @@
 //! 8. `forward_response`: forwards the response to the caller, whole or visibly truncated.
 
 mod attempt;
+mod attempt_guard;
 pub mod body;
 mod caller;
 pub mod caller_body;
