--- a/crates/steering/tests/placement_versions.rs
+++ b/crates/steering/tests/placement_versions.rs
@@ -2,9 +2,9 @@
 
 mod placement_common;
 
-use placement_common::{name, placement_request, roster, servers};
+use placement_common::{name, peer, placement_request, roster, servers, step, with_demand};
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use steering::deployment::BackendServers;
 use steering::placement::{Choice, Roster};
 use steering::rollout::{Reach, VersionRule};
@@ -125,3 +125,27 @@
     assert!(all.iter().any(|choice| &*choice.version == "v2"));
     assert!(to_target(&all).is_empty());
 }
+
+// Guards against a shift of traffic at once where a roll-out keeps servers of a version from use.
+#[test]
+fn the_division_between_versions_moves_a_share_at_its_pace() {
+    const MAX_SHIFT: f64 = 0.15;
+    let start = Instant::now();
+    let mut roster = roster("one", "north-a", &both_versions(), start);
+    let own = with_demand(peer("one", "north-a"), 240.0, 1_000);
+    let other = with_demand(peer("two", "south-a"), 10.0, 1_000);
+    let mut moved = Vec::new();
+    for second in 0..40 {
+        let now = start + Duration::from_secs(second);
+        if second == 10 {
+            let rule = VersionRule { target: name("v2"), reach: Reach::Trial(0.05) };
+            roster.set_version_rules(BTreeMap::from([(name(placement_common::SERVICE), rule)]));
+        }
+        step(&mut roster, &own, std::slice::from_ref(&other), now);
+        moved.push(roster.moved_shares().map(|(_, share)| share).sum::<f64>());
+    }
+    let shift = |seconds: &[f64]| (seconds[2] - seconds[0]).abs();
+    let most = moved.windows(3).skip(5).map(shift).fold(0.0, f64::max);
+    assert!(most <= MAX_SHIFT, "{most}: {moved:?}");
+    assert!(moved[39] > moved[9] + 0.1, "the share follows in time: {moved:?}");
+}
