Describe the live fraction without a link to a private item

Change: the comment says what the fraction is; the function on turns stands after the types that it serves.

--- a/crates/steering/src/placement/choose.rs
+++ b/crates/steering/src/placement/choose.rs
@@ -37,7 +37,7 @@
     /// Whether any of them is in the home region.
     has_home: bool,
     /// Whether requests may go to any other region while none of them is in the home region: it has
-    /// no backend servers, or most of them failed or are cold.
+    /// no backend servers, or most of them failed, are silent or cold.
     may_displace: bool,
 }
 
--- a/crates/steering/src/placement/condition.rs
+++ b/crates/steering/src/placement/condition.rs
@@ -23,17 +23,6 @@
 /// enough for the response to reach all instances.
 const PROBE_TURN: Duration = Duration::from_secs(5);
 
-/// Returns whether it is this instance's turn to probe a limit that was not confirmed for a time.
-fn is_turn_to_probe(role: Role, unconfirmed_for: Duration) -> bool {
-    let (turn, begins_after) = match role {
-        Role::Standby(turn) => (turn, LIMIT_TTL),
-        Role::Remote(turn) => (turn, 2 * LIMIT_TTL),
-        Role::Sender | Role::SoleInstance => return false,
-    };
-    let Some(elapsed) = unconfirmed_for.checked_sub(begins_after) else { return false };
-    turn.is_current(elapsed.as_millis() / PROBE_TURN.as_millis())
-}
-
 /// Time in which no response may announce the limit before it counts as lifted. Responses sent
 /// before and after a change can arrive out of order, so one response without the limit proves
 /// nothing.
@@ -264,8 +253,8 @@
     /// Returns whether the limit lets this instance send one more request.
     ///
     /// The limit applies to all instances together, and each of them knows the total, so only a few
-    /// instances send, each at a fraction of the rate; `live_fraction` is that of
-    /// [`RegionView::live_fraction`](super::region_view::RegionView::live_fraction).
+    /// instances send, each at a fraction of the rate; `live_fraction` is the fraction of the
+    /// recently live instances of the region that this one still hears.
     pub fn permits_request(&mut self, role: Role, live_fraction: f64, now: Instant) -> bool {
         let Some(limit) = &mut self.limit else { return true };
         let unconfirmed_for =
@@ -324,3 +313,14 @@
         })
     }
 }
+
+/// Returns whether it is this instance's turn to probe a limit that was not confirmed for a time.
+fn is_turn_to_probe(role: Role, unconfirmed_for: Duration) -> bool {
+    let (turn, begins_after) = match role {
+        Role::Standby(turn) => (turn, LIMIT_TTL),
+        Role::Remote(turn) => (turn, 2 * LIMIT_TTL),
+        Role::Sender | Role::SoleInstance => return false,
+    };
+    let Some(elapsed) = unconfirmed_for.checked_sub(begins_after) else { return false };
+    turn.is_current(elapsed.as_millis() / PROBE_TURN.as_millis())
+}
