--- a/crates/entry/src/connection/http_client.rs
+++ b/crates/entry/src/connection/http_client.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use steering::terms::timings::ConnectionTimings;
+use tokio::net::TcpStream;
 
 /// Sends a GET request and returns the decoded body of a 200 response; `None` for any other outcome.
 ///
@@ -52,6 +53,23 @@
     timings: ConnectionTimings,
 ) -> Option<(StatusCode, HeaderMap, Bytes)> {
     let stream = dial(address, connect_timeout, timings).await.ok()?;
+    send_over(stream, address, request).await
+}
+
+/// Sends a GET request over a new connection and returns the whole response; `None` if there is none.
+pub(crate) async fn get_over(
+    stream: TcpStream,
+    address: SocketAddr,
+    path: &str,
+) -> Option<(StatusCode, HeaderMap, Bytes)> {
+    send_over(stream, address, Request::get(path)).await
+}
+
+async fn send_over(
+    stream: TcpStream,
+    address: SocketAddr,
+    request: Builder,
+) -> Option<(StatusCode, HeaderMap, Bytes)> {
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::task::spawn_local(connection);
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -149,6 +149,15 @@
         Ok(sender)
     }
 
+    /// Returns whether an idle connection to an incarnation is open.
+    pub fn has_idle(&self, server: &Incarnation) -> bool {
+        let pools = self.by_server.borrow();
+        let now = self.clock.now();
+        pools.get(server).is_some_and(|pool| {
+            pool.idle.iter().any(|idle| idle.expires_at > now && !idle.sender.is_closed())
+        })
+    }
+
     fn take_idle(&self, server: &Incarnation) -> Option<SendRequest<RequestBody>> {
         let mut pools = self.by_server.borrow_mut();
         let pool = pools.get_mut(server)?;
--- a/crates/entry/src/process/activation.rs
+++ b/crates/entry/src/process/activation.rs
@@ -1,7 +1,7 @@
 //! Puts changes of the deployment's state into force.
 
 use super::instance::Instance;
-use super::rollouts;
+use super::{reach, rollouts};
 use crate::platform_api::Subject;
 use crate::request::health_check;
 use crate::version::ActiveConfiguration;
@@ -29,6 +29,7 @@
         }
         Subject::BackendServers => {
             instance.roster.borrow_mut().set_servers(&replica.servers.content, now);
+            reach::retain_listed(instance);
         }
         Subject::Evacuations => {
             let evacuations = &replica.evacuations.content;
--- a/crates/entry/src/process/datagram.rs
+++ b/crates/entry/src/process/datagram.rs
@@ -17,10 +17,12 @@
     RolloutReports,
     /// A watch that gets no response from the store.
     WatchHandover,
+    /// Instances that reach no backend servers.
+    Reach,
 }
 
 impl Kind {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Instances,
         Self::Suspects,
         Self::Quotas,
@@ -28,6 +30,7 @@
         Self::RolloutAnnouncements,
         Self::RolloutReports,
         Self::WatchHandover,
+        Self::Reach,
     ];
 
     fn tag(self) -> u8 {
@@ -39,6 +42,7 @@
             Self::RolloutAnnouncements => 5,
             Self::RolloutReports => 6,
             Self::WatchHandover => 7,
+            Self::Reach => 8,
         }
     }
 }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -8,10 +8,11 @@
 use super::conditions::Conditions;
 use super::datagram::{self, Kind};
 use super::instance::Instance;
+use super::reach::ReachOfInstances;
 use super::rollouts::RolloutAnnouncements;
 use super::suspects::SuspectRequests;
 use super::update_requests::UpdateRequests;
-use super::{conditions, fleet, gossip_topics, rollouts, suspects, watch_handover};
+use super::{conditions, fleet, gossip_topics, reach, rollouts, suspects, watch_handover};
 use crate::connection::http_client;
 use crate::platform_api::{Registration, SUBJECTS, Subject};
 use crate::version::changes::Update;
@@ -49,7 +50,7 @@
     gossip_topics::run(
         instance,
         socket.clone(),
-        &[&SuspectRequests, &Conditions, &RolloutAnnouncements],
+        &[&SuspectRequests, &Conditions, &RolloutAnnouncements, &ReachOfInstances],
     );
     fleet::run(instance, socket.clone());
     if instance.settings.exposure.is_some() {
@@ -244,6 +245,10 @@
                 watch_handover::receive(&instance, message);
                 None
             }
+            Some((Kind::Reach, message)) => {
+                reach::receive(&instance, message);
+                None
+            }
             None => None,
         };
         let Some(sender) = sender else { continue };
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -2,11 +2,14 @@
 
 use super::arm_counts::ArmCounts;
 use super::clock::{Clock, Clocks, MachineClocks};
+use super::held_failures::HeldFailures;
 use super::metrics::Metrics;
 use super::probes::Probes;
 use super::quotas::Quotas;
 use super::recent_decisions::RecentDecisions;
-use super::relays::Relays;
+use super::relays::{Relay, Relays};
+use super::retry_budgets::RetryBudgets;
+use super::service_selectors::ServiceSelectors;
 use crate::connection::pool::Pools;
 use crate::error::EntryError;
 use crate::platform_api::{Registration, SUBJECTS, Store, Wire};
@@ -14,7 +17,6 @@
 use crate::version::{ActiveConfiguration, StoreReplica};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,9 +24,11 @@
 use steering::Time;
 use steering::deployment::Service;
 use steering::placement::bootstrap_delay::RegistrationState;
+use steering::placement::peer_update::StartId;
 use steering::placement::peers::FORGOTTEN_AFTER;
-use steering::placement::{Peer, PeerState, Peers, RetryBudget, Roster, WeightedRoundRobin};
+use steering::placement::{Peer, PeerState, Peers, RetryBudget, Roster, start_id};
 use steering::quota::MemberId;
+use steering::reach::Reach;
 use steering::rollout::{ExposureLimit, RolloutTable};
 use steering::suspects::Suspects;
 use steering::terms::Timings;
@@ -77,6 +81,14 @@
     pub pools: Pools,
     /// The instances that relay requests to other regions.
     pub(crate) relays: RefCell<Relays>,
+    /// Whether the backend servers are reached.
+    pub(crate) reach: RefCell<Reach>,
+    /// Wakes the task that checks whether backend servers are reached.
+    pub(crate) reach_unclear: Notify,
+    /// Number of times that backend servers were found not to be reached.
+    pub(crate) reach_losses: watch::Sender<u64>,
+    /// Failures that count for roll-outs once a backend server is reached again.
+    pub(crate) held_failures: RefCell<HeldFailures>,
     /// Quotas of customers.
     pub quotas: Quotas,
     /// Roll-outs of service versions.
@@ -89,6 +101,10 @@
     pub urgent_gossip: Notify,
     /// Probes under way of backend servers that closed connections, with the requests affected.
     pub probes: RefCell<Probes>,
+    /// Retry budgets of the services.
+    pub retry_budgets: RetryBudgets,
+    /// Selectors of services of routes with several.
+    pub service_selectors: ServiceSelectors,
     /// The latest requests and the decisions about them.
     pub recent_decisions: RefCell<RecentDecisions>,
     /// Counts by arm of the policies.
@@ -105,6 +121,8 @@
     pub stop_deadline: Cell<Option<Time>>,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
+    /// Number of requests of other instances in flight.
+    pub(crate) relayed_in_flight: Cell<usize>,
     /// Time of the last failure to accept a connection.
     pub accept_failed_at: Cell<Option<Instant>>,
     /// Time of the last failed call to the store.
@@ -118,8 +136,6 @@
     pub(super) watch_handovers: [Notify; SUBJECTS],
     started_at: Instant,
     own_peer: RefCell<Peer>,
-    budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
-    service_selectors: RefCell<HashMap<Arc<str>, WeightedRoundRobin>>,
 }
 
 impl Instance {
@@ -189,6 +205,10 @@
             registrations: RefCell::default(),
             pools: Pools::new(clock.clone(), timings.connections),
             relays: RefCell::new(relays),
+            reach: RefCell::default(),
+            reach_unclear: Notify::new(),
+            reach_losses: watch::Sender::new(0),
+            held_failures: RefCell::default(),
             clock,
             quotas,
             rollouts: RefCell::new(rollouts),
@@ -196,6 +216,8 @@
             suspects: RefCell::default(),
             urgent_gossip: Notify::new(),
             probes: RefCell::default(),
+            retry_budgets: RetryBudgets::default(),
+            service_selectors: ServiceSelectors::default(),
             recent_decisions: RefCell::default(),
             arm_counts: RefCell::default(),
             metrics: Metrics::new()?,
@@ -203,6 +225,7 @@
             resynced: watch::Sender::new(0),
             stop_deadline: Cell::new(None),
             in_flight: Cell::new(0),
+            relayed_in_flight: Cell::new(0),
             accept_failed_at: Cell::new(None),
             store_failed_at: Cell::new(None),
             heartbeat_trigger: Notify::new(),
@@ -210,8 +233,6 @@
             watch_handovers: Default::default(),
             started_at: Instant::now(),
             own_peer: RefCell::new(own),
-            budgets: RefCell::default(),
-            service_selectors: RefCell::default(),
             settings,
             timings,
         }))
@@ -232,6 +253,11 @@
         own.clone()
     }
 
+    /// Identity of this start of the instance.
+    pub(crate) fn start_id(&self) -> StartId {
+        start_id(&self.own_peer.borrow())
+    }
+
     /// Time since the start.
     pub(super) fn uptime(&self) -> Duration {
         self.started_at.elapsed()
@@ -262,6 +288,13 @@
         peers.is_first_watcher(&own, registered_names(&registered, &own.region), now)
     }
 
+    /// Draws an instance that passes on a request for a service.
+    pub(crate) fn draw_stand_in(&self, service: &Arc<str>) -> Option<Relay> {
+        let peers = self.peers.borrow();
+        let own = self.own_peer.borrow();
+        self.relays.borrow_mut().draw_stand_in(&own, service, &peers, Instant::now())
+    }
+
     /// Number of instances of the region that list from the store before this one does, while it is not
     /// yet known which instances are live.
     pub(super) fn startup_rank(&self) -> usize {
@@ -341,39 +374,13 @@
     /// Adds a request for a service to its retry budget.
     pub fn credit_retry_budget(&self, service: &Arc<str>) {
         let Settings { retry_ratio, retry_extra, .. } = self.settings;
-        // As of the last heartbeat: counting the live peers for each request would cost more than the
-        // request.
+        // As of the last heartbeat: counting them for each request would cost more than the request.
         let instances = self.own_peer.borrow().alive_peers + 1;
-        let mut budgets = self.budgets.borrow_mut();
-        let new = || RetryBudget::new(retry_ratio, retry_extra);
-        budgets.entry(service.clone()).or_insert_with(new).earn(instances);
-    }
-
-    /// Returns whether the retry budget of a service permits a retry.
-    pub fn may_retry(&self, service: &str) -> bool {
-        self.budgets.borrow().get(service).is_some_and(RetryBudget::has_token)
-    }
-
-    /// Consumes one retry of the budget of a service; returns whether the budget permitted it.
-    pub fn take_retry(&self, service: &str) -> bool {
-        self.budgets.borrow_mut().get_mut(service).is_some_and(RetryBudget::take)
-    }
-
-    /// Returns a retry that was taken from the budget of a service and not sent.
-    pub fn refund_retry(&self, service: &str) {
-        if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
-            budget.refund();
-        }
-    }
-
-    /// Selects the service that runs the next request of a route.
-    pub fn select_service(&self, route: &steering::deployment::Route) -> Option<Arc<str>> {
-        if let [only] = route.weighted_services.as_slice() {
-            return Some(only.service.clone());
-        }
-        let mut service_selectors = self.service_selectors.borrow_mut();
-        let selector = service_selectors.entry(route.name.clone()).or_default();
-        selector.next(&route.weighted_services).map(|weighted| weighted.service.clone())
+        self.retry_budgets.credit(
+            service,
+            || RetryBudget::new(retry_ratio, retry_extra),
+            instances,
+        );
     }
 
     /// Addresses of the instances that callers of an availability zone should use.
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -37,6 +37,10 @@
     pub overdue: IntCounterVec,
     /// Requests relayed for other instances, by outcome.
     pub relayed: IntCounterVec,
+    /// Changes of whether backend servers are reached, and checks of it, by event and kind.
+    pub reach: IntCounterVec,
+    /// Requests passed on to other instances as no backend server is reached, by service.
+    pub passed_on: IntCounterVec,
     /// Policies that produced no shares, by arm.
     pub policy_failures: IntCounterVec,
     /// Requests quarantined or released because backend servers crashed during them, by event.
@@ -120,6 +124,16 @@
                 "Requests of other instances by outcome.",
                 &["outcome"],
             )?,
+            reach: counter(
+                "runpin_entry_reach_total",
+                "Changes of whether backend servers are reached, and checks of it.",
+                &["event", "kind"],
+            )?,
+            passed_on: counter(
+                "runpin_entry_passed_on_total",
+                "Requests passed on as no backend server was reached.",
+                &["service"],
+            )?,
             policy_failures: counter(
                 "runpin_entry_policy_failures_total",
                 "Policies that gave no shares.",
--- /dev/null
+++ b/crates/entry/src/process/retry_budgets.rs
@@ -0,0 +1,40 @@
+//! Retry budgets of the services.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::sync::Arc;
+use steering::placement::RetryBudget;
+
+/// Retry budgets, by service.
+#[derive(Debug, Default)]
+pub struct RetryBudgets(RefCell<HashMap<Arc<str>, RetryBudget>>);
+
+impl RetryBudgets {
+    /// Adds a request for a service to its budget, which starts as `new`; `instances` share it.
+    pub(super) fn credit(
+        &self,
+        service: &Arc<str>,
+        new: impl FnOnce() -> RetryBudget,
+        instances: usize,
+    ) {
+        let mut budgets = self.0.borrow_mut();
+        budgets.entry(service.clone()).or_insert_with(new).earn(instances);
+    }
+
+    /// Returns whether the budget of a service permits a retry.
+    pub fn may_retry(&self, service: &str) -> bool {
+        self.0.borrow().get(service).is_some_and(RetryBudget::has_token)
+    }
+
+    /// Consumes one retry of the budget of a service; returns whether the budget permitted it.
+    pub fn take(&self, service: &str) -> bool {
+        self.0.borrow_mut().get_mut(service).is_some_and(RetryBudget::take)
+    }
+
+    /// Returns a retry that was taken from the budget of a service and not sent.
+    pub(crate) fn refund(&self, service: &str) {
+        if let Some(budget) = self.0.borrow_mut().get_mut(service) {
+            budget.refund();
+        }
+    }
+}
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one backend server and classifies the response.
 
-use super::attempt_guard::AttemptGuard;
+use super::attempt_guard::{AttemptGuard, DirectExchangeGuard};
 use super::body::{RequestBody, ServerBody};
 use super::exchange::Exchange;
 use super::server_connection::{self, RelayHop, ServerConnection};
@@ -9,11 +9,12 @@
 use crate::platform_api::ServerHead;
 use crate::process::crash_detection::probe_after_close;
 use crate::process::relays::Relay;
-use crate::process::{conditions, suspects};
+use crate::process::{conditions, reach, suspects};
 use http::{HeaderMap, Request, StatusCode, Uri};
 use std::time::{Duration, Instant};
 use steering::placement::load::LoadReport;
 use steering::placement::{Choice, Ending};
+use steering::reach::Failure;
 
 /// Longest body of a request whose success is always recorded; hashing it takes some microseconds.
 const MAX_RECORDED_BODY_BYTES: usize = 1024;
@@ -79,11 +80,16 @@
         match server_connection::connect(exchange, choice).await {
             Ok(opened) => opened,
             Err(error) => {
+                log_attempt(exchange, choice, None, "not sent", &error.to_string());
+                // The backend server may be reached through another instance.
+                if is_cut_off(exchange) {
+                    guard.set_ending(Ending::Unsent);
+                    return Outcome::NotForwarded;
+                }
                 guard.set_ending(match error {
                     PoolError::Limit(_) => Ending::Unsent,
                     PoolError::Dial(_) | PoolError::Handshake(_) => Ending::Failed,
                 });
-                log_attempt(exchange, choice, None, "not sent", &error.to_string());
                 return Outcome::NotSent;
             }
         };
@@ -93,8 +99,10 @@
     };
     let relay = relay_hop.map(|RelayHop { relay, destination: (name, value) }| {
         request.headers_mut().insert(name, value);
+        guard.sent_flag.set_through(&relay);
         relay
     });
+    let _exchange_guard = relay.is_none().then(|| DirectExchangeGuard::enter(instance));
     guard.sent_at = Instant::now();
     guard.sent_flag.set();
     let response = match connection.sender.try_send_request(request).await {
@@ -108,14 +116,31 @@
                 // Nothing was written: the connection was already closed.
                 *body = Some(request.into_body());
                 let is_server_failure = connection.is_new && relay.is_none();
-                guard.set_ending(if is_server_failure { Ending::Failed } else { Ending::Unsent });
+                if is_server_failure {
+                    record_not_reached(exchange, choice, guard.sent_at);
+                }
+                let is_cut_off = is_cut_off(exchange);
+                guard.set_ending(match is_server_failure && !is_cut_off {
+                    true => Ending::Failed,
+                    false => Ending::Unsent,
+                });
                 instance.pools.close_idle(&connection.remote);
                 log_attempt(exchange, choice, relay.as_ref(), "not sent", &why);
-                return if relay.is_some() { Outcome::NotForwarded } else { Outcome::NotSent };
+                return match relay.is_some() || is_cut_off {
+                    true => Outcome::NotForwarded,
+                    false => Outcome::NotSent,
+                };
             }
             let is_caller_error = error.error().is_user();
             let is_server_failure = !is_caller_error && relay.is_none();
-            guard.set_ending(if is_server_failure { Ending::Failed } else { Ending::Abandoned });
+            // Bytes that are no response came from the server all the same.
+            if is_server_failure && !error.error().is_parse() {
+                record_not_reached(exchange, choice, guard.sent_at);
+            }
+            guard.set_ending(match is_server_failure && !is_cut_off(exchange) {
+                true => Ending::Failed,
+                false => Ending::Abandoned,
+            });
             log_attempt(exchange, choice, relay.as_ref(), "broken", &why);
             if relay.is_some() {
                 instance.pools.close_idle(&connection.remote);
@@ -133,6 +158,8 @@
             return handle_not_forwarded(exchange, choice, relay, outcome, guard).await;
         }
         instance.relays.borrow_mut().record_response(relay, Instant::now());
+    } else {
+        reach::record_response(instance, &exchange.service);
     }
     let request_id = exchange.head.request_id.as_deref();
     let head = instance.wire.decode_server_head(parts.status, &parts.headers, request_id);
@@ -167,6 +194,17 @@
     }
 }
 
+/// Records that a backend server was not reached over a connection of this instance.
+fn record_not_reached(exchange: &Exchange, choice: &Choice, since: Instant) {
+    let server = choice.incarnation();
+    reach::record_failure(&exchange.instance, &exchange.service, &server, Failure::Broken, since);
+}
+
+/// Returns whether this instance reaches no backend server of the request's service.
+fn is_cut_off(exchange: &Exchange) -> bool {
+    exchange.instance.reach.borrow().is_cut_off(&exchange.service)
+}
+
 /// Handles a relay that did not forward the request, or got no response.
 async fn handle_not_forwarded(
     exchange: &Exchange,
@@ -179,11 +217,18 @@
     match outcome {
         RelayOutcome::NotSent => {
             let mut relays = exchange.instance.relays.borrow_mut();
-            relays.record_failure(relay, outcome.as_str(), Instant::now());
+            let now = Instant::now();
+            if is_cut_off(exchange) {
+                relays.record_busy(relay, outcome.as_str(), now);
+            } else {
+                relays.record_failure(relay, outcome.as_str(), now);
+            }
             guard.set_ending(Ending::Unsent);
             Outcome::NotForwarded
         }
         RelayOutcome::Unreachable => {
+            let server = choice.incarnation();
+            reach::record_failed_server(&exchange.instance, &exchange.service, &server);
             guard.set_ending(Ending::Failed);
             Outcome::NotSent
         }
--- a/crates/entry/src/request/attempt_guard.rs
+++ b/crates/entry/src/request/attempt_guard.rs
@@ -2,6 +2,7 @@
 
 use super::exchange::Exchange;
 use super::sent_flag::SentFlag;
+use crate::process::held_failures::HeldFailure;
 use crate::process::instance::Instance;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -57,6 +58,42 @@
     }
 }
 
+impl AttemptGuard {
+    /// Counts the ending for a roll-out, unless the path to all backend servers may be its cause.
+    fn count_for_rollout(&self, order: OrderId, mut observation: Observation) {
+        let is_direct = self.sent_flag.through().is_none();
+        if is_direct && self.instance.reach.borrow().is_cut_off(&self.service) {
+            observation.ending = Ending::Unsent;
+        }
+        let is_full = || self.instance.held_failures.borrow().is_full();
+        if is_direct && observation.ending == Ending::Failed && !is_full() {
+            let (is_target, route) = (self.is_target, self.route.name.clone());
+            let failure = HeldFailure { order, is_target, route, observation };
+            self.instance.held_failures.borrow_mut().hold(failure);
+            return;
+        }
+        let mut rollouts = self.instance.rollouts.borrow_mut();
+        rollouts.record_ending(order, self.is_target, &self.route.name, &observation);
+    }
+}
+
+/// Counts an exchange over a connection of this instance as under way until this is dropped.
+pub(super) struct DirectExchangeGuard(Rc<Instance>);
+
+impl DirectExchangeGuard {
+    /// Counts one more exchange.
+    pub(super) fn enter(instance: &Rc<Instance>) -> Self {
+        instance.reach.borrow_mut().record_sent(Instant::now());
+        Self(instance.clone())
+    }
+}
+
+impl Drop for DirectExchangeGuard {
+    fn drop(&mut self) {
+        self.0.reach.borrow_mut().record_ended();
+    }
+}
+
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let name = match self.ending {
@@ -80,7 +117,7 @@
             was_cold: self.was_cold,
             warm_ms: roster.warm_response_ms(&self.service),
         };
-        let mut rollouts = self.instance.rollouts.borrow_mut();
-        rollouts.record_ending(order, self.is_target, &self.route.name, &observation);
+        drop(roster);
+        self.count_for_rollout(order, observation);
     }
 }
--- a/crates/entry/src/request/choose.rs
+++ b/crates/entry/src/request/choose.rs
@@ -3,8 +3,10 @@
 use super::exchange::Exchange;
 use super::problem::Problem;
 use super::progress::Progress;
+use crate::process::reach;
 use std::time::{Duration, Instant};
 use steering::placement::{Choice, PlacementRequest};
+use steering::reach::Path;
 use steering::suspects::QuarantinedRequest;
 
 /// Time that a request of priority 0 may always queue for a slot, as a factor of the latency
@@ -18,6 +20,10 @@
 /// objective.
 const MIN_TIME_LEFT_FACTOR: f64 = 0.1;
 
+/// Mean time after which a caller is told to retry while no backend server is reached: one or two
+/// checks.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Chooses the next backend server.
 ///
 /// # Errors
@@ -51,6 +57,10 @@
         );
         return Err(Problem::Quarantined);
     }
+    if is_out_of_reach(exchange) {
+        let retry_after = CUT_OFF_RETRY_AFTER.mul_f64(rand::random::<f64>() + 0.5);
+        return Err(Problem::CutOff { retry_after });
+    }
     let objective = exchange.route.latency_objective;
     let time_left = exchange.time_left();
     if time_left < objective.mul_f64(MIN_TIME_LEFT_FACTOR) {
@@ -76,6 +86,15 @@
     })
 }
 
+/// Returns whether this instance certainly reaches no backend server, and no other can pass the request
+/// on.
+fn is_out_of_reach(exchange: &Exchange) -> bool {
+    let Exchange { instance, service, .. } = exchange;
+    reach::check_silence(instance, service);
+    let path = instance.reach.borrow().path(service, rand::random(), Instant::now());
+    path == Path::StandIn { is_confirmed: true } && instance.draw_stand_in(service).is_none()
+}
+
 /// Returns the quarantined request that this one matches, if too many backend servers crashed while
 /// they ran it.
 fn find_quarantined(exchange: &Exchange) -> Option<QuarantinedRequest> {
--- a/crates/entry/src/request/handle.rs
+++ b/crates/entry/src/request/handle.rs
@@ -75,7 +75,7 @@
     let deadline = instance.stop_deadline.get().map_or(deadline, |latest| latest.min(deadline));
     let body = CallerBody::read(request, configuration.body_limit_bytes);
     let body = with_deadline(instance, deadline, body).await.ok_or(Problem::BodyTimeout)??;
-    let service = instance.select_service(&route).ok_or(Problem::NoRoute)?;
+    let service = instance.service_selectors.select(&route).ok_or(Problem::NoRoute)?;
     let key_hash = match &head.affinity_key {
         Some(key) if route.affinity => name_hash(key) ^ name_hash(&service),
         _ => rand::random(),
--- a/crates/entry/src/request/hedge.rs
+++ b/crates/entry/src/request/hedge.rs
@@ -8,10 +8,13 @@
 use super::choose::choose_for_hedge;
 use super::exchange::Exchange;
 use super::progress::Progress;
-use crate::process::instance::Instance;
+use super::sent_flag::SentFlag;
+use crate::process::reach;
+use crate::process::relays::Relay;
 use std::future::Future;
 use std::time::Instant;
 use steering::placement::{Choice, Incarnation};
+use steering::reach::Failure;
 
 /// Number of an attempt, its outcome, and the body if nothing of it was sent.
 type AttemptResult = (usize, Outcome, Option<RequestBody>);
@@ -32,11 +35,14 @@
         && progress.attempt_count() + 1 < exchange.route.max_attempts;
     let (server, zone) = (choice.incarnation(), choice.availability_zone.clone());
     let sent_at = Instant::now();
+    let can_be_sent_again = body.can_be_sent();
     let overdue_after = {
         let roster = exchange.instance.roster.borrow();
         roster.overdue_after(&exchange.service, &zone, choice.cold)
     };
-    let first = begin_attempt(exchange, choice, ready_body, progress);
+    let number = progress.next_attempt();
+    let (first, sent_flag) = begin_attempt(exchange, choice, ready_body, progress);
+    let first = give_up_when_cut_off(exchange, number, can_be_sent_again, &sent_flag, first);
     tokio::pin!(first);
     let in_time = match overdue_after {
         Some(overdue_after) => tokio::time::timeout(overdue_after, first.as_mut()).await.ok(),
@@ -45,7 +51,8 @@
     let result = match in_time {
         Some(result) => result,
         None => {
-            handle_overdue(&exchange.instance, &exchange.service, (&server, &zone), sent_at);
+            let through = sent_flag.through();
+            handle_overdue(exchange, (&server, &zone), through.as_ref(), sent_at);
             let second =
                 if is_hedge_allowed { begin_hedge(exchange, body, progress) } else { None };
             let action = if second.is_some() { "sent elsewhere" } else { "waited" };
@@ -67,18 +74,33 @@
 /// If the backend server, or the relay to it, has sent no response since the request was sent, its
 /// open connections may be dead while new ones would work: the idle ones are closed.
 fn handle_overdue(
-    instance: &Instance,
-    service: &str,
+    exchange: &Exchange,
     (server, zone): (&Incarnation, &str),
+    through: Option<&Relay>,
     sent_at: Instant,
 ) {
-    if let Some(relay) = instance.relays.borrow().silent_since(zone, sent_at) {
-        instance.pools.close_idle(&relay.id);
+    let Exchange { instance, service, .. } = exchange;
+    if let Some(relay) = through {
+        let is_silent = instance.relays.borrow().is_silent_since(relay, sent_at);
+        if is_silent {
+            instance.pools.close_idle(&relay.id);
+        }
+        if is_silent && instance.reach.borrow().is_cut_off(service) {
+            // It may be cut off too, without knowing it yet.
+            instance.relays.borrow_mut().record_busy(relay, "overdue", Instant::now());
+        }
+    }
+    let has_answered = {
+        let mut roster = instance.roster.borrow_mut();
+        roster.record_overdue(service, zone);
+        roster.answered_after(server, sent_at)
+    };
+    if has_answered {
+        return;
     }
-    let mut roster = instance.roster.borrow_mut();
-    roster.record_overdue(service, zone);
-    if !roster.answered_after(server, sent_at) {
-        instance.pools.close_idle(server);
+    instance.pools.close_idle(server);
+    if through.is_none() {
+        reach::record_failure(instance, service, server, Failure::Overdue, sent_at);
     }
 }
 
@@ -89,11 +111,11 @@
     progress: &mut Progress,
 ) -> Option<impl Future<Output = AttemptResult> + use<'a>> {
     let instance = &exchange.instance;
-    if !body.can_be_sent() || !instance.may_retry(&exchange.service) {
+    if !body.can_be_sent() || !instance.retry_budgets.may_retry(&exchange.service) {
         return None;
     }
     let choice = choose_for_hedge(exchange, progress).ok()?;
-    instance.take_retry(&exchange.service);
+    instance.retry_budgets.take(&exchange.service);
     let (number, sent_flag) = progress.begin_attempt(&choice, exchange);
     let guard = AttemptGuard::new(exchange, &choice, sent_flag);
     Some(send(exchange, number, choice, guard, body.take()))
@@ -124,10 +146,45 @@
     choice: Choice,
     body: Option<RequestBody>,
     progress: &mut Progress,
-) -> impl Future<Output = AttemptResult> + use<'a> {
+) -> (impl Future<Output = AttemptResult> + use<'a>, SentFlag) {
     let (number, sent_flag) = progress.begin_attempt(&choice, exchange);
-    let guard = AttemptGuard::new(exchange, &choice, sent_flag);
-    send(exchange, number, choice, guard, body)
+    let guard = AttemptGuard::new(exchange, &choice, sent_flag.clone());
+    (send(exchange, number, choice, guard, body), sent_flag)
+}
+
+/// Ends an attempt over a connection of this instance once it is known to reach no backend server, if
+/// the request may be sent again: it was not sent, or is idempotent.
+async fn give_up_when_cut_off(
+    exchange: &Exchange,
+    number: usize,
+    can_be_sent_again: bool,
+    sent_flag: &SentFlag,
+    attempt: impl Future<Output = AttemptResult>,
+) -> AttemptResult {
+    let Exchange { instance, service, route, .. } = exchange;
+    let is_idempotent = route.kind.is_idempotent();
+    let cut_off = async {
+        loop {
+            reach::wait_until_cut_off(instance, service).await;
+            let may_be_sent_again = can_be_sent_again && (is_idempotent || !sent_flag.is_set());
+            if may_be_sent_again && sent_flag.through().is_none() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        result = attempt => result,
+        () = cut_off => {
+            let was_sent = sent_flag.is_set();
+            log::info!(
+                target: "request",
+                id = exchange.head.request_id.as_deref().unwrap_or(""), service = &**service,
+                was_sent, age_ms = attempt::millis(exchange.age());
+                "attempt given up, as no backend server is reached"
+            );
+            (number, if was_sent { Outcome::Broken } else { Outcome::NotForwarded }, None)
+        }
+    }
 }
 
 async fn send(
--- a/crates/entry/src/request/operators.rs
+++ b/crates/entry/src/request/operators.rs
@@ -55,6 +55,12 @@
     instances: Vec<Arc<str>>,
     follows_store: bool,
     reaches_store: bool,
+    /// Time for which no backend server has been reached, in milliseconds.
+    cut_off_ms: Option<u64>,
+    /// Services of which none is reached while others are.
+    unreached_services: Vec<Arc<str>>,
+    /// Known instances that reach no backend server, this one included.
+    cut_off_instances: usize,
     in_flight: usize,
     held_back: Vec<QuarantinedStatus>,
     server_conditions: Vec<ServerCondition>,
@@ -153,6 +159,8 @@
     let replica = instance.replica.borrow();
     let roster = instance.roster.borrow();
     let peers = instance.peers.borrow();
+    let reach = instance.reach.borrow();
+    let now = Instant::now();
     Status {
         name: own.name,
         availability_zone: own.availability_zone,
@@ -168,6 +176,9 @@
         instances: peers.alive(Instant::now()).map(|peer| peer.name.clone()).collect(),
         follows_store: instance.is_watcher(),
         reaches_store: instance.reaches_store(),
+        cut_off_ms: reach.cut_off_for(now).map(millis),
+        unreached_services: reach.lost_services().cloned().collect(),
+        cut_off_instances: peers.reach.cut_off_count(now),
         in_flight: instance.in_flight.get(),
         held_back: quarantined_requests(instance),
         server_conditions: server_conditions(&roster),
--- a/crates/entry/src/request/problem.rs
+++ b/crates/entry/src/request/problem.rs
@@ -44,6 +44,13 @@
         /// Time after which there may be capacity.
         retry_after: Duration,
     },
+    /// This instance reaches no backend server, and no other instance can pass the request on; it has
+    /// not run.
+    #[error("no backend server is reached")]
+    CutOff {
+        /// Time after which one may be.
+        retry_after: Duration,
+    },
     /// No backend server that was tried accepted the request; it has not run.
     #[error("backend servers did not take the request")]
     AllRefused {
@@ -77,6 +84,7 @@
             Self::NoConfiguration
             | Self::Joining
             | Self::NoCapacity { .. }
+            | Self::CutOff { .. }
             | Self::AllRefused { .. }
             | Self::Quarantined
             | Self::TimeoutBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
@@ -102,6 +110,7 @@
             Self::BodyTruncated => "body-cut",
             Self::BodyTimeout => "body-timeout",
             Self::NoCapacity { .. } => "no-room",
+            Self::CutOff { .. } => "cut-off",
             Self::AllRefused { .. } => "not-taken",
             Self::Quarantined => "held-back",
             Self::TimeoutBeforeSend => "timeout-before-send",
@@ -118,6 +127,7 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         let retry_after = match self {
             Self::NoCapacity { retry_after }
+            | Self::CutOff { retry_after }
             | Self::AllRefused { retry_after }
             | Self::OverQuota { retry_after } => Some(*retry_after),
             Self::NoConfiguration | Self::Joining => Some(Duration::from_millis(300)),
--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -42,14 +42,14 @@
 
     /// Takes a retry from the budget for the next attempt; returns whether there was one.
     pub(super) fn take_retry(&mut self, exchange: &Exchange) -> bool {
-        self.is_retry_taken = exchange.instance.take_retry(&exchange.service);
+        self.is_retry_taken = exchange.instance.retry_budgets.take(&exchange.service);
         self.is_retry_taken
     }
 
     /// Returns a retry to the budget if its attempt has not begun and never will.
     pub(super) fn refund_unsent_retry(&self, exchange: &Exchange) {
         if self.is_retry_taken {
-            exchange.instance.refund_retry(&exchange.service);
+            exchange.instance.retry_budgets.refund(&exchange.service);
         }
     }
 
@@ -101,6 +101,11 @@
         (self.attempts.len() - 1, sent_flag)
     }
 
+    /// Number of the attempt that begins next.
+    pub(super) fn next_attempt(&self) -> usize {
+        self.attempts.len()
+    }
+
     /// Ends the attempt with this number.
     ///
     /// Refunds the attempt if it has not run the request and another one may have.
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -3,6 +3,7 @@
 //! The sending instance decides on the backend server, retries and timeouts. The relay reports to it
 //! whether the request was sent.
 
+use super::attempt_guard::DirectExchangeGuard;
 use super::body::{BodyError, RequestBody, ResponseBody, ServerBody, full_body};
 use super::caller::Caller;
 use super::exchange::InFlightGuard;
@@ -12,6 +13,7 @@
 use crate::connection::pool::{Connection, PoolError};
 use crate::connection::relay_protocol::{Destination, RelayOutcome};
 use crate::process::instance::Instance;
+use crate::process::reach;
 use http::header::HeaderValue;
 use http::{HeaderName, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
@@ -19,10 +21,15 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use steering::reach::Failure;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// Requests that an instance relays at a time; more would take the memory of the smallest instances,
+/// as each needs the buffers of two connections.
+const MAX_RELAYED_REQUESTS: usize = 256;
+
 /// Why a request was not forwarded, or got no response.
 #[derive(Debug, thiserror::Error)]
 enum RelayError {
@@ -32,6 +39,10 @@
     StaleState,
     #[error("no known backend server at this address")]
     UnknownServer,
+    #[error("no backend server of the service is reached")]
+    CutOff,
+    #[error("{0} requests of other instances are under way")]
+    Busy(usize),
     #[error(transparent)]
     Pool(#[from] PoolError),
     #[error("connection was already closed")]
@@ -47,9 +58,12 @@
 impl RelayError {
     fn outcome(&self) -> RelayOutcome {
         match self {
-            Self::UnknownSender(_) | Self::StaleState | Self::UnknownServer | Self::Closed => {
-                RelayOutcome::NotSent
-            }
+            Self::UnknownSender(_)
+            | Self::StaleState
+            | Self::UnknownServer
+            | Self::CutOff
+            | Self::Busy(_)
+            | Self::Closed => RelayOutcome::NotSent,
             Self::Pool(PoolError::Limit(_)) => RelayOutcome::NotSent,
             Self::Pool(PoolError::Dial(_) | PoolError::Handshake(_)) => RelayOutcome::Unreachable,
             Self::Sending(_) | Self::Response(_) | Self::MismatchedResponse => RelayOutcome::Broken,
@@ -96,9 +110,24 @@
     let received_at = instance.clock.now();
     let Destination { server, address } = destination;
     let service = destination_service(instance, Caller::address_of(&request), destination)?;
+    let is_cut_off = || instance.reach.borrow().is_cut_off(&service);
+    if is_cut_off() {
+        return Err(RelayError::CutOff);
+    }
+    let _relayed = RelayedGuard::enter(instance)?;
     let limit = connection_limit(instance, &service);
-    let mut connection = instance.pools.acquire(server, *address, limit).await?;
+    let started = Instant::now();
+    let acquired = instance.pools.acquire(server, *address, limit).await;
+    if let Err(PoolError::Dial(_) | PoolError::Handshake(_)) = &acquired {
+        reach::record_failure(instance, &service, server, Failure::Connecting, started);
+        // Nothing is known of the backend server then.
+        if is_cut_off() {
+            return Err(RelayError::CutOff);
+        }
+    }
+    let mut connection = acquired?;
     if connection.is_new {
+        reach::record_connection(instance, &service);
         instance.metrics.connections.with_label_values(&[&*service]).inc();
     }
     let head = instance.wire.decode_caller_head(request.headers());
@@ -107,13 +136,20 @@
         let time_left = deadline.saturating_sub(instance.clock.now().since(received_at));
         instance.wire.add_server_headers(request.headers_mut(), time_left, &server.id, None);
     }
+    let sent_at = Instant::now();
+    let exchange_guard = DirectExchangeGuard::enter(instance);
     let response = connection.sender.try_send_request(request).await.map_err(|mut error| {
         if error.take_message().is_some() {
             instance.pools.close_idle(server);
             return RelayError::Closed;
         }
+        if !error.error().is_parse() {
+            reach::record_failure(instance, &service, server, Failure::Broken, sent_at);
+        }
         RelayError::Sending(error.into_error())
     })?;
+    drop(exchange_guard);
+    reach::record_response(instance, &service);
     let server_head = instance.wire.decode_server_head(
         response.status(),
         response.headers(),
@@ -130,6 +166,31 @@
     Ok(Response::from_parts(parts, response_body(instance, body, reusable, in_flight)))
 }
 
+/// Counts a relayed request until its response has begun.
+struct RelayedGuard(Rc<Instance>);
+
+impl RelayedGuard {
+    /// Counts one more request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are too many.
+    fn enter(instance: &Rc<Instance>) -> Result<Self, RelayError> {
+        let count = instance.relayed_in_flight.get();
+        if count >= MAX_RELAYED_REQUESTS {
+            return Err(RelayError::Busy(count));
+        }
+        instance.relayed_in_flight.set(count + 1);
+        Ok(Self(instance.clone()))
+    }
+}
+
+impl Drop for RelayedGuard {
+    fn drop(&mut self) {
+        self.0.relayed_in_flight.set(self.0.relayed_in_flight.get() - 1);
+    }
+}
+
 /// The service of the destination, if the sender may use this relay and the destination is known.
 ///
 /// # Errors
--- a/crates/entry/src/request/server_connection.rs
+++ b/crates/entry/src/request/server_connection.rs
@@ -4,11 +4,13 @@
 use crate::connection::pool::{Connection, PoolError};
 use crate::connection::relay_protocol::Destination;
 use crate::process::instance::Instance;
+use crate::process::reach;
 use crate::process::relays::Relay;
 use http::{HeaderName, HeaderValue};
 use std::io::ErrorKind;
 use std::time::Instant;
 use steering::placement::Choice;
+use steering::reach::{Failure, Path};
 
 /// Connections that this instance may always open to one backend server.
 const MIN_CONNECTIONS_PER_SERVER: usize = 2;
@@ -17,6 +19,9 @@
 /// availability zone of another region.
 const MAX_CONNECTIONS_PER_RELAY: usize = 64;
 
+/// Instances that an attempt tries to connect to before it is given up.
+const MAX_STAND_IN_DIALS: usize = 3;
+
 /// Largest request head in bytes that is sent through a relay. With the headers that instances add,
 /// it must not exceed what the relay reads.
 const MAX_RELAYED_HEAD_BYTES: usize = 4096;
@@ -35,6 +40,8 @@
 
 /// Takes a connection for an attempt from the pool, or opens one.
 ///
+/// While this instance does not reach the backend servers, the connection is to one that does.
+///
 /// # Errors
 ///
 /// Fails if there is no connection; nothing was sent then.
@@ -43,6 +50,11 @@
     choice: &Choice,
 ) -> Result<ServerConnection, PoolError> {
     let Exchange { instance, service, .. } = exchange;
+    if needs_stand_in(exchange, choice)
+        && let Some(opened) = connect_to_stand_in(exchange, choice).await
+    {
+        return Ok(opened);
+    }
     if let Some(relay_hop) = find_relay_hop(exchange, choice) {
         let Relay { id, address } = &relay_hop.relay;
         match instance.pools.acquire(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
@@ -66,8 +78,18 @@
     }
     let limit = connection_limit(instance, service);
     let server = choice.incarnation();
-    let connection = instance.pools.acquire(&server, choice.address, limit).await?;
+    let started = Instant::now();
+    let connection = match instance.pools.acquire(&server, choice.address, limit).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            if !matches!(error, PoolError::Limit(_)) {
+                reach::record_failure(instance, service, &server, Failure::Connecting, started);
+            }
+            return Err(error);
+        }
+    };
     if connection.is_new {
+        reach::record_connection(instance, service);
         instance.metrics.connections.with_label_values(&[&**service]).inc();
         let mut roster = instance.roster.borrow_mut();
         if roster.is_in_other_region(&choice.availability_zone) {
@@ -77,20 +99,63 @@
     Ok(ServerConnection { connection, relay_hop: None })
 }
 
+/// Returns whether another instance should pass the attempt on, as this one does not reach the backend
+/// server.
+fn needs_stand_in(exchange: &Exchange, choice: &Choice) -> bool {
+    let Exchange { instance, service, .. } = exchange;
+    match instance.reach.borrow().path(service, rand::random(), Instant::now()) {
+        Path::Direct => false,
+        Path::OpenConnectionsOnly => !instance.pools.has_idle(&choice.incarnation()),
+        Path::StandIn { .. } => true,
+    }
+}
+
+/// Takes a connection to an instance that reaches the backend servers; `None` if there is none.
+async fn connect_to_stand_in(exchange: &Exchange, choice: &Choice) -> Option<ServerConnection> {
+    let Exchange { instance, service, .. } = exchange;
+    let destination = destination(exchange, choice)?;
+    for _ in 0..MAX_STAND_IN_DIALS {
+        let relay = instance.draw_stand_in(service)?;
+        let Relay { id, address } = &relay;
+        match instance.pools.acquire(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
+            Ok(connection) => {
+                instance.metrics.passed_on.with_label_values(&[&**service]).inc();
+                let relay_hop = Some(RelayHop { relay, destination });
+                return Some(ServerConnection { connection, relay_hop });
+            }
+            Err(error) => {
+                let mut relays = instance.relays.borrow_mut();
+                match &error {
+                    PoolError::Limit(_) => {
+                        relays.record_busy(&relay, &error.to_string(), Instant::now());
+                    }
+                    _ => relays.record_failure(&relay, &error.to_string(), Instant::now()),
+                }
+            }
+        }
+    }
+    None
+}
+
+/// The header that names the backend server to a relay; `None` if no relay could read the head.
+fn destination(exchange: &Exchange, choice: &Choice) -> Option<(HeaderName, HeaderValue)> {
+    let head_bytes: usize =
+        exchange.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if head_bytes > MAX_RELAYED_HEAD_BYTES {
+        return None;
+    }
+    Destination { server: choice.incarnation(), address: choice.address }.to_header()
+}
+
 /// The instance that relays an attempt to another region, if one can.
 fn find_relay_hop(exchange: &Exchange, choice: &Choice) -> Option<RelayHop> {
     let instance = &exchange.instance;
     if !instance.roster.borrow().is_in_other_region(&choice.availability_zone) {
         return None;
     }
-    let head_bytes: usize =
-        exchange.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
     // A body that can't be sent again must not depend on one more process.
-    if exchange.body.is_none() || head_bytes > MAX_RELAYED_HEAD_BYTES {
-        return None;
-    }
-    let destination = Destination { server: choice.incarnation(), address: choice.address };
-    let destination = destination.to_header()?;
+    exchange.body.as_ref()?;
+    let destination = destination(exchange, choice)?;
     let peers = instance.peers.borrow();
     let mut relays = instance.relays.borrow_mut();
     let relay = relays.choose(&choice.availability_zone, &peers, Instant::now())?;
--- a/crates/runpin/src/command/entry/status.rs
+++ b/crates/runpin/src/command/entry/status.rs
@@ -41,6 +41,15 @@
     /// Whether this instance watches the store itself, rather than receiving updates from others.
     follows_store: bool,
     reaches_store: bool,
+    /// Time for which no backend server has been reached, in milliseconds.
+    #[serde(default)]
+    cut_off_ms: Option<u64>,
+    /// Services of which none is reached while others are.
+    #[serde(default)]
+    unreached_services: Vec<String>,
+    /// Known instances that reach no backend server, this one included.
+    #[serde(default)]
+    cut_off_instances: usize,
     in_flight: usize,
     held_back: Vec<HeldBack>,
     server_conditions: Vec<ServerCondition>,
@@ -94,6 +103,11 @@
         (true, true) => "followed by this instance",
         (true, false) => "followed by others",
     };
+    let reach = match (status.cut_off_ms, status.unreached_services.as_slice()) {
+        (Some(ms), _) => format!("none for {ms} ms, requests go through other instances"),
+        (None, []) => "yes".to_owned(),
+        (None, services) => format!("all but those of {}", services.join(", ")),
+    };
     let list = |names: &[String]| match names {
         [] => "none".to_owned(),
         names => names.join(", "),
@@ -108,6 +122,8 @@
         ("backend servers", format!("{} as of {}", status.backend_servers, status.servers_as_of)),
         ("evacuated", format!("{} as of {}", list(&status.evacuated), status.evacuations_as_of)),
         ("policies", format!("set {}, arms {}", status.policies_number, list(&status.arms))),
+        ("reached servers", reach),
+        ("cut off instances", status.cut_off_instances.to_string()),
         ("store", store.to_owned()),
         ("other instances", list(&status.instances)),
         ("limited customers", list(&status.limited_customers)),
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod policy;
 pub mod quota;
+pub mod reach;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -24,11 +24,13 @@
 mod overdue;
 mod own_demand;
 pub mod peer;
+mod peer_choice;
 pub mod peer_update;
 pub mod peers;
 mod policy_view;
 mod quantile;
 pub mod rank;
+mod reach_checks;
 mod region_view;
 pub mod request;
 pub mod role;
@@ -51,7 +53,9 @@
 pub use budget::RetryBudget;
 pub use condition::{Condition, ConditionChange, Limit};
 pub use incarnation::{Incarnation, ServerRef};
+pub use peer_choice::start_id;
 pub use peers::{Peer, PeerState, Peers};
+pub use reach_checks::CheckTarget;
 pub use request::{
     Choice, PlacementCounts, PlacementRequest, RateLimitUsage, Refusal, ShareChange,
 };
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -8,12 +8,13 @@
 use super::liveness::{HeartbeatRecord, Zones};
 pub use super::peer::{Demand, Peer, PeerState};
 use super::peer_update::{Heartbeat, PeerUpdate, StartId};
-use super::rank::{name_hash, rank};
+use super::rank::name_hash;
+use crate::reach::reports::ReachReports;
 use crate::terms::timings::LivenessTimings;
 pub use crate::terms::timings::{HEARTBEAT_INTERVAL, LOST_AFTER};
 use crate::watchers;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -24,12 +25,6 @@
 /// many as later, because some of the registered ones may be gone.
 pub(super) const STARTUP_WATCHERS_PER_REGION: usize = 3 * watchers::WATCHERS_PER_ZONE;
 
-/// Minimum number of caller addresses in the response to a look-up, if there are as many instances.
-const MIN_ADDRESSES: usize = 2;
-
-/// Maximum number of caller addresses in the response to a look-up.
-const MAX_ADDRESSES: usize = 64;
-
 /// How recent the knowledge of a live instance is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Freshness {
@@ -44,11 +39,11 @@
 }
 
 #[derive(Debug)]
-struct PeerEntry {
+pub(super) struct PeerEntry {
     /// The latest description, as of the heartbeat in it.
-    peer: Peer,
-    id: StartId,
-    name_hash: u64,
+    pub(super) peer: Peer,
+    pub(super) id: StartId,
+    pub(super) name_hash: u64,
     /// Heartbeats received, which may be later than the description.
     record: HeartbeatRecord,
 }
@@ -59,19 +54,37 @@
         let id = StartId::new(name_hash, peer.started_ms);
         Self { id, name_hash, record: HeartbeatRecord::new(peer.heartbeat, age, now), peer }
     }
+
+    /// The start that it describes.
+    pub(super) fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.peer.name.clone(), started_ms: self.peer.started_ms }
+    }
 }
 
 /// The instances known to this one, without itself.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
     entries: BTreeMap<Arc<str>, PeerEntry>,
     zones: Zones,
+    /// Which instances don't reach the backend servers.
+    pub reach: ReachReports,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self::new(Zones::default())
+    }
 }
 
 impl Peers {
     /// An empty table of an instance in an availability zone.
     pub fn in_zone(zone: Arc<str>, timings: LivenessTimings) -> Self {
-        Self { zones: Zones::in_zone(zone, timings), ..Self::default() }
+        Self::new(Zones::in_zone(zone, timings))
+    }
+
+    fn new(zones: Zones) -> Self {
+        let reach = ReachReports::new(zones.timings().lost_after);
+        Self { entries: BTreeMap::new(), zones, reach }
     }
 
     /// Records the description that an instance sent itself; returns whether it was newer than the
@@ -260,14 +273,6 @@
         watchers::position(&own.name, names.into_iter())
     }
 
-    /// Hashes of the names of the live instances of a region.
-    pub fn alive_name_hashes(&self, region: &str, now: Instant) -> Vec<u64> {
-        self.alive_entries(now)
-            .filter(|entry| *entry.peer.region == *region)
-            .map(|entry| entry.name_hash)
-            .collect()
-    }
-
     /// The number of instances of a region that are live, or were lost less than
     /// [`FORGOTTEN_AFTER`] ago.
     pub fn count_in_region(&self, region: &str) -> usize {
@@ -279,57 +284,10 @@
         self.all().any(|peer| peer.knowledge_address.ip() == host)
     }
 
-    /// The instance of another availability zone that relays requests for `own`, with its
-    /// incarnation.  It stays the same while it serves, and different instances use different
-    /// relays.
-    pub fn relay_to(
-        &self,
-        own: &str,
-        zone: &str,
-        now: Instant,
-        is_allowed: impl Fn(&Incarnation) -> bool,
-    ) -> Option<(Incarnation, &Peer)> {
-        let own_hash = name_hash(own);
-        let of_zone =
-            self.alive_entries(now).filter(|entry| *entry.peer.availability_zone == *zone);
-        let with_incarnation = of_zone.filter(|entry| entry.peer.is_serving()).map(|entry| {
-            let peer = &entry.peer;
-            (entry, Incarnation { id: peer.name.clone(), started_ms: peer.started_ms })
-        });
-        let (entry, start) = with_incarnation
-            .filter(|(_, start)| is_allowed(start))
-            .min_by_key(|(entry, _)| rank(own_hash, entry.name_hash))?;
-        Some((start, &entry.peer))
-    }
-
-    fn alive_entries(&self, now: Instant) -> impl Iterator<Item = &PeerEntry> {
+    pub(super) fn alive_entries(&self, now: Instant) -> impl Iterator<Item = &PeerEntry> {
         let is_alive = move |entry: &&PeerEntry| {
             self.zones.is_alive(&entry.peer.availability_zone, &entry.record, now)
         };
         self.entries.values().filter(is_alive)
     }
-
-    /// Addresses for callers of an availability zone, including that of `own` if it serves.
-    ///
-    /// They are those of the zone.  While there are too few, others of the region are added, then
-    /// those of other regions.
-    pub fn look_up(&self, own: &Peer, zone: &str, region: &str, now: Instant) -> Vec<SocketAddr> {
-        let serving: Vec<&Peer> =
-            self.alive(now).chain(std::iter::once(own)).filter(|peer| peer.is_serving()).collect();
-        let distance = |peer: &Peer| match () {
-            () if *peer.availability_zone == *zone => 0,
-            () if *peer.region == *region => 1,
-            () => 2,
-        };
-        let mut addresses: Vec<SocketAddr> = Vec::new();
-        for tier in 0..=2 {
-            let wanted = match tier {
-                0 => MAX_ADDRESSES,
-                _ => MIN_ADDRESSES.saturating_sub(addresses.len()),
-            };
-            let of_tier = serving.iter().filter(|peer| distance(peer) == tier);
-            addresses.extend(of_tier.map(|peer| peer.caller_address).take(wanted));
-        }
-        addresses
-    }
 }
--- a/crates/steering/src/placement/role.rs
+++ b/crates/steering/src/placement/role.rs
@@ -41,6 +41,9 @@
     /// The turn of an instance that knows no other.
     pub(super) const ONLY: Self = Self { position: 0, instances: 1 };
 
+    /// The turn of an instance that does not reach the backend servers.
+    pub(super) const NEVER: Self = Self { position: 1, instances: 1 };
+
     /// Returns whether the instance is the one whose turn has this number.
     pub(super) fn is_current(self, number: u128) -> bool {
         number % self.instances as u128 == self.position as u128
--- a/crates/steering/src/placement/roster.rs
+++ b/crates/steering/src/placement/roster.rs
@@ -283,6 +283,11 @@
         })
     }
 
+    /// Returns the mean response time of a service.
+    pub fn mean_response_time(&self, service: &str) -> Duration {
+        self.services.get(service).map_or(Duration::ZERO, ServiceState::mean_response_time)
+    }
+
     /// Returns the number of known backend servers.
     pub fn server_count(&self) -> usize {
         self.services.values().map(|state| state.servers.len()).sum()
--- a/crates/steering/src/placement/server.rs
+++ b/crates/steering/src/placement/server.rs
@@ -171,6 +171,13 @@
         self.failed_until = None;
     }
 
+    /// Forgets its failures and its silence.
+    pub(super) fn forgive(&mut self, now: Instant) {
+        self.failures = 0;
+        self.failed_until = None;
+        self.last_response_at = now;
+    }
+
     /// Returns whether it is cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
--- a/crates/steering/src/placement/share_update.rs
+++ b/crates/steering/src/placement/share_update.rs
@@ -1,5 +1,6 @@
 //! Updates the regional shares by the demand of all instances, and by policies if there are any.
 
+use super::peer_choice::start_id;
 use super::peers::{Demand, Peer, Peers};
 use super::policy_view::service_view;
 use super::request::ShareChange;
@@ -46,7 +47,9 @@
         let decay = (-elapsed / DEMAND_WINDOW_S).exp();
         self.region_view.update(
             peers.alive_name_hashes(&self.region, now),
+            peers.alive(now).filter(|peer| peer.region == self.region).count(),
             peers.count_in_region(&self.region),
+            !peers.reach.is_cut_off(start_id(own), None, now),
         );
         self.drain_former_senders(now);
         self.region_sizes = region_sizes(own, peers, now);
