Suspect no request of crashing a backend server while others refuse connections too

What callers would see: sound requests quarantined by the whole fleet, far from an instance that lost its backend servers. Cause: a connection that closes during a request, and a refused one after it, was taken for a server that ended. A cut that resets open connections and refuses new ones looks the same for every server. Change: before a crash is concluded, up to three other servers that have not failed are dialled; if none accepts, nothing is concluded (outcome `unclear`).

--- a/crates/entry/src/process/crash_detection.rs
+++ b/crates/entry/src/process/crash_detection.rs
@@ -2,9 +2,11 @@
 //!
 //! Both look alike to the request. A probe connection distinguishes them: if the process has ended,
 //! its host refuses the connection at once; a backend server that only closed a connection accepts it;
-//! behind a network partition or without power there is no response, and nothing is concluded.
+//! behind a network partition or without power there is no response, and nothing is concluded. Nothing is
+//! concluded either if another backend server is not reached.
 
 use super::instance::Instance;
+use super::reach_checks::reaches_another;
 use super::suspects;
 use crate::connection::dial::{DIAL_TIMEOUT, dial};
 use std::io::ErrorKind;
@@ -28,6 +30,8 @@
     Alive,
     /// There is no response.
     Silent,
+    /// Its host refuses connections, as another one does.
+    Unclear,
 }
 
 impl ProbeOutcome {
@@ -36,6 +40,7 @@
             Self::Ended => "ended",
             Self::Alive => "alive",
             Self::Silent => "silent",
+            Self::Unclear => "unclear",
         }
     }
 }
@@ -63,7 +68,13 @@
 }
 
 async fn probe(instance: Rc<Instance>, server: Incarnation, address: SocketAddr) {
-    let outcome = probe_address(address, instance.timings.connections).await;
+    let outcome = match probe_address(address, instance.timings.connections).await {
+        // A path that is cut may refuse connections too, but then to all backend servers.
+        ProbeOutcome::Ended if reaches_another(&instance, &server).await == Some(false) => {
+            ProbeOutcome::Unclear
+        }
+        outcome => outcome,
+    };
     let probe = instance.probes.borrow_mut().take(&server);
     log::info!(
         target: "backend-server",
--- a/crates/entry/src/process/reach_checks.rs
+++ b/crates/entry/src/process/reach_checks.rs
@@ -4,10 +4,11 @@
 use super::reach;
 use crate::connection::dial::{DIAL_TIMEOUT, dial};
 use crate::connection::http_client;
+use futures::future::join_all;
 use rand::Rng;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use steering::placement::CheckTarget;
+use steering::placement::{CheckTarget, Incarnation};
 use steering::reach::Failure;
 
 /// Time in which the next response usually makes a check unnecessary.
@@ -28,6 +29,9 @@
 /// Backend servers that the first round checks in each unclear scope, as one may have failed itself.
 const FIRST_TARGETS: usize = 2;
 
+/// Backend servers that show whether one that refuses connections is the only one.
+const OTHER_TARGETS: usize = 3;
+
 /// Checks whenever it is unclear whether backend servers are reached, for the lifetime of the process.
 pub(super) async fn run(instance: Rc<Instance>) {
     loop {
@@ -105,3 +109,38 @@
         "checked a backend server"
     );
 }
+
+/// Returns whether any of a few backend servers other than `except` accepts a connection, those that have
+/// not failed first; `None` without any other.
+pub(super) async fn reaches_another(instance: &Rc<Instance>, except: &Incarnation) -> Option<bool> {
+    let now = Instant::now();
+    let draw = |is_allowed: &dyn Fn(&Incarnation) -> bool| {
+        let roster = instance.roster.borrow();
+        roster.draw_check_targets(None, OTHER_TARGETS, is_allowed, &mut rand::rng())
+    };
+    let has_failed = |server: &Incarnation| instance.roster.borrow().has_failed(server, now);
+    let mut drawn = draw(&|server| server != except && !has_failed(server));
+    if drawn.is_empty() {
+        drawn = draw(&|server| server != except);
+    }
+    if drawn.is_empty() {
+        return None;
+    }
+    let dials = drawn.into_iter().map(|target| accepts_connection(instance, target));
+    Some(join_all(dials).await.contains(&true))
+}
+
+async fn accepts_connection(
+    instance: &Rc<Instance>,
+    CheckTarget { service, server, address }: CheckTarget,
+) -> bool {
+    let started = Instant::now();
+    let accepts = dial(address, DIAL_TIMEOUT, instance.timings.connections).await.is_ok();
+    if accepts {
+        reach::record_connection(instance, &service);
+    } else {
+        let failure = Failure::CheckConnecting;
+        reach::record_failure(instance, &service, &server, failure, started);
+    }
+    accepts
+}
