Let the soak draw cuts between instances and all backend servers

Cause: no run drew an instance that loses all backend servers. Change: each run draws, apart from its other steps, cuts of one instance or of both of a region, for 1 to 9 s, of the three kinds; rule `recover` judges those over 4 s.

--- a/crates/runpind/tests/soak/cuts.rs
+++ b/crates/runpind/tests/soak/cuts.rs
@@ -11,7 +11,6 @@
 use tokio::sync::watch;
 
 /// How an instance is cut off from all backend servers.
-#[allow(dead_code, reason = "no plan draws them yet")]
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum Cut {
     /// It is not.
--- a/crates/runpind/tests/soak/plan.rs
+++ b/crates/runpind/tests/soak/plan.rs
@@ -21,6 +21,12 @@
 /// Salt of the seed from which limits are drawn, so that the other steps don't depend on them.
 const LIMIT_SALT: u64 = 0x006c_696d_6974;
 
+/// Salt of the seed from which cuts are drawn, so that the other steps don't depend on them.
+const CUT_SALT: u64 = 0x0000_6375_7473;
+
+/// Time for which instances are cut off from all backend servers; the first four seconds are not judged.
+const CUT_TIME_MS: std::ops::Range<u64> = 1_000..9_000;
+
 /// Time for which a backend server states a limit.
 const LIMIT_TIME_MS: std::ops::Range<u64> = 6_000..15_000;
 
@@ -45,7 +51,6 @@
     /// Condition of the link to one of the backend servers.
     ServerLink(usize, Link),
     /// Some instances lose all backend servers.
-    #[allow(dead_code, reason = "no plan draws it yet")]
     CutFromServers(Vec<usize>, Cut),
     /// Failure of the store.
     Store(Failure),
@@ -121,10 +126,32 @@
         start += ROUND;
     }
     steps.extend(limit_steps(seed, length));
+    steps.extend(cut_steps(seed, length));
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Draws when instances lose all backend servers, in rounds of any kind; the third instance, or both
+/// others, can pass their requests on.
+fn cut_steps(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ CUT_SALT);
+    let rounds = length.div_duration_f64(ROUND) as u64;
+    let mut steps = Vec::new();
+    for _ in 0..rounds.div_ceil(2) {
+        let at_ms = rng.random_range(1_000..length.as_millis().max(2_000) as u64);
+        let sets = [vec![0], vec![1], vec![2], vec![0, 1]];
+        let instances = sets.choose(&mut rng).expect("there are sets").clone();
+        let cuts = [Cut::Hang, Cut::Reset, Cut::NewReset];
+        let cut = *cuts.choose(&mut rng).expect("there are cuts");
+        steps.push(Step {
+            at: Duration::from_millis(at_ms),
+            duration: Duration::from_millis(rng.random_range(CUT_TIME_MS)),
+            fault: Fault::CutFromServers(instances, cut),
+        });
+    }
+    steps
+}
+
 /// Draws when backend servers state limits, in rounds of any kind.
 fn limit_steps(seed: u64, length: Duration) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed ^ LIMIT_SALT);
