Connect to other instances from the address by which these know the instance

What callers saw: where a machine has several addresses, no request was relayed; what left the region waited for a connection of its own, and what an instance without backend servers passed on was refused. Cause: a relay accepts requests only from hosts at which it knows an instance, and the operating system chose the address that a connection came from. Change: connections to other instances are bound to the instance's own address for these.

--- a/crates/entry/src/connection/dial.rs
+++ b/crates/entry/src/connection/dial.rs
@@ -2,10 +2,10 @@
 
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use steering::terms::timings::ConnectionTimings;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Timeout for connecting to a backend server or the store: covers two round trips between regions,
 /// which take 110 ms at most, but not the retransmission of a lost packet.
@@ -21,7 +21,30 @@
     timeout: Duration,
     timings: ConnectionTimings,
 ) -> io::Result<TcpStream> {
-    let connecting = TcpStream::connect(address);
+    open(TcpStream::connect(address), timeout, timings).await
+}
+
+/// As [`dial`], from an address of this machine by which the other side knows it.
+///
+/// # Errors
+///
+/// As [`dial`]; also if the connection can't be opened from this address.
+pub async fn dial_from(
+    source: IpAddr,
+    address: SocketAddr,
+    timeout: Duration,
+    timings: ConnectionTimings,
+) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(source, 0))?;
+    open(socket.connect(address), timeout, timings).await
+}
+
+async fn open(
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    timeout: Duration,
+    timings: ConnectionTimings,
+) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(timeout, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -1,6 +1,6 @@
 //! Pools of connections to backend servers and relaying instances.
 
-use super::dial::{DIAL_TIMEOUT, dial};
+use super::dial::{DIAL_TIMEOUT, dial, dial_from};
 use crate::process::clock::Clock;
 use crate::request::body::RequestBody;
 use futures::FutureExt;
@@ -9,7 +9,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use steering::Time;
@@ -56,6 +56,8 @@
 pub struct Pools {
     clock: Rc<Clock>,
     timings: ConnectionTimings,
+    /// Address by which other instances know this one.
+    own_host: IpAddr,
     by_server: Rc<RefCell<HashMap<Incarnation, Pool>>>,
 }
 
@@ -72,8 +74,8 @@
 impl Pools {
     /// Pools without connections. Idle timeouts use a clock that includes suspensions, as the time
     /// passes for backend servers meanwhile.
-    pub fn new(clock: Rc<Clock>, timings: ConnectionTimings) -> Self {
-        Self { clock, timings, by_server: Rc::default() }
+    pub fn new(clock: Rc<Clock>, timings: ConnectionTimings, own_host: IpAddr) -> Self {
+        Self { clock, timings, own_host, by_server: Rc::default() }
     }
 
     /// Takes an idle connection, or opens one while there are fewer than `limit`.
@@ -87,14 +89,39 @@
         address: SocketAddr,
         limit: usize,
     ) -> Result<Connection, PoolError> {
-        if let Some(sender) = self.take_idle(server) {
-            return Ok(Connection { remote: server.clone(), sender, is_new: false });
+        self.acquire_from(server, address, limit, None).await
+    }
+
+    /// As [`Pools::acquire`], for a connection to another instance: it comes from the address by which
+    /// the other knows this one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pools::acquire`].
+    pub async fn acquire_to_instance(
+        &self,
+        instance: &Incarnation,
+        address: SocketAddr,
+        limit: usize,
+    ) -> Result<Connection, PoolError> {
+        self.acquire_from(instance, address, limit, Some(self.own_host)).await
+    }
+
+    async fn acquire_from(
+        &self,
+        remote: &Incarnation,
+        address: SocketAddr,
+        limit: usize,
+        source: Option<IpAddr>,
+    ) -> Result<Connection, PoolError> {
+        if let Some(sender) = self.take_idle(remote) {
+            return Ok(Connection { remote: remote.clone(), sender, is_new: false });
         }
-        let sender = self.open(server, address, limit).await?;
-        Ok(Connection { remote: server.clone(), sender, is_new: true })
+        let sender = self.open(remote, address, limit, source).await?;
+        Ok(Connection { remote: remote.clone(), sender, is_new: true })
     }
 
-    /// Opens a spare connection if none is idle or being opened as a spare, so that the next request
+    /// Opens a spare connection to another instance if none is idle or being opened as a spare, so that the next request
     /// does not wait for one.
     pub fn open_spare(&self, server: &Incarnation, address: SocketAddr, limit: usize) {
         {
@@ -107,7 +134,7 @@
         }
         let (pools, server) = (self.clone(), server.clone());
         tokio::task::spawn_local(async move {
-            let opened = pools.open(&server, address, limit).await;
+            let opened = pools.open(&server, address, limit, Some(pools.own_host)).await;
             let idle_timeout = match pools.by_server.borrow_mut().get_mut(&server) {
                 Some(pool) => {
                     pool.is_opening_spare = false;
@@ -127,6 +154,7 @@
         server: &Incarnation,
         address: SocketAddr,
         limit: usize,
+        source: Option<IpAddr>,
     ) -> Result<SendRequest<RequestBody>, PoolError> {
         {
             let mut pools = self.by_server.borrow_mut();
@@ -138,7 +166,10 @@
         }
         // Counts the connection as open until the guard is dropped, on every path.
         let guard = OpenGuard { pools: self.clone(), server: server.clone() };
-        let stream = dial(address, DIAL_TIMEOUT, self.timings).await?;
+        let stream = match source {
+            Some(source) => dial_from(source, address, DIAL_TIMEOUT, self.timings).await?,
+            None => dial(address, DIAL_TIMEOUT, self.timings).await?,
+        };
         let (sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         tokio::task::spawn_local(async move {
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -189,6 +189,7 @@
         );
         let quotas = Quotas::new(&settings.name, own.started_ms, settings.quota_terms);
         let timings = Timings::from(&settings.terms);
+        let own_host = settings.peer_address.ip();
         let zone = settings.availability_zone.clone();
         let roster = Roster::new(&settings.name, zone.clone(), settings.regions.clone())
             .with_limits(&timings);
@@ -203,7 +204,7 @@
             roster: RefCell::new(roster),
             peers: RefCell::new(Peers::in_zone(zone, timings.liveness)),
             registrations: RefCell::default(),
-            pools: Pools::new(clock.clone(), timings.connections),
+            pools: Pools::new(clock.clone(), timings.connections, own_host),
             relays: RefCell::new(relays),
             reach: RefCell::default(),
             reach_unclear: Notify::new(),
--- a/crates/entry/src/request/server_connection.rs
+++ b/crates/entry/src/request/server_connection.rs
@@ -57,7 +57,7 @@
     }
     if let Some(relay_hop) = find_relay_hop(exchange, choice) {
         let Relay { id, address } = &relay_hop.relay;
-        match instance.pools.acquire(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
+        match instance.pools.acquire_to_instance(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
             Ok(connection) => {
                 instance.pools.open_spare(id, *address, MAX_CONNECTIONS_PER_RELAY);
                 return Ok(ServerConnection { connection, relay_hop: Some(relay_hop) });
@@ -117,7 +117,7 @@
     for _ in 0..MAX_STAND_IN_DIALS {
         let relay = instance.draw_stand_in(service)?;
         let Relay { id, address } = &relay;
-        match instance.pools.acquire(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
+        match instance.pools.acquire_to_instance(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
             Ok(connection) => {
                 instance.metrics.passed_on.with_label_values(&[&**service]).inc();
                 let relay_hop = Some(RelayHop { relay, destination });
