Conclude that no backend server is reached only after a check failed too

Cause: two slow or lost responses without another response between counted as a cut; a service with few responses at an instance has such moments.

--- a/crates/steering/src/reach/mod.rs
+++ b/crates/steering/src/reach/mod.rs
@@ -3,7 +3,7 @@
 //! An instance sees a backend server only through its own path to it: a server that has failed and
 //! a path that is cut look the same.  What tells them apart is how many servers fail together.  A
 //! A scope holds the servers that failed since any server of it last succeeded; once these
-//! are several, or all that there are, the instance counts as cut off from the scope, and sends
+//! are several, or all that there are, and a check failed too, the instance counts as cut off from the scope, and sends
 //! through other instances that are not ([`crate::placement::Peers::stand_ins`]).  If these can't
 //! reach a server either, the server has failed, and no longer counts.
 //!
@@ -41,8 +41,8 @@
     OpenConnectionsOnly,
     /// Through another instance.
     StandIn {
-        /// Whether a check failed too and nothing succeeded for some time, so that without another
-        /// instance the request is refused.
+        /// Whether nothing has succeeded for some time, so that without another instance the request is
+        /// refused.
         is_confirmed: bool,
     },
 }
--- a/crates/steering/src/reach/scope.rs
+++ b/crates/steering/src/reach/scope.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Servers that have to fail, without a success at any, for a scope to be lost; fewer if the scope
-/// has fewer.
+/// Servers that have to fail, one of them at a check, without a success at any, for a scope to be lost;
+/// fewer if the scope has fewer.
 pub const MIN_FAILED_SERVERS: usize = 2;
 
 /// Time for which a failure counts without a success.
@@ -20,7 +20,7 @@
 /// Servers that are kept of a scope, to bound its memory.
 const MAX_SERVERS: usize = 64;
 
-/// Time without any success after which a failed check confirms a loss: if some servers still serve,
+/// Time without any success after which a loss is confirmed: if some servers still serve,
 /// requests reach one of them by then.
 const CONFIRMED_AFTER: Duration = Duration::from_secs(1);
 
@@ -74,7 +74,7 @@
     /// Servers that others don't reach either, with when that was known.
     excused: HashMap<Incarnation, Instant>,
     lost_since: Option<Instant>,
-    /// Whether a check failed since the loss.
+    /// Whether a check failed since the last success.
     has_failed_check: bool,
     returning: Returning,
 }
@@ -89,6 +89,7 @@
     ) -> Option<Change> {
         self.last_success = Some(now);
         self.failed.clear();
+        self.has_failed_check = false;
         let lost_since = self.lost_since?;
         if !self.returning.record_success(now) {
             return None;
@@ -117,18 +118,18 @@
             return None;
         }
         self.failed.insert(server.clone(), since);
+        self.has_failed_check |= failure.is_of_check();
         if self.lost_since.is_some() {
             if self.failed.len() >= required {
                 self.returning.record_failure();
             }
-            self.has_failed_check |= failure.is_of_check();
             return None;
         }
-        if self.failed.len() < required {
+        // Slow and lost responses come together at times; a check tells them from a cut.
+        if self.failed.len() < required || !self.has_failed_check {
             return None;
         }
         self.lost_since = Some(now);
-        self.has_failed_check = failure.is_of_check();
         self.returning.record_loss(now);
         let failed = self.failed.keys().cloned().collect();
         let after = self.last_success.map(|success| now.duration_since(success));
--- a/crates/steering/tests/reach/model.rs
+++ b/crates/steering/tests/reach/model.rs
@@ -46,7 +46,7 @@
     None,
     /// Requests never pass through another instance.
     NoStandIns,
-    /// Nothing ends a cut but the responses to requests, and none is sent directly.
+    /// Nothing but requests shows whether servers are reached.
     NoChecks,
 }
 
