--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -377,11 +377,8 @@
         let Settings { retry_ratio, retry_extra, .. } = self.settings;
         // As of the last heartbeat: counting them for each request would cost more than the request.
         let instances = self.own_peer.borrow().alive_peers + 1;
-        self.retry_budgets.credit(
-            service,
-            || RetryBudget::new(retry_ratio, retry_extra),
-            instances,
-        );
+        let new = || RetryBudget::new(retry_ratio, retry_extra);
+        self.retry_budgets.credit(service, new, instances);
     }
 
     /// Addresses of the instances that callers of an availability zone should use.
