Copy the link's condition before the soak's proxy connects

Cause: the proxy kept a borrowed condition, which is a read lock, while it connected to its target. A change of the link in this moment waits for that lock on the same thread, for ever. The proxy has had this since the soak began; the proxies of backend servers change the condition of each connection at the start and end of a cut or a fault of a link, so it became likely. In that run a delayed link of a backend server ended at 18.8 s, after the last step that was printed. Ruled out by reading: a wait for a process (all have a time limit), and loops without a pause. The hang of that very run was not brought about again. Change: the condition is copied. A run that is blocked fails after its time and two minutes, instead of never. Looked for the same in the product, the laboratory and the mocks: no other borrowed value lives across a wait.

--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -37,6 +37,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
+use std::thread;
 use std::time::{Duration, Instant};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -49,6 +51,9 @@
 /// Time after the last request in which the last records arrive.
 const LAST_RECORDS_TIME: Duration = Duration::from_secs(6);
 
+/// Time after the end of a run after which the test's own thread counts as blocked.
+const BLOCKED_AFTER: Duration = Duration::from_secs(120);
+
 /// Whether any task of the test has panicked.
 static HAS_PANICKED: AtomicBool = AtomicBool::new(false);
 
@@ -86,7 +91,22 @@
     }));
 }
 
+/// Ends the process if a run does not end, until the returned value is dropped.
+fn watch_for_blocking(options: &Options) -> mpsc::Sender<()> {
+    let (running, has_ended) = mpsc::channel();
+    let limit = options.length + LAST_RECORDS_TIME + BLOCKED_AFTER;
+    let seed = options.seed;
+    thread::spawn(move || {
+        if has_ended.recv_timeout(limit) == Err(mpsc::RecvTimeoutError::Timeout) {
+            report::blocked(seed, limit);
+            std::process::exit(1);
+        }
+    });
+    running
+}
+
 fn run_seed(options: &Options) -> ExitCode {
+    let _running = watch_for_blocking(options);
     let folder =
         std::env::temp_dir().join(format!("runpin-soak-{}-{}", options.seed, std::process::id()));
     report::start(options, &folder);
--- a/crates/runpind/tests/soak/proxy.rs
+++ b/crates/runpind/tests/soak/proxy.rs
@@ -74,7 +74,8 @@
 /// Connects to the target and copies in both directions until either side ends.
 pub(crate) async fn forward(near: TcpStream, target: SocketAddr, link: watch::Receiver<Link>) {
     let mut state = link.clone();
-    let connected = match state.wait_for(|link| *link != Link::Silent).await.as_deref() {
+    let link_at_start = state.wait_for(|link| *link != Link::Silent).await.map(|link| *link);
+    let connected = match link_at_start {
         Ok(Link::Reset) | Err(_) => None,
         Ok(_) => TcpStream::connect(target).await.ok(),
     };
--- a/crates/runpind/tests/soak/report.rs
+++ b/crates/runpind/tests/soak/report.rs
@@ -6,7 +6,7 @@
 use std::io::{self, Write};
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Most log lines that are printed for a violation.
 const LOG_LINES: usize = 40;
@@ -42,6 +42,13 @@
     print(&format!("soak: at {:?} for {:?}: {:?}", step.at, step.duration, step.fault));
 }
 
+/// Prints that the thread of the test is blocked.
+pub(crate) fn blocked(seed: u64, limit: Duration) {
+    print(&format!(
+        "soak: seed {seed}: the test's thread is blocked, as it did not end within {limit:?}"
+    ));
+}
+
 /// Prints the outcome of a run; the logs of a run without violations are removed.
 pub(crate) fn end(
     options: &Options,
