Check backend servers that have not failed before those that have

Cause: two servers of a service crash together, and the check, which was to tell a cut from this, was drawn from all servers of the region, those two included. Change: checks are drawn from servers that are not paused after a failure, then from others; both checks connect and record through one function. Evidence: checks_go_to_servers_that_have_not_failed_first failed with the old order (the first target had failed) and passes; the 24 tests of reach and 8 of crashing requests pass.

--- a/crates/entry/src/process/reach_checks.rs
+++ b/crates/entry/src/process/reach_checks.rs
@@ -6,10 +6,12 @@
 use crate::connection::http_client;
 use futures::future::join_all;
 use rand::Rng;
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use steering::placement::{CheckTarget, Incarnation};
 use steering::reach::Failure;
+use tokio::net::TcpStream;
 
 /// Time in which the next response usually makes a check unnecessary.
 const FIRST_DELAY: Duration = Duration::from_millis(100);
@@ -56,7 +58,8 @@
             let drawn = instance.roster.borrow().draw_check_targets(
                 scope.as_deref(),
                 targets,
-                |_| true,
+                None,
+                Instant::now(),
                 &mut rand::rng(),
             );
             for target in drawn {
@@ -75,72 +78,62 @@
 }
 
 /// Checks one backend server.
-async fn check(instance: Rc<Instance>, CheckTarget { service, server, address }: CheckTarget) {
+async fn check(instance: Rc<Instance>, target: CheckTarget) {
     let started = Instant::now();
-    let Some(path) = instance.service(&service).map(|service| service.health_path) else { return };
-    let record_failure =
-        |failure| reach::record_failure(&instance, &service, &server, failure, started);
-    let outcome = match dial(address, DIAL_TIMEOUT, instance.timings.connections).await {
-        Err(error) => {
-            record_failure(Failure::CheckConnecting);
-            error.to_string()
-        }
+    let CheckTarget { service, server, address } = &target;
+    let Some(path) = instance.service(service).map(|service| service.health_path) else { return };
+    let (label, outcome) = match connect(&instance, &target, started).await {
+        Err(error) => ("check-failed", error.to_string()),
         Ok(stream) => {
-            reach::record_connection(&instance, &service);
-            let getting = http_client::get_over(stream, address, &path);
-            match tokio::time::timeout(CHECK_TIMEOUT, getting).await {
-                Ok(Some(_)) => {
-                    reach::record_response(&instance, &service);
-                    "answered".to_owned()
-                }
-                _ => {
-                    record_failure(Failure::CheckUnanswered);
-                    "unanswered".to_owned()
-                }
+            let getting = http_client::get_over(stream, *address, &path);
+            if let Ok(Some(_)) = tokio::time::timeout(CHECK_TIMEOUT, getting).await {
+                reach::record_response(&instance, service);
+                ("check-answered", "answered".to_owned())
+            } else {
+                let failure = Failure::CheckUnanswered;
+                reach::record_failure(&instance, service, server, failure, started);
+                ("check-failed", "unanswered".to_owned())
             }
         }
     };
-    let answered = outcome == "answered";
-    let label = if answered { "check-answered" } else { "check-failed" };
     instance.metrics.reach.with_label_values(&[label, "check"]).inc();
     log::info!(
-        target: "reach", service = &*service, server = &*server.id, outcome,
+        target: "reach", service = &**service, server = &*server.id, outcome,
         after_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
         "checked a backend server"
     );
 }
 
-/// Returns whether any of a few backend servers other than `except` accepts a connection, those that have
-/// not failed first; `None` without any other.
+/// Returns whether any of a few backend servers other than `except` accepts a connection; `None` without
+/// any other.
 pub(super) async fn reaches_another(instance: &Rc<Instance>, except: &Incarnation) -> Option<bool> {
-    let now = Instant::now();
-    let draw = |is_allowed: &dyn Fn(&Incarnation) -> bool| {
-        let roster = instance.roster.borrow();
-        roster.draw_check_targets(None, OTHER_TARGETS, is_allowed, &mut rand::rng())
-    };
-    let has_failed = |server: &Incarnation| instance.roster.borrow().has_failed(server, now);
-    let mut drawn = draw(&|server| server != except && !has_failed(server));
-    if drawn.is_empty() {
-        drawn = draw(&|server| server != except);
-    }
+    let drawn = instance.roster.borrow().draw_check_targets(
+        None,
+        OTHER_TARGETS,
+        Some(except),
+        Instant::now(),
+        &mut rand::rng(),
+    );
     if drawn.is_empty() {
         return None;
     }
-    let dials = drawn.into_iter().map(|target| accepts_connection(instance, target));
-    Some(join_all(dials).await.contains(&true))
+    let connecting =
+        drawn.iter().map(async |target| connect(instance, target, Instant::now()).await.is_ok());
+    Some(join_all(connecting).await.contains(&true))
 }
 
-async fn accepts_connection(
-    instance: &Rc<Instance>,
-    CheckTarget { service, server, address }: CheckTarget,
-) -> bool {
-    let started = Instant::now();
-    let accepts = dial(address, DIAL_TIMEOUT, instance.timings.connections).await.is_ok();
-    if accepts {
-        reach::record_connection(instance, &service);
-    } else {
-        let failure = Failure::CheckConnecting;
-        reach::record_failure(instance, &service, &server, failure, started);
+/// Connects for a check that began at `started`, and records whether this succeeded.
+async fn connect(
+    instance: &Instance,
+    CheckTarget { service, server, address }: &CheckTarget,
+    started: Instant,
+) -> io::Result<TcpStream> {
+    let connected = dial(*address, DIAL_TIMEOUT, instance.timings.connections).await;
+    match connected {
+        Ok(_) => reach::record_connection(instance, service),
+        Err(_) => {
+            reach::record_failure(instance, service, server, Failure::CheckConnecting, started);
+        }
     }
-    accepts
+    connected
 }
--- a/crates/steering/src/placement/reach_checks.rs
+++ b/crates/steering/src/placement/reach_checks.rs
@@ -45,21 +45,14 @@
         })
     }
 
-    /// Returns whether this start of a backend server is paused after a failure.
-    pub fn has_failed(&self, server: &Incarnation, now: Instant) -> bool {
-        let found = self.services.values().find_map(|state| {
-            state.positions.get(&server.id).map(|position| &state.servers[*position])
-        });
-        found.is_some_and(|server| server.has_failed(now))
-    }
-
-    /// Draws up to `count` backend servers to check, of a service or of all, those of the own region
-    /// first.
+    /// Draws up to `count` backend servers to check, of a service or of all and other than `except`: those
+    /// that are not paused after a failure first, and of the own region.
     pub fn draw_check_targets(
         &self,
         service: Option<&str>,
         count: usize,
-        is_allowed: impl Fn(&Incarnation) -> bool,
+        except: Option<&Incarnation>,
+        now: Instant,
         random: &mut impl Rng,
     ) -> Vec<CheckTarget> {
         let services =
@@ -69,10 +62,12 @@
                 state.servers.iter().filter(|server| accepts_new_requests(server, &self.evacuated));
             accepting.map(move |server| (name, server))
         });
+        let is_allowed =
+            |server: &Server| except.is_none_or(|except| server.incarnation() != *except);
         let mut drawn: Vec<(&Arc<str>, &Server)> =
-            servers.filter(|(_, server)| is_allowed(&server.incarnation())).collect();
+            servers.filter(|(_, server)| is_allowed(server)).collect();
         drawn.shuffle(random);
-        drawn.sort_by_key(|(_, server)| server.region != self.region);
+        drawn.sort_by_key(|(_, server)| (server.has_failed(now), server.region != self.region));
         drawn.truncate(count);
         let target = |(service, server): (&Arc<str>, &Server)| CheckTarget {
             service: service.clone(),
--- a/crates/steering/tests/reach/main.rs
+++ b/crates/steering/tests/reach/main.rs
@@ -3,6 +3,7 @@
 #[path = "../placement_common/mod.rs"]
 mod placement_common;
 
+mod checks;
 mod model;
 mod scopes;
 
