Test roll-outs, a silent store, a restart and a suspension while instances are cut off

Each run of server_cuts now also counts the requests at the instances that are cut off that run in another region: at most 0.15 of them may. Which fault the roll-out's test catches is not yet known.

--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -36,13 +36,15 @@
 
 use checks::Checker;
 use common::server::ResponseMode;
+use common::store::Failure;
 use cuts::Cut;
-use fleet::Fleet;
+use fleet::{Fleet, SERVER_ZONES};
 use history::History;
-use plan::Limits;
+use plan::{Fault, Limits, Step};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use recover::Served;
+use serde_json::{Value, json};
 use std::rc::Rc;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -85,12 +87,42 @@
 /// Runs use the same addresses, one after another.
 static ADDRESSES: Mutex<()> = Mutex::new(());
 
+/// Time after the begin of a cut at which something else happens.
+const MEANWHILE_AFTER: Duration = Duration::from_millis(500);
+
+/// Length of a roll-out that begins before a cut and ends during it.
+const ROLLOUT: Duration = Duration::from_secs(9);
+
+/// Time by which a roll-out begins before a cut.
+const ROLLOUT_BEFORE: Duration = Duration::from_secs(2);
+
+/// Version that is rolled out, as sound as the one before.
+const SOUND_VERSION: &str = "v3";
+
+/// Fraction of requests that may run in another region than that of their instance.
+const MOVED_ALLOWED: f64 = 0.15;
+
 /// What a cut does, and to which instances.
 struct Scenario {
     cut: Cut,
     instances: Vec<usize>,
     /// How the backend servers respond.
     mode: ResponseMode,
+    meanwhile: Meanwhile,
+}
+
+/// What else happens during a cut.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Meanwhile {
+    Nothing,
+    /// A sound version is rolled out.
+    RollOut,
+    /// The store accepts requests and answers none.
+    SilentStore,
+    /// An instance stops as planned and starts again.
+    Restart(usize),
+    /// An instance is suspended.
+    Pause(usize),
 }
 
 /// What callers got.
@@ -99,6 +131,11 @@
     during: (Served, Served),
     /// The same from [`RETURN`] after the end of the cut.
     after: (Served, Served),
+    /// Requests at the instances that were cut off, and those of them that another region ran.
+    ran: usize,
+    moved: usize,
+    /// Status of the roll-out in the store.
+    rollout: Value,
     violations: Vec<String>,
     /// All log lines of all instances.
     log: String,
@@ -152,9 +189,12 @@
             faults::cut_from_servers(&fleet, self.instances.clone(), self.cut, CUT).await;
             (from, Instant::now())
         };
-        let ((), (cut_at, cut_until)) = tokio::join!(checking, cutting);
-        let during =
-            recover::served(&history, &self.instances, cut_at + history::RECONNECTION, cut_until);
+        let ((), (cut_at, cut_until), ()) =
+            tokio::join!(checking, cutting, self.meanwhile.run(&fleet));
+        let noticed_at = cut_at + history::RECONNECTION;
+        let during = recover::served(&history, &self.instances, noticed_at, cut_until);
+        let (ran, moved) = count_moved(&fleet, &self.instances, noticed_at, cut_until);
+        let rollout = fleet.store.status("rollouts", "dossier");
         let after = recover::served(&history, &self.instances, cut_until + RETURN, until);
         fleet.stop().await;
         let violations = history.violations.borrow();
@@ -164,15 +204,75 @@
             let path = folder.path().join(format!("instance-{number}.log"));
             std::fs::read_to_string(path).expect("each instance logs")
         });
-        Outcome { during, after, violations: violations.collect(), log: logs.collect() }
+        let (violations, log) = (violations.collect(), logs.collect());
+        Outcome { during, after, ran, moved, rollout, violations, log }
     }
 }
 
+impl Meanwhile {
+    async fn run(self, fleet: &Rc<Fleet>) {
+        let fault = match self {
+            Self::Nothing => return,
+            Self::RollOut => {
+                sleep(BEFORE - ROLLOUT_BEFORE).await;
+                return roll_out(fleet).await;
+            }
+            Self::SilentStore => {
+                sleep(BEFORE + MEANWHILE_AFTER).await;
+                // Recorded as a fault of the fleet, it would excuse all requests.
+                fleet.store.failure.send_replace(Failure::Silent);
+                sleep(CUT).await;
+                fleet.store.failure.send_replace(Failure::None);
+                return;
+            }
+            Self::Restart(number) => Fault::Terminate(number),
+            Self::Pause(number) => Fault::Pause(number),
+        };
+        sleep(BEFORE + MEANWHILE_AFTER).await;
+        let step = Step { at: BEFORE + MEANWHILE_AFTER, duration: CUT / 2, fault };
+        faults::run(fleet, step).await.expect("the fault takes place");
+    }
+}
+
+async fn roll_out(fleet: &Fleet) {
+    for zone in SERVER_ZONES {
+        fleet.add_backend(zone, SOUND_VERSION, false).await.expect("a backend server starts");
+    }
+    let duration_s = ROLLOUT.as_secs_f64();
+    let order =
+        json!({ "service": "dossier", "target_version": SOUND_VERSION, "duration_s": duration_s });
+    fleet.store.put("rollouts", "dossier", order);
+}
+
+/// Counts the requests that were sent to some instances in a span and ran, and those of them that ran in
+/// another region; without those that may run in one region only.
+fn count_moved(
+    fleet: &Fleet,
+    instances: &[usize],
+    from: Instant,
+    until: Instant,
+) -> (usize, usize) {
+    let backends = fleet.backends.borrow();
+    let requests = fleet.history.requests.borrow();
+    let regions: Vec<bool> = requests
+        .values()
+        .filter(|request| instances.contains(&request.instance))
+        .filter(|request| request.sent_at >= from && request.sent_at < until)
+        .filter(|request| request.class.customer != "southern")
+        .filter_map(|request| {
+            let server = &request.visits.last()?.server;
+            let backend = backends.iter().find(|backend| *backend.mock.id == **server)?;
+            Some(ZONES[request.instance].starts_with(backend.region()))
+        })
+        .collect();
+    (regions.len(), regions.iter().filter(|is_own| !**is_own).count())
+}
+
 impl Outcome {
     /// Checks that the instances that were cut off served nearly as well as the others, and that
     /// nothing else was harmed.
     fn assert_served(&self) {
-        let Self { during: (at_them, at_others), after, violations, log } = self;
+        let Self { during: (at_them, at_others), after, violations, log, .. } = self;
         assert_eq!(violations, &[] as &[String]);
         assert!(at_others.succeeded > 0, "others serve: {at_others:?}");
         assert!(at_them.sent > 0, "callers go on asking the instances that are cut off");
@@ -186,11 +286,22 @@
             "after the cut {at_them:?} at them, {at_others:?} at the others"
         );
         assert!(!log.contains("\"held back\""), "no sound request is quarantined");
+        assert!(
+            self.moved as f64 <= MOVED_ALLOWED * self.ran as f64,
+            "{} of {} requests ran in another region",
+            self.moved,
+            self.ran
+        );
     }
 }
 
 fn scenario(cut: Cut, instances: impl IntoIterator<Item = usize>) -> Scenario {
-    Scenario { cut, instances: instances.into_iter().collect(), mode: ResponseMode::Success }
+    Scenario {
+        cut,
+        instances: instances.into_iter().collect(),
+        mode: ResponseMode::Success,
+        meanwhile: Meanwhile::Nothing,
+    }
 }
 
 // Guards against callers that get no answer before their deadline as all connections hang.
@@ -223,3 +334,33 @@
     let mode = ResponseMode::ConnectionClose;
     Scenario { mode, ..scenario(Cut::NewReset, 0..4) }.run().assert_served();
 }
+
+// Guards against a sound version that is turned back as some instances can't reach its servers.
+#[test]
+fn a_sound_version_is_rolled_out_while_a_zone_is_cut_off() {
+    let outcome = Scenario { meanwhile: Meanwhile::RollOut, ..scenario(Cut::Reset, 0..4) }.run();
+    outcome.assert_served();
+    assert_eq!(outcome.rollout, json!({ "state": "succeeded", "target_version": SOUND_VERSION }));
+}
+
+// Guards against a cut that is noticed or answered with the help of the store only.
+#[test]
+fn callers_of_a_zone_that_is_cut_off_are_served_while_the_store_is_silent() {
+    Scenario { meanwhile: Meanwhile::SilentStore, ..scenario(Cut::Hang, 0..4) }
+        .run()
+        .assert_served();
+}
+
+// Guards against an instance that starts cut off, and has never seen a backend server answer.
+#[test]
+fn callers_of_an_instance_that_restarts_while_it_is_cut_off_are_served() {
+    Scenario { meanwhile: Meanwhile::Restart(0), ..scenario(Cut::Reset, [0]) }
+        .run()
+        .assert_served();
+}
+
+// Guards against requests that are passed on to an instance that is suspended.
+#[test]
+fn callers_of_a_zone_that_is_cut_off_are_served_while_another_instance_is_suspended() {
+    Scenario { meanwhile: Meanwhile::Pause(4), ..scenario(Cut::Hang, 0..4) }.run().assert_served();
+}
--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -33,7 +33,7 @@
 const FIRST_PORT: u16 = 7_304;
 
 /// Availability zones of the first backend servers.
-const SERVER_ZONES: [&str; 7] =
+pub(crate) const SERVER_ZONES: [&str; 7] =
     ["north-a", "north-a", "north-a", "north-b", "north-b", "south-a", "south-a"];
 
 /// Time from SIGTERM to SIGKILL.
