Test roll-outs over refused connections, replaced and limited servers during a cut

Now the zone gets no new connections: those to the other version live on and those to the new one are refused.

--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -90,11 +90,18 @@
 /// Time after the begin of a cut at which something else happens.
 const MEANWHILE_AFTER: Duration = Duration::from_millis(500);
 
-/// Length of a roll-out that begins before a cut and ends during it.
-const ROLLOUT: Duration = Duration::from_secs(9);
+/// Begin and length of what takes place during a cut.
+const DURING: (Duration, Duration) =
+    (BEFORE.saturating_add(MEANWHILE_AFTER), Duration::from_secs(4));
 
-/// Time by which a roll-out begins before a cut.
-const ROLLOUT_BEFORE: Duration = Duration::from_secs(2);
+/// Begin and length of what takes place from before a cut until after it.
+const AROUND: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(12));
+
+/// Limit that a backend server states, in requests per second.
+const LIMIT_PER_S: f64 = 20.0;
+
+/// Length of a roll-out that begins during a cut and ends soon after it.
+const ROLLOUT: Duration = Duration::from_secs(10);
 
 /// Version that is rolled out, as sound as the one before.
 const SOUND_VERSION: &str = "v3";
@@ -123,6 +130,10 @@
     Restart(usize),
     /// An instance is suspended.
     Pause(usize),
+    /// A backend server drains and a cold one replaces it.
+    Replace(usize),
+    /// A backend server states a limit, from before the cut on.
+    Limit(usize),
 }
 
 /// What callers got.
@@ -211,10 +222,10 @@
 
 impl Meanwhile {
     async fn run(self, fleet: &Rc<Fleet>) {
-        let fault = match self {
+        let (fault, (at, duration)) = match self {
             Self::Nothing => return,
             Self::RollOut => {
-                sleep(BEFORE - ROLLOUT_BEFORE).await;
+                sleep(BEFORE + MEANWHILE_AFTER).await;
                 return roll_out(fleet).await;
             }
             Self::SilentStore => {
@@ -225,12 +236,13 @@
                 fleet.store.failure.send_replace(Failure::None);
                 return;
             }
-            Self::Restart(number) => Fault::Terminate(number),
-            Self::Pause(number) => Fault::Pause(number),
+            Self::Restart(number) => (Fault::Terminate(number), DURING),
+            Self::Pause(number) => (Fault::Pause(number), DURING),
+            Self::Replace(number) => (Fault::Drain(number), DURING),
+            Self::Limit(number) => (Fault::Limited(number, LIMIT_PER_S), AROUND),
         };
-        sleep(BEFORE + MEANWHILE_AFTER).await;
-        let step = Step { at: BEFORE + MEANWHILE_AFTER, duration: CUT / 2, fault };
-        faults::run(fleet, step).await.expect("the fault takes place");
+        sleep(at).await;
+        faults::run(fleet, Step { at, duration, fault }).await.expect("the fault takes place");
     }
 }
 
@@ -335,10 +347,11 @@
     Scenario { mode, ..scenario(Cut::NewReset, 0..4) }.run().assert_served();
 }
 
-// Guards against a sound version that is turned back as some instances can't reach its servers.
+// Guards against a sound version that is turned back as connections to its servers are new and refused,
+// while those to the servers of the other version live on.
 #[test]
-fn a_sound_version_is_rolled_out_while_a_zone_is_cut_off() {
-    let outcome = Scenario { meanwhile: Meanwhile::RollOut, ..scenario(Cut::Reset, 0..4) }.run();
+fn a_sound_version_is_rolled_out_while_a_zone_gets_no_new_connections() {
+    let outcome = Scenario { meanwhile: Meanwhile::RollOut, ..scenario(Cut::NewReset, 0..4) }.run();
     outcome.assert_served();
     assert_eq!(outcome.rollout, json!({ "state": "succeeded", "target_version": SOUND_VERSION }));
 }
@@ -364,3 +377,17 @@
 fn callers_of_a_zone_that_is_cut_off_are_served_while_another_instance_is_suspended() {
     Scenario { meanwhile: Meanwhile::Pause(4), ..scenario(Cut::Hang, 0..4) }.run().assert_served();
 }
+
+// Guards against a drain or a cold rate that is broken as the instances that send there change.
+#[test]
+fn callers_of_a_zone_that_is_cut_off_are_served_while_a_server_is_replaced() {
+    Scenario { meanwhile: Meanwhile::Replace(0), ..scenario(Cut::Hang, 0..4) }
+        .run()
+        .assert_served();
+}
+
+// Guards against a limit that is exceeded as its senders are cut off and others begin to send.
+#[test]
+fn callers_of_a_zone_that_is_cut_off_are_served_while_a_server_states_a_limit() {
+    Scenario { meanwhile: Meanwhile::Limit(0), ..scenario(Cut::Hang, 0..4) }.run().assert_served();
+}
