--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -121,8 +121,8 @@
         Ok(Connection { remote: remote.clone(), sender, is_new: true })
     }
 
-    /// Opens a spare connection to another instance if none is idle or being opened as a spare, so that the next request
-    /// does not wait for one.
+    /// Opens a spare connection to another instance if none is idle or being opened as a spare, so that
+    /// the next request does not wait for one.
     pub fn open_spare(&self, server: &Incarnation, address: SocketAddr, limit: usize) {
         {
             let mut pools = self.by_server.borrow_mut();
--- a/crates/steering/src/reach/mod.rs
+++ b/crates/steering/src/reach/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! An instance sees a backend server only through its own path to it: a server that has failed and
 //! a path that is cut look the same.  What tells them apart is how many servers fail together.  A
-//! A scope holds the servers that failed since any server of it last succeeded; once these
-//! are several, or all that there are, and a check failed too, the instance counts as cut off from the scope, and sends
-//! through other instances that are not ([`crate::placement::Peers::stand_ins`]).  If these can't
-//! reach a server either, the server has failed, and no longer counts.
+//! scope holds the servers that failed since any server of it last succeeded; once these are several,
+//! or all that there are, and a check failed too, the instance counts as cut off from the scope, and
+//! sends through other instances that are not ([`crate::placement::Peers::stand_ins`]).  If these
+//! can't reach a server either, the server has failed, and no longer counts.
 //!
 //! There is a scope of all servers and one for each service, each for exchanges and for new
 //! connections: open connections may live on while new ones fail.
--- a/crates/steering/src/reach/scope.rs
+++ b/crates/steering/src/reach/scope.rs
@@ -95,7 +95,6 @@
             return None;
         }
         self.lost_since = None;
-        self.has_failed_check = false;
         let after = Some(now.duration_since(lost_since));
         Some(Change { service: service.cloned(), kind, is_lost: false, failed: Vec::new(), after })
     }
