Draw cuts of senders in the model of limited backend servers

Two checks: the limit holds while its senders are cut off one after another and come back, and others send meanwhile.

--- a/crates/steering/tests/limit_churn/main.rs
+++ b/crates/steering/tests/limit_churn/main.rs
@@ -8,7 +8,7 @@
 #[path = "../placement_common/mod.rs"]
 mod placement_common;
 
-use model::{Deaths, Scenario, Views, WINDOW_MS, allowed, run};
+use model::{Cuts, Deaths, Scenario, Views, WINDOW_MS, allowed, run};
 
 const LIMITS_PER_S: [f64; 5] = [0.0, 0.3, 2.3, 5.4, 12.0];
 
@@ -19,6 +19,7 @@
         requests_per_s: 200.0,
         views: Views::Whole,
         deaths: None,
+        cuts: None,
         senders_unused_from_ms: None,
         end_ms: 24_000,
         seed: 7,
@@ -115,3 +116,27 @@
         assert!(probes > 0, "no probe, {instances} instances");
     }
 }
+
+// Guards against senders that are cut off from the server and come back while others took their place.
+#[test]
+fn a_limit_holds_while_its_senders_are_cut_off_one_after_another() {
+    for instances in [4, 12, 25, 100] {
+        for (every_ms, length_ms) in [(800, 2_000), (1_600, 5_000), (3_200, 1_000)] {
+            for limit_per_s in LIMITS_PER_S {
+                let cuts = Some(Cuts { every_ms, length_ms });
+                assert_limit_holds(Scenario { cuts, ..scenario(instances, limit_per_s) });
+            }
+        }
+    }
+}
+
+// Guards against a limited server that gets nothing as its senders are cut off and stay senders.
+#[test]
+fn a_limited_server_gets_requests_while_its_senders_are_cut_off() {
+    for instances in [12, 25, 100] {
+        let cuts = Some(Cuts { every_ms: 3_200, length_ms: 60_000 });
+        let arrivals = run(Scenario { cuts, ..scenario(instances, 5.4) });
+        let after_three_cuts = arrivals.count_from(4 * 3_200);
+        assert!(after_three_cuts >= 5, "{after_three_cuts} requests, {instances} instances");
+    }
+}
--- a/crates/steering/tests/limit_churn/model.rs
+++ b/crates/steering/tests/limit_churn/model.rs
@@ -13,7 +13,8 @@
 use steering::deployment::BackendServers;
 use steering::gossip::{FANOUT, STEADY_FANOUT};
 use steering::placement::load::LoadReport;
-use steering::placement::{Condition, Ending, Limit, Peer, Peers, Roster};
+use steering::placement::{Condition, Ending, Limit, Peer, Peers, Roster, start_id};
+use steering::reach::reports::Unreached;
 
 /// The server that states a limit; five others of its region don't.
 const LIMITED: &str = "north-a-0";
@@ -26,6 +27,9 @@
 /// milliseconds.
 const LEARNED_DELAY_MS: u64 = 500;
 
+/// Time after which an instance notices that it is cut off, in milliseconds.
+const NOTICED_AFTER_MS: u64 = 600;
+
 /// Length of a window, and the time after the limit began from which windows count, in
 /// milliseconds.
 pub(crate) const WINDOW_MS: u64 = 4_000;
@@ -50,6 +54,15 @@
     pub(crate) down_ms: u64,
 }
 
+/// Cuts between instances and all backend servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Cuts {
+    /// Time between the begins of two cuts, in milliseconds; the instance that sent last is cut off.
+    pub(crate) every_ms: u64,
+    /// Length of a cut, in milliseconds.
+    pub(crate) length_ms: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Scenario {
     pub(crate) instances: usize,
@@ -57,6 +70,7 @@
     pub(crate) requests_per_s: f64,
     pub(crate) views: Views,
     pub(crate) deaths: Option<Deaths>,
+    pub(crate) cuts: Option<Cuts>,
     /// Time from which callers reach no instance that has sent under the limit, in milliseconds.
     pub(crate) senders_unused_from_ms: Option<u64>,
     pub(crate) end_ms: u64,
@@ -75,9 +89,17 @@
     /// Time of its first response that stated the limit.
     learned_ms: Option<u64>,
     down_until_ms: Option<u64>,
+    /// Begin and end of its last cut.
+    cut_ms: Option<(u64, u64)>,
     has_sent: bool,
 }
 
+impl Instance {
+    fn is_cut_off(&self, at_ms: u64) -> bool {
+        self.cut_ms.is_some_and(|(from_ms, until_ms)| (from_ms..until_ms).contains(&at_ms))
+    }
+}
+
 struct Due {
     at_ms: u64,
     instance: usize,
@@ -141,6 +163,7 @@
                     peers: Peers::default(),
                     learned_ms: None,
                     down_until_ms: None,
+                    cut_ms: None,
                     has_sent: false,
                 }
             })
@@ -163,6 +186,7 @@
 
     fn step(&mut self, at_ms: u64) {
         self.crash_and_start(at_ms);
+        self.cut(at_ms);
         self.answer(at_ms);
         let count = self.instances.len() as u64;
         for number in 0..self.instances.len() {
@@ -198,6 +222,51 @@
         self.instances[victim].down_until_ms = Some(at_ms + down_ms);
     }
 
+    /// Cuts off the instance that sent last, and lets those that are cut off notice and tell it.
+    fn cut(&mut self, at_ms: u64) {
+        let Some(Cuts { every_ms, length_ms }) = self.scenario.cuts else { return };
+        if at_ms > WINDOW_MS
+            && at_ms.is_multiple_of(every_ms)
+            && let Some(sender) = self.last_sender.take()
+        {
+            self.instances[sender].cut_ms = Some((at_ms, at_ms + length_ms));
+        }
+        let now = self.now(at_ms);
+        for number in 0..self.instances.len() {
+            let Instance { own, peers, cut_ms, .. } = &mut self.instances[number];
+            let Some((from_ms, until_ms)) = *cut_ms else { continue };
+            let is_noticed = at_ms >= from_ms + NOTICED_AFTER_MS && at_ms < until_ms;
+            let unreached = if is_noticed { Unreached::All } else { Unreached::None };
+            if peers.reach.set_own(start_id(own), unreached, now) {
+                self.gossip_reach(number, FANOUT, at_ms);
+            }
+        }
+    }
+
+    fn gossip_reach(&mut self, sender: usize, count: usize, at_ms: u64) {
+        let Some(message) = self.instances[sender].peers.reach.encode(&mut self.random) else {
+            return;
+        };
+        let now = self.now(at_ms);
+        for receiver in self.receivers(sender, count, at_ms) {
+            let Instance { own, peers, .. } = &mut self.instances[receiver];
+            peers.reach.merge(start_id(own), &message, now);
+        }
+    }
+
+    /// Draws instances that receive what `sender` sends to this many.
+    fn receivers(&mut self, sender: usize, count: usize, at_ms: u64) -> Vec<usize> {
+        let mut receivers: Vec<usize> =
+            (0..self.instances.len()).filter(|receiver| *receiver != sender).collect();
+        receivers.shuffle(&mut self.random);
+        receivers.truncate(count);
+        receivers.retain(|receiver| {
+            self.instances[*receiver].down_until_ms.is_none()
+                && self.hears(*receiver, sender, at_ms)
+        });
+        receivers
+    }
+
     fn hears(&mut self, receiver: usize, sender: usize, at_ms: u64) -> bool {
         match self.scenario.views {
             Views::Whole => true,
@@ -231,8 +300,14 @@
         let instance = &mut self.instances[number];
         instance.peers.prune(now);
         let own = instance.own.clone();
+        instance.peers.reach.refresh(start_id(&own), now);
         instance.roster.update_shares(&own, &instance.peers, now);
         let recent = instance.roster.has_recent_conditions(now) == Some(true);
+        let reach_count = match instance.peers.reach.has_recent_changes(now) {
+            Some(true) => FANOUT,
+            _ => STEADY_FANOUT,
+        };
+        self.gossip_reach(number, reach_count, at_ms);
         self.gossip(number, if recent { FANOUT } else { STEADY_FANOUT }, at_ms);
     }
 
@@ -245,15 +320,8 @@
         else {
             return;
         };
-        let mut receivers: Vec<usize> =
-            (0..self.instances.len()).filter(|receiver| *receiver != sender).collect();
-        receivers.shuffle(&mut self.random);
-        for receiver in receivers.into_iter().take(count) {
-            if self.instances[receiver].down_until_ms.is_none()
-                && self.hears(receiver, sender, at_ms)
-            {
-                self.instances[receiver].roster.merge_conditions(&message, now);
-            }
+        for receiver in self.receivers(sender, count, at_ms) {
+            self.instances[receiver].roster.merge_conditions(&message, now);
         }
     }
 
@@ -296,6 +364,9 @@
         let service = name(SERVICE);
         let request = placement_request(&service, key_hash, &[]);
         let Ok(choice) = instance.roster.choose(&request, now) else { return };
+        if instance.is_cut_off(at_ms) {
+            return;
+        }
         if *choice.id == *LIMITED {
             let knew = instance.learned_ms.is_some_and(|ms| ms + LEARNED_DELAY_MS <= at_ms);
             self.arrivals.all_ms.push(at_ms);
