--- a/crates/runpind/tests/soak/history.rs
+++ b/crates/runpind/tests/soak/history.rs
@@ -135,6 +135,8 @@
     pub(crate) started: Cell<Option<Instant>>,
     /// Arrivals at undisturbed servers while all instances were undisturbed.
     pub(crate) undisturbed_arrivals: Cell<u64>,
+    /// Requests at instances that were cut off from all backend servers that were judged.
+    pub(crate) judged_at_cut_off: Cell<u64>,
     /// Time for which the test itself was held up.
     pub(crate) own_delay: Cell<Duration>,
     disruptions: RefCell<Vec<Disruption>>,
--- a/crates/runpind/tests/soak/plan.rs
+++ b/crates/runpind/tests/soak/plan.rs
@@ -24,8 +24,13 @@
 /// Salt of the seed from which cuts are drawn, so that the other steps don't depend on them.
 const CUT_SALT: u64 = 0x0000_6375_7473;
 
-/// Time for which instances are cut off from all backend servers; the first four seconds are not judged.
-const CUT_TIME_MS: std::ops::Range<u64> = 1_000..9_000;
+/// Time for which instances are cut off from all backend servers: one in which they have to notice it
+/// and are judged after that, or one that ends before.
+const LONG_CUT_MS: std::ops::Range<u64> = 6_000..10_000;
+const SHORT_CUT_MS: std::ops::Range<u64> = 500..4_000;
+
+/// Fraction of the cuts that are long.
+const LONG_CUTS: f64 = 0.7;
 
 /// Time for which a backend server states a limit.
 const LIMIT_TIME_MS: std::ops::Range<u64> = 6_000..15_000;
@@ -138,14 +143,17 @@
     let rounds = length.div_duration_f64(ROUND) as u64;
     let mut steps = Vec::new();
     for _ in 0..rounds.div_ceil(2) {
-        let at_ms = rng.random_range(1_000..length.as_millis().max(2_000) as u64);
+        let is_long = rng.random_bool(LONG_CUTS);
+        let duration_ms = rng.random_range(if is_long { LONG_CUT_MS } else { SHORT_CUT_MS });
+        let last_ms = (length.as_millis() as u64).saturating_sub(duration_ms).max(2_000);
+        let at_ms = rng.random_range(1_000..last_ms);
         let sets = [vec![0], vec![1], vec![2], vec![0, 1]];
         let instances = sets.choose(&mut rng).expect("there are sets").clone();
         let cuts = [Cut::Hang, Cut::Reset, Cut::NewReset];
         let cut = *cuts.choose(&mut rng).expect("there are cuts");
         steps.push(Step {
             at: Duration::from_millis(at_ms),
-            duration: Duration::from_millis(rng.random_range(CUT_TIME_MS)),
+            duration: Duration::from_millis(duration_ms),
             fault: Fault::CutFromServers(instances, cut),
         });
     }
--- a/crates/runpind/tests/soak/recover.rs
+++ b/crates/runpind/tests/soak/recover.rs
@@ -45,6 +45,8 @@
     for cut in cuts {
         let from = cut.from + RECONNECTION;
         let (at_them, at_others) = served(&fleet.history, &cut.instances, from, cut.until);
+        let judged = &fleet.history.judged_at_cut_off;
+        judged.set(judged.get() + u64::from(at_them.sent));
         if at_them.is_far_worse_than(at_others) {
             let detail = format!("{cut:?}: {at_them:?} at them, {at_others:?} at the others");
             fleet.history.record_violation("recover", detail, &[]);
@@ -62,7 +64,8 @@
     let mut counts = [Served::default(); 2];
     for request in history.requests.borrow().values() {
         let is_in_span = request.sent_at >= from && request.sent_at < until;
-        if !is_in_span || !history.in_touch(request.instance, request.sent_at, until) {
+        let ended_at = request.ended.map_or(until, |(_, at)| at);
+        if !is_in_span || !history.in_touch(request.instance, request.sent_at, ended_at) {
             continue;
         }
         let Some(has_succeeded) = has_succeeded(request) else { continue };
--- a/crates/runpind/tests/soak/report.rs
+++ b/crates/runpind/tests/soak/report.rs
@@ -110,10 +110,14 @@
     let outcomes = history.outcomes.borrow();
     let counts: Vec<String> =
         outcomes.iter().map(|(outcome, count)| format!("{outcome}: {count}")).collect();
-    let (undisturbed, own_delay) = (history.undisturbed_arrivals.get(), history.own_delay.get());
+    let History { undisturbed_arrivals, judged_at_cut_off, own_delay, .. } = history;
     format!(
-        "{} requests; {}; {undisturbed} arrivals undisturbed; test held up for {own_delay:?}",
+        "{} requests; {}; {} arrivals undisturbed; {} judged at instances that were cut off; \
+         test held up for {:?}",
         outcomes.values().sum::<u64>(),
-        counts.join(", ")
+        counts.join(", "),
+        undisturbed_arrivals.get(),
+        judged_at_cut_off.get(),
+        own_delay.get()
     )
 }
