Conclude a cut only after a server of another region failed too

What callers saw: requests for a service took a detour through another instance for 28 s, with nothing cut. Cause: an instance checked servers of its own region first. Of a service with 28 servers two stood in the region and hung; each check went to these two, so the instance counted as cut off until one of them answered.

--- a/crates/entry/src/process/reach.rs
+++ b/crates/entry/src/process/reach.rs
@@ -11,7 +11,7 @@
 use steering::placement::roster::demand_key;
 use steering::placement::{Ending, Incarnation};
 use steering::reach::reports::Unreached;
-use steering::reach::{Change, ChangeKind, Failure};
+use steering::reach::{Change, ChangeKind, FailedServer, Failure};
 
 /// Gossip topic of the instances that reach no backend servers.
 pub(super) struct ReachOfInstances;
@@ -72,9 +72,12 @@
     since: Instant,
 ) {
     let now = Instant::now();
-    let counts = instance.roster.borrow().server_counts(service);
-    let changes =
-        instance.reach.borrow_mut().record_failure(service, server, failure, since, counts, now);
+    let (counts, is_elsewhere) = {
+        let roster = instance.roster.borrow();
+        (roster.server_counts(service), roster.is_elsewhere(server))
+    };
+    let failed = FailedServer { service, id: server, is_elsewhere };
+    let changes = instance.reach.borrow_mut().record_failure(failed, failure, since, counts, now);
     log::debug!(
         target: "reach", service = &**service, server = &*server.id, failure = failure.as_str();
         "backend server not reached"
--- a/crates/entry/src/process/reach_checks.rs
+++ b/crates/entry/src/process/reach_checks.rs
@@ -59,6 +59,7 @@
                 scope.as_deref(),
                 targets,
                 None,
+                |server| instance.reach.borrow().has_failed(scope.as_deref(), server),
                 Instant::now(),
                 &mut rand::rng(),
             );
@@ -111,6 +112,7 @@
         None,
         OTHER_TARGETS,
         Some(except),
+        |_| false,
         Instant::now(),
         &mut rand::rng(),
     );
--- a/crates/steering/src/placement/reach_checks.rs
+++ b/crates/steering/src/placement/reach_checks.rs
@@ -7,6 +7,7 @@
 use crate::reach::ServerCounts;
 use rand::Rng;
 use rand::seq::SliceRandom;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -25,16 +26,33 @@
 impl Roster {
     /// Returns the numbers of backend servers that may get requests.
     pub fn server_counts(&self, service: &str) -> ServerCounts {
-        let count = |state: &ServiceState| {
+        let count = |state: &ServiceState, is_counted: fn(&Self, &Server) -> bool| {
             let servers = state.servers.iter();
-            servers.filter(|server| accepts_new_requests(server, &self.evacuated)).count()
+            let accepting = servers.filter(|server| accepts_new_requests(server, &self.evacuated));
+            accepting.filter(|server| is_counted(self, server)).count()
         };
+        let any: fn(&Self, &Server) -> bool = |_, _| true;
+        let elsewhere: fn(&Self, &Server) -> bool = |own, server| server.region != own.region;
+        let of_service =
+            |is_counted| self.services.get(service).map_or(0, |state| count(state, is_counted));
+        let of_all =
+            |is_counted| self.services.values().map(|state| count(state, is_counted)).sum();
         ServerCounts {
-            of_service: self.services.get(service).map_or(0, count),
-            all: self.services.values().map(count).sum(),
+            of_service: of_service(any),
+            all: of_all(any),
+            elsewhere_of_service: of_service(elsewhere),
+            elsewhere: of_all(elsewhere),
         }
     }
 
+    /// Returns whether a backend server is in another region.
+    pub fn is_elsewhere(&self, server: &Incarnation) -> bool {
+        let found = self.services.values().find_map(|state| {
+            state.positions.get(&server.id).map(|position| &state.servers[*position])
+        });
+        found.is_some_and(|server| server.region != self.region)
+    }
+
     /// Returns whether this start of a backend server is listed.
     pub fn is_listed(&self, server: &Incarnation) -> bool {
         self.services.values().any(|state| {
@@ -45,13 +63,16 @@
         })
     }
 
-    /// Draws up to `count` backend servers to check, of a service or of all and other than `except`: those
-    /// that are not paused after a failure first, and of the own region.
+    /// Draws up to `count` backend servers to check, of a service or of all and other than `except`.
+    ///
+    /// They are of the own region and of others in turn, and first those that are neither suspects nor
+    /// paused after a failure.
     pub fn draw_check_targets(
         &self,
         service: Option<&str>,
         count: usize,
         except: Option<&Incarnation>,
+        is_suspect: impl Fn(&Incarnation) -> bool,
         now: Instant,
         random: &mut impl Rng,
     ) -> Vec<CheckTarget> {
@@ -64,17 +85,25 @@
         });
         let is_allowed =
             |server: &Server| except.is_none_or(|except| server.incarnation() != *except);
-        let mut drawn: Vec<(&Arc<str>, &Server)> =
+        let mut candidates: Vec<(&Arc<str>, &Server)> =
             servers.filter(|(_, server)| is_allowed(server)).collect();
-        drawn.shuffle(random);
-        drawn.sort_by_key(|(_, server)| (server.has_failed(now), server.region != self.region));
-        drawn.truncate(count);
+        candidates.shuffle(random);
+        let begins_elsewhere = count == 1 && random.random();
+        let mut turns: HashMap<(bool, bool), usize> = HashMap::new();
+        candidates.sort_by_cached_key(|(_, server)| {
+            let is_last = server.has_failed(now) || is_suspect(&server.incarnation());
+            let is_elsewhere = server.region != self.region;
+            let turn = turns.entry((is_last, is_elsewhere)).or_default();
+            *turn += 1;
+            (is_last, *turn, is_elsewhere != begins_elsewhere)
+        });
+        candidates.truncate(count);
         let target = |(service, server): (&Arc<str>, &Server)| CheckTarget {
             service: service.clone(),
             server: server.incarnation(),
             address: server.record.address,
         };
-        drawn.into_iter().map(target).collect()
+        candidates.into_iter().map(target).collect()
     }
 
     /// Forgets the failures and silence of the backend servers of a service, or of all, as the path to
--- a/crates/steering/src/reach/mod.rs
+++ b/crates/steering/src/reach/mod.rs
@@ -3,8 +3,8 @@
 //! An instance sees a backend server only through its own path to it: a server that has failed and
 //! a path that is cut look the same.  What tells them apart is how many servers fail together.  A
 //! scope holds the servers that failed since any server of it last succeeded; once these are several,
-//! or all that there are, and a check failed too, the instance counts as cut off from the scope, and
-//! sends through other instances that are not ([`crate::placement::Peers::stand_ins`]).  If these
+//! or all that there are, of other regions too, and a check failed, the instance counts as cut off
+//! from the scope, and sends through other instances that are not ([`crate::placement::Peers::stand_ins`]).  If these
 //! can't reach a server either, the server has failed, and no longer counts.
 //!
 //! There is a scope of all servers and one for each service, each for exchanges and for new
@@ -20,7 +20,7 @@
 pub use scope::{Change, ChangeKind, MIN_FAILED_SERVERS};
 
 use crate::placement::Incarnation;
-use scope::{Scope, ScopeState};
+use scope::{Required, Scope, ScopeState};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -48,12 +48,27 @@
 }
 
 /// Servers that an instance may send to, by scope.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ServerCounts {
     /// Servers of the service.
     pub of_service: usize,
     /// Servers of all services.
     pub all: usize,
+    /// Servers of the service in other regions.
+    pub elsewhere_of_service: usize,
+    /// Servers of all services in other regions.
+    pub elsewhere: usize,
+}
+
+/// A server that was not reached.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedServer<'a> {
+    /// Its service.
+    pub service: &'a Arc<str>,
+    /// Its incarnation.
+    pub id: &'a Incarnation,
+    /// Whether it is in another region.
+    pub is_elsewhere: bool,
 }
 
 /// The scopes of one set of servers.
@@ -107,16 +122,21 @@
     /// `since` is when the exchange that failed began: what succeeded later outweighs it.
     pub fn record_failure(
         &mut self,
-        service: &Arc<str>,
-        server: &Incarnation,
+        server: FailedServer<'_>,
         failure: Failure,
         since: Instant,
         counts: ServerCounts,
         now: Instant,
     ) -> Vec<Change> {
-        self.for_scopes(service, |scopes, scope, changes| {
-            let count = if scope.is_some() { counts.of_service } else { counts.all };
-            let required = MIN_FAILED_SERVERS.min(count.max(1));
+        self.for_scopes(server.service, |scopes, scope, changes| {
+            let (count, elsewhere) = match scope {
+                Some(_) => (counts.of_service, counts.elsewhere_of_service),
+                None => (counts.all, counts.elsewhere),
+            };
+            let required = Required {
+                servers: MIN_FAILED_SERVERS.min(count.max(1)),
+                is_elsewhere: elsewhere > 0,
+            };
             let mut record = |part: &mut Scope, kind| {
                 changes.extend(
                     part.record_failure(scope, kind, server, failure, since, required, now),
@@ -129,6 +149,15 @@
         })
     }
 
+    /// Returns whether a server has failed since any of a scope succeeded: `None` for all servers, or a
+    /// service.
+    pub fn has_failed(&self, service: Option<&str>, server: &Incarnation) -> bool {
+        let scopes = service.map_or(Some(&self.all), |service| self.by_service.get(service));
+        scopes.is_some_and(|scopes| {
+            scopes.exchanges.has_failed(server) || scopes.connections.has_failed(server)
+        })
+    }
+
     /// Records that another instance, which is not cut off, could not connect to a server either: it
     /// has failed, and says nothing about this instance.
     pub fn record_failed_server(
--- a/crates/steering/src/reach/scope.rs
+++ b/crates/steering/src/reach/scope.rs
@@ -1,5 +1,6 @@
 //! The paths to a set of backend servers, of which one success shows that it is reached.
 
+use super::FailedServer;
 use super::failure::Failure;
 use super::returning::Returning;
 use crate::placement::Incarnation;
@@ -7,8 +8,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Servers that have to fail, one of them at a check, without a success at any, for a scope to be lost;
-/// fewer if the scope has fewer.
+/// Servers that have to fail, one of them at a check and one in another region if there are any there,
+/// without a success at any, for a scope to be lost; fewer if the scope has fewer.
 pub const MIN_FAILED_SERVERS: usize = 2;
 
 /// Time for which a failure counts without a success.
@@ -65,12 +66,28 @@
     Lost { is_confirmed: bool },
 }
 
+/// Servers that have to fail for a scope to be lost.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Required {
+    /// Number of them.
+    pub(super) servers: usize,
+    /// Whether one of them has to be in another region.
+    pub(super) is_elsewhere: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LastFailure {
+    /// When the exchange that failed began.
+    since: Instant,
+    is_elsewhere: bool,
+}
+
 /// Paths to a set of servers.
 #[derive(Debug, Default)]
 pub(super) struct Scope {
     last_success: Option<Instant>,
-    /// Servers that failed since, with when the exchange that failed began.
-    failed: HashMap<Incarnation, Instant>,
+    /// Servers that failed since.
+    failed: HashMap<Incarnation, LastFailure>,
     /// Servers that others don't reach either, with when that was known.
     excused: HashMap<Incarnation, Instant>,
     lost_since: Option<Instant>,
@@ -99,33 +116,36 @@
         Some(Change { service: service.cloned(), kind, is_lost: false, failed: Vec::new(), after })
     }
 
-    /// Records a failure; the scope is lost with the `required` number of servers.
+    /// Records a failure; the scope is lost with the `required` servers.
     #[allow(clippy::too_many_arguments, reason = "they describe one failure")]
     pub(super) fn record_failure(
         &mut self,
         service: Option<&Arc<str>>,
         kind: ChangeKind,
-        server: &Incarnation,
+        server: FailedServer<'_>,
         failure: Failure,
         since: Instant,
-        required: usize,
+        required: Required,
         now: Instant,
     ) -> Option<Change> {
         self.forget_old(now);
+        let FailedServer { id, is_elsewhere, .. } = server;
         let is_outweighed = self.last_success.is_some_and(|success| success >= since);
-        if is_outweighed || self.excused.contains_key(server) || self.failed.len() >= MAX_SERVERS {
+        if is_outweighed || self.excused.contains_key(id) || self.failed.len() >= MAX_SERVERS {
             return None;
         }
-        self.failed.insert(server.clone(), since);
+        self.failed.insert(id.clone(), LastFailure { since, is_elsewhere });
         self.has_failed_check |= failure.is_of_check();
+        let is_complete = self.failed.len() >= required.servers
+            && (!required.is_elsewhere || self.failed.values().any(|last| last.is_elsewhere));
         if self.lost_since.is_some() {
-            if self.failed.len() >= required {
+            if is_complete {
                 self.returning.record_failure();
             }
             return None;
         }
         // Slow and lost responses come together at times; a check tells them from a cut.
-        if self.failed.len() < required || !self.has_failed_check {
+        if !is_complete || !self.has_failed_check {
             return None;
         }
         self.lost_since = Some(now);
@@ -205,12 +225,17 @@
         self.is_lost() || !self.failed.is_empty()
     }
 
+    /// Returns whether a server has failed since the last success.
+    pub(super) fn has_failed(&self, server: &Incarnation) -> bool {
+        self.failed.contains_key(server) || self.excused.contains_key(server)
+    }
+
     pub(super) fn last_success(&self) -> Option<Instant> {
         self.last_success
     }
 
     fn forget_old(&mut self, now: Instant) {
-        self.failed.retain(|_, since| now.saturating_duration_since(*since) < FAILURE_TTL);
+        self.failed.retain(|_, last| now.saturating_duration_since(last.since) < FAILURE_TTL);
         self.excused.retain(|_, at| now.saturating_duration_since(*at) < EXCUSED_FOR);
     }
 }
--- a/crates/steering/tests/reach/checks.rs
+++ b/crates/steering/tests/reach/checks.rs
@@ -22,7 +22,14 @@
 fn drawn(roster: &Roster, except: Option<&str>, now: Instant) -> Vec<String> {
     let except = except.map(incarnation);
     let mut random = StdRng::seed_from_u64(1);
-    let targets = roster.draw_check_targets(Some(SERVICE), 2, except.as_ref(), now, &mut random);
+    let targets = roster.draw_check_targets(
+        Some(SERVICE),
+        2,
+        except.as_ref(),
+        |server| *server.id == *"south-a-1",
+        now,
+        &mut random,
+    );
     targets.iter().map(|target| target.server.id.to_string()).collect()
 }
 
@@ -38,8 +45,8 @@
     let without_the_last = drawn(&roster, Some("north-a-2"), start + SOON);
 
     assert_eq!(first[0], "north-a-2", "of the own region");
-    assert!(first[1].starts_with("south-a"), "{first:?}");
-    assert!(without_the_last.iter().all(|id| id.starts_with("south-a")), "{without_the_last:?}");
+    assert_eq!(first[1], "south-a-0", "of another region, and no suspect");
+    assert_eq!(without_the_last[0], "south-a-0");
 }
 
 #[test]
@@ -51,3 +58,16 @@
     assert_eq!(drawn(&roster, None, start + SOON).len(), 2);
     assert_eq!(drawn(&roster, Some("north-a-0"), start + SOON), ["north-a-1"]);
 }
+
+// Guards against checks that all go to the few servers of the own region.
+#[test]
+fn checks_go_to_other_regions_too() {
+    let start = Instant::now();
+    let listed = servers(&[("north-a", 3), ("south-a", 3)], 10);
+    let roster = roster("own", "north-a", &listed, start);
+
+    let ids = drawn(&roster, None, start);
+
+    assert!(ids[0].starts_with("north"), "{ids:?}");
+    assert!(ids[1].starts_with("south"), "{ids:?}");
+}
--- a/crates/steering/tests/reach/model.rs
+++ b/crates/steering/tests/reach/model.rs
@@ -14,7 +14,7 @@
 use steering::placement::peers::LOST_AFTER;
 use steering::placement::{Incarnation, Peer, Peers, start_id};
 use steering::reach::reports::{ReachReports, Unreached};
-use steering::reach::{Change, Failure, Path, Reach, ServerCounts};
+use steering::reach::{Change, FailedServer, Failure, Path, Reach, ServerCounts};
 use steering::terms::timings::LivenessTimings;
 
 const SERVICE_KEY: u32 = 1;
@@ -394,10 +394,18 @@
     ) {
         let (since, now) = (self.now(since_ms), self.now(now_ms));
         let servers = self.scenario.servers;
-        let counts = ServerCounts { of_service: servers, all: servers };
+        let elsewhere = (0..servers).filter(|server| is_elsewhere(*server)).count();
+        let counts = ServerCounts {
+            of_service: servers,
+            all: servers,
+            elsewhere_of_service: elsewhere,
+            elsewhere,
+        };
         let reach = &mut self.instances[instance].reach;
-        let id = incarnation(server);
-        let changes = reach.record_failure(&"service".into(), &id, failure, since, counts, now);
+        let (service, id) = ("service".into(), incarnation(server));
+        let failed =
+            FailedServer { service: &service, id: &id, is_elsewhere: is_elsewhere(server) };
+        let changes = reach.record_failure(failed, failure, since, counts, now);
         self.publish(instance, &changes, now_ms);
         if !self.instances[instance].is_checking && self.scenario.defect != Defect::NoChecks {
             self.instances[instance].is_checking = true;
@@ -505,6 +513,11 @@
     }
 }
 
+/// Returns whether a server is in another region than the instances.
+fn is_elsewhere(server: usize) -> bool {
+    server % 2 == 1
+}
+
 fn incarnation(server: usize) -> Incarnation {
     Incarnation { id: name(&format!("server-{server}")), started_ms: 0 }
 }
--- a/crates/steering/tests/reach/scopes.rs
+++ b/crates/steering/tests/reach/scopes.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 use steering::placement::{Incarnation, Peers, start_id};
 use steering::reach::reports::{ReachReports, Unreached};
-use steering::reach::{Change, Failure, Path, Reach, ServerCounts};
+use steering::reach::{Change, FailedServer, Failure, Path, Reach, ServerCounts};
 
-const COUNTS: ServerCounts = ServerCounts { of_service: 8, all: 16 };
+const COUNTS: ServerCounts =
+    ServerCounts { of_service: 8, all: 16, elsewhere_of_service: 0, elsewhere: 0 };
 
 fn server(number: usize) -> Incarnation {
     Incarnation { id: name(&format!("server-{number}")), started_ms: 0 }
@@ -18,7 +19,9 @@
 }
 
 fn fail(reach: &mut Reach, number: usize, failure: Failure, at: Instant) -> Vec<Change> {
-    reach.record_failure(&service(), &server(number), failure, at, COUNTS, at)
+    let (service, id) = (service(), server(number));
+    let failed = FailedServer { service: &service, id: &id, is_elsewhere: false };
+    reach.record_failure(failed, failure, at, COUNTS, at)
 }
 
 /// Fails two servers, one of them at a check, so that they count as lost.
@@ -65,14 +68,9 @@
     assert!(!reach.is_cut_off("dossier"));
     // What began before the response says nothing.
     let earlier = after(start, 15);
-    reach.record_failure(
-        &service(),
-        &server(3),
-        Failure::Overdue,
-        earlier,
-        COUNTS,
-        after(start, 40),
-    );
+    let (service, id) = (service(), server(3));
+    let failed = FailedServer { service: &service, id: &id, is_elsewhere: false };
+    reach.record_failure(failed, Failure::Overdue, earlier, COUNTS, after(start, 40));
     assert!(!reach.is_cut_off("dossier"));
     fail(&mut reach, 3, Failure::CheckConnecting, after(start, 50));
     assert!(reach.is_cut_off("dossier"));
@@ -97,9 +95,10 @@
 fn a_server_that_is_no_longer_listed_does_not_count() {
     let start = Instant::now();
     let mut reach = Reach::default();
-    let only = ServerCounts { of_service: 1, all: 1 };
-    let failure = Failure::CheckConnecting;
-    reach.record_failure(&service(), &server(1), failure, start, only, start);
+    let only = ServerCounts { of_service: 1, all: 1, ..ServerCounts::default() };
+    let (service, id) = (service(), server(1));
+    let failed = FailedServer { service: &service, id: &id, is_elsewhere: false };
+    reach.record_failure(failed, Failure::CheckConnecting, start, only, start);
     assert!(reach.is_cut_off("dossier"));
     let changes = reach.retain_servers(|listed| *listed != server(1), after(start, 10));
     assert!(changes.iter().all(|change| !change.is_lost));
@@ -255,3 +254,21 @@
     assert_eq!(relay("north-b").as_deref(), Some("b-1"));
     assert_eq!(peers.alive_name_hashes("north", now).len(), 5);
 }
+
+// Guards against an instance that takes the failure of a service's two servers in its region for a cut.
+#[test]
+fn failures_in_the_own_region_are_no_cut_while_there_are_servers_elsewhere() {
+    let start = Instant::now();
+    let counts = ServerCounts { elsewhere_of_service: 6, elsewhere: 6, ..COUNTS };
+    let mut reach = Reach::default();
+    let service = service();
+    let mut check = |number: usize, is_elsewhere: bool| {
+        let id = server(number);
+        let failed = FailedServer { service: &service, id: &id, is_elsewhere };
+        reach.record_failure(failed, Failure::CheckUnanswered, start, counts, start);
+        reach.is_cut_off("dossier")
+    };
+    assert!(!check(1, false));
+    assert!(!check(2, false));
+    assert!(check(3, true));
+}
