Judge an instance that restarts while it is cut off for long enough

callers_of_an_instance_that_restarts_while_it_is_cut_off_are_served failed once of three: a planned stop may take its grace period, and then nothing was left to judge.

--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -94,6 +94,10 @@
 const DURING: (Duration, Duration) =
     (BEFORE.saturating_add(MEANWHILE_AFTER), Duration::from_secs(4));
 
+/// Begin and length of the absence of an instance that is replaced during a cut.
+const AT_ONCE: (Duration, Duration) =
+    (BEFORE.saturating_add(MEANWHILE_AFTER), Duration::from_millis(200));
+
 /// Begin and length of what takes place from before a cut until after it.
 const AROUND: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(12));
 
@@ -112,6 +116,8 @@
 /// What a cut does, and to which instances.
 struct Scenario {
     cut: Cut,
+    /// Length of the cut.
+    length: Duration,
     instances: Vec<usize>,
     /// How the backend servers respond.
     mode: ResponseMode,
@@ -126,7 +132,7 @@
     RollOut,
     /// The store accepts requests and answers none.
     SilentStore,
-    /// An instance stops as planned and starts again.
+    /// An instance is killed and starts again.
     Restart(usize),
     /// An instance is suspended.
     Pause(usize),
@@ -180,7 +186,7 @@
         fleet.backends.borrow().iter().for_each(|backend| backend.mock.set_mode(self.mode));
         let started = Instant::now();
         history.started.set(Some(started));
-        let until = started + BEFORE + CUT + RETURN + AFTER;
+        let until = started + BEFORE + self.length + RETURN + AFTER;
         let callers =
             if self.mode == ResponseMode::ConnectionClose { FEW_CALLERS } else { CALLERS };
         for number in 0..callers {
@@ -197,7 +203,7 @@
         let cutting = async {
             sleep(BEFORE).await;
             let from = Instant::now();
-            faults::cut_from_servers(&fleet, self.instances.clone(), self.cut, CUT).await;
+            faults::cut_from_servers(&fleet, self.instances.clone(), self.cut, self.length).await;
             (from, Instant::now())
         };
         let ((), (cut_at, cut_until), ()) =
@@ -236,7 +242,7 @@
                 fleet.store.failure.send_replace(Failure::None);
                 return;
             }
-            Self::Restart(number) => (Fault::Terminate(number), DURING),
+            Self::Restart(number) => (Fault::Kill(number), AT_ONCE),
             Self::Pause(number) => (Fault::Pause(number), DURING),
             Self::Replace(number) => (Fault::Drain(number), DURING),
             Self::Limit(number) => (Fault::Limited(number, LIMIT_PER_S), AROUND),
@@ -310,6 +316,7 @@
 fn scenario(cut: Cut, instances: impl IntoIterator<Item = usize>) -> Scenario {
     Scenario {
         cut,
+        length: CUT,
         instances: instances.into_iter().collect(),
         mode: ResponseMode::Success,
         meanwhile: Meanwhile::Nothing,
@@ -367,7 +374,9 @@
 // Guards against an instance that starts cut off, and has never seen a backend server answer.
 #[test]
 fn callers_of_an_instance_that_restarts_while_it_is_cut_off_are_served() {
-    Scenario { meanwhile: Meanwhile::Restart(0), ..scenario(Cut::Reset, [0]) }
+    // After its start it has to be in touch again before it is judged.
+    let length = CUT + history::RECONNECTION;
+    Scenario { length, meanwhile: Meanwhile::Restart(0), ..scenario(Cut::Reset, [0]) }
         .run()
         .assert_served();
 }
