Walk the backend servers once for their counts, and end a loss of reach in one place

Each failure of a backend server walked all servers four times to count them, each with a filter of its own, and the servers to check were drawn by a fifth walk that wrote the same filter again. One iterator over the servers that may get requests now serves both; a server is found by its id in one place. A loss ended in two places with the same lines.

--- a/crates/steering/src/placement/reach_checks.rs
+++ b/crates/steering/src/placement/reach_checks.rs
@@ -2,12 +2,10 @@
 
 use super::roster::{Roster, accepts_new_requests};
 use super::server::Server;
-use super::service::ServiceState;
 use crate::placement::incarnation::Incarnation;
 use crate::reach::ServerCounts;
 use rand::Rng;
 use rand::seq::SliceRandom;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -26,41 +24,45 @@
 impl Roster {
     /// Returns the numbers of backend servers that may get requests.
     pub fn server_counts(&self, service: &str) -> ServerCounts {
-        let count = |state: &ServiceState, is_counted: fn(&Self, &Server) -> bool| {
-            let servers = state.servers.iter();
-            let accepting = servers.filter(|server| accepts_new_requests(server, &self.evacuated));
-            accepting.filter(|server| is_counted(self, server)).count()
-        };
-        let any: fn(&Self, &Server) -> bool = |_, _| true;
-        let elsewhere: fn(&Self, &Server) -> bool = |own, server| server.region != own.region;
-        let of_service =
-            |is_counted| self.services.get(service).map_or(0, |state| count(state, is_counted));
-        let of_all =
-            |is_counted| self.services.values().map(|state| count(state, is_counted)).sum();
-        ServerCounts {
-            of_service: of_service(any),
-            all: of_all(any),
-            elsewhere_of_service: of_service(elsewhere),
-            elsewhere: of_all(elsewhere),
+        let mut counts = ServerCounts::default();
+        for (name, server) in self.accepting_servers(None) {
+            let elsewhere = usize::from(server.region != self.region);
+            counts.all += 1;
+            counts.elsewhere += elsewhere;
+            if **name == *service {
+                counts.of_service += 1;
+                counts.elsewhere_of_service += elsewhere;
+            }
         }
+        counts
     }
 
     /// Returns whether a backend server is in another region.
     pub fn is_elsewhere(&self, server: &Incarnation) -> bool {
-        let found = self.services.values().find_map(|state| {
-            state.positions.get(&server.id).map(|position| &state.servers[*position])
-        });
-        found.is_some_and(|server| server.region != self.region)
+        self.server_by_id(&server.id).is_some_and(|listed| listed.region != self.region)
     }
 
     /// Returns whether this start of a backend server is listed.
     pub fn is_listed(&self, server: &Incarnation) -> bool {
-        self.services.values().any(|state| {
-            let position = state.positions.get(&server.id);
-            position.is_some_and(|position| {
-                state.servers[*position].record.started_ms == server.started_ms
-            })
-        })
+        let listed = self.server_by_id(&server.id);
+        listed.is_some_and(|listed| listed.record.started_ms == server.started_ms)
+    }
+
+    fn server_by_id(&self, id: &str) -> Option<&Server> {
+        let mut states = self.services.values();
+        states.find_map(|state| state.positions.get(id).map(|position| &state.servers[*position]))
+    }
+
+    /// The backend servers of a service, or of all, that may get requests, each with its service.
+    fn accepting_servers(
+        &self,
+        service: Option<&str>,
+    ) -> impl Iterator<Item = (&Arc<str>, &Server)> {
+        let services =
+            self.services.iter().filter(move |(name, _)| service.is_none_or(|of| ***name == *of));
+        let servers = services
+            .flat_map(|(name, state)| state.servers.iter().map(move |server| (name, server)));
+        servers.filter(|(_, server)| accepts_new_requests(server, &self.evacuated))
     }
 
     /// Draws up to `count` backend servers to check, of a service or of all and other than `except`.
@@ -76,24 +78,17 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Vec<CheckTarget> {
-        let services =
-            self.services.iter().filter(|(name, _)| service.is_none_or(|of| ***name == *of));
-        let servers = services.flat_map(|(name, state)| {
-            let accepting =
-                state.servers.iter().filter(|server| accepts_new_requests(server, &self.evacuated));
-            accepting.map(move |server| (name, server))
-        });
         let is_allowed =
             |server: &Server| except.is_none_or(|except| server.incarnation() != *except);
         let mut candidates: Vec<(&Arc<str>, &Server)> =
-            servers.filter(|(_, server)| is_allowed(server)).collect();
+            self.accepting_servers(service).filter(|(_, server)| is_allowed(server)).collect();
         candidates.shuffle(random);
         let begins_elsewhere = count == 1 && random.random();
-        let mut turns: HashMap<(bool, bool), usize> = HashMap::new();
+        let mut turns = [[0; 2]; 2];
         candidates.sort_by_cached_key(|(_, server)| {
             let is_last = server.has_failed(now) || is_suspect(&server.incarnation());
             let is_elsewhere = server.region != self.region;
-            let turn = turns.entry((is_last, is_elsewhere)).or_default();
+            let turn = &mut turns[usize::from(is_last)][usize::from(is_elsewhere)];
             *turn += 1;
             (is_last, *turn, is_elsewhere != begins_elsewhere)
         });
--- a/crates/steering/src/reach/scope.rs
+++ b/crates/steering/src/reach/scope.rs
@@ -108,12 +108,7 @@
         self.failed.clear();
         self.has_failed_check = false;
         let lost_since = self.lost_since?;
-        if !self.returning.record_success(now) {
-            return None;
-        }
-        self.lost_since = None;
-        let after = Some(now.duration_since(lost_since));
-        Some(Change { service: service.cloned(), kind, is_lost: false, failed: Vec::new(), after })
+        self.returning.record_success(now).then(|| self.end_loss(lost_since, service, kind, now))
     }
 
     /// Records a failure; the scope is lost with the `required` servers.
@@ -191,10 +186,20 @@
         now: Instant,
     ) -> Option<Change> {
         let lost_since = self.lost_since.filter(|_| self.failed.is_empty())?;
+        Some(self.end_loss(lost_since, service, kind, now))
+    }
+
+    fn end_loss(
+        &mut self,
+        lost_since: Instant,
+        service: Option<&Arc<str>>,
+        kind: ChangeKind,
+        now: Instant,
+    ) -> Change {
         self.lost_since = None;
         self.has_failed_check = false;
         let after = Some(now.duration_since(lost_since));
-        Some(Change { service: service.cloned(), kind, is_lost: false, failed: Vec::new(), after })
+        Change { service: service.cloned(), kind, is_lost: false, failed: Vec::new(), after }
     }
 
     /// State for a request; `draw` decides whether it returns to the direct path already.
