Reproduce new connections that are accepted and reset with the first request

Callers of instances whose new connections to all backend servers break while open ones live on saw requests fail that were not idempotent, and a sound version was turned back.

The proxies now have the form that was missing: a new connection is accepted, and reset once something was sent. The soak draws half of its cuts of new connections in this form, from a generator of its own, so that all other draws of a seed stay as they are.

A proxy's look-up of the instance that holds a connection reads /proc in the thread of callers, servers and store; it now runs beside that thread. A failed roll-out prints what the instances logged of it.

--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -313,6 +313,16 @@
     }
 }
 
+impl Outcome {
+    /// Checks that the sound version was brought in.
+    fn assert_rolled_out(&self) {
+        let succeeded = json!({ "state": "succeeded", "target_version": SOUND_VERSION });
+        let decisions: Vec<&str> =
+            self.log.lines().filter(|line| line.contains("\"rollouts\"")).collect();
+        assert_eq!(self.rollout, succeeded, "{}", decisions.join("\n"));
+    }
+}
+
 fn scenario(cut: Cut, instances: impl IntoIterator<Item = usize>) -> Scenario {
     Scenario {
         cut,
@@ -360,7 +370,17 @@
 fn a_sound_version_is_rolled_out_while_a_zone_gets_no_new_connections() {
     let outcome = Scenario { meanwhile: Meanwhile::RollOut, ..scenario(Cut::NewReset, 0..4) }.run();
     outcome.assert_served();
-    assert_eq!(outcome.rollout, json!({ "state": "succeeded", "target_version": SOUND_VERSION }));
+    outcome.assert_rolled_out();
+}
+
+// Guards against the same where new connections are accepted, and reset with the first request: responses
+// over old ones then seem to show that the servers of the sound version break them.
+#[test]
+fn a_sound_version_is_rolled_out_while_new_connections_of_a_zone_are_accepted_and_reset() {
+    let cut = scenario(Cut::NewResetOnRequest, 0..4);
+    let outcome = Scenario { meanwhile: Meanwhile::RollOut, ..cut }.run();
+    outcome.assert_served();
+    outcome.assert_rolled_out();
 }
 
 // Guards against a cut that is noticed or answered with the help of the store only.
--- a/crates/runpind/tests/soak/cuts.rs
+++ b/crates/runpind/tests/soak/cuts.rs
@@ -22,6 +22,8 @@
     Reset,
     /// Its open connections live on, new ones are reset.
     NewReset,
+    /// Its open connections live on, new ones are accepted and reset with the first request.
+    NewResetOnRequest,
 }
 
 impl Cut {
@@ -30,7 +32,8 @@
             Self::Hang => Link::Silent,
             Self::Reset => Link::Reset,
             Self::NewReset if is_new => Link::Reset,
-            Self::None | Self::NewReset => Link::Open,
+            Self::NewResetOnRequest if is_new => Link::ResetOnRequest,
+            Self::None | Self::NewReset | Self::NewResetOnRequest => Link::Open,
         }
     }
 }
@@ -81,14 +84,15 @@
         let link = proxy.link.subscribe();
         tokio::task::spawn_local(async move {
             while let Ok((near, peer)) = listener.accept().await {
+                let processes: Vec<u32> = paths.iter().map(|path| path.process.get()).collect();
+                // Looking up takes long, and must not hold up callers, servers and the store.
+                let looking_up =
+                    tokio::task::spawn_blocking(move || owner(peer.port(), &processes));
                 // Without an owner, the process that opened it has ended or closed it already.
-                if let Some(number) = owner(peer.port(), &paths) {
+                if let Ok(Some(number)) = looking_up.await {
                     let cut = paths[number].cut.subscribe();
                     tokio::task::spawn_local(serve(near, target, link.clone(), cut));
                 }
-                // Looking up takes long; connections that are opened again and again must not hold up
-                // the callers.
-                tokio::task::yield_now().await;
             }
         });
         Ok(proxy)
@@ -107,10 +111,10 @@
     mut link: watch::Receiver<Link>,
     mut cut: watch::Receiver<Cut>,
 ) {
-    let is_new_reset = *cut.borrow() == Cut::NewReset;
+    let is_new = matches!(*cut.borrow(), Cut::NewReset | Cut::NewResetOnRequest);
     let current = watch::Sender::new(Link::Open);
     let update = |link: Link, cut: Cut, current: &watch::Sender<Link>| {
-        let effective = if link == Link::Open { cut.link(is_new_reset) } else { link };
+        let effective = if link == Link::Open { cut.link(is_new) } else { link };
         current.send_if_modified(|value| std::mem::replace(value, effective) != effective);
     };
     update(*link.borrow_and_update(), *cut.borrow_and_update(), &current);
@@ -127,8 +131,8 @@
     }
 }
 
-/// The instance that holds the other end of a connection from a local port.
-fn owner(port: u16, paths: &[Rc<InstancePaths>]) -> Option<usize> {
+/// The position of the process that holds the other end of a connection from a local port.
+fn owner(port: u16, processes: &[u32]) -> Option<usize> {
     let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
     let local = format!(":{port:04X}");
     let socket = table.lines().skip(1).find_map(|line| {
@@ -136,8 +140,8 @@
         let (address, inode) = (fields.get(1)?, fields.get(9)?);
         (address.ends_with(&local) && *inode != "0").then(|| format!("socket:[{inode}]"))
     })?;
-    paths.iter().position(|path| {
-        let files = std::fs::read_dir(format!("/proc/{}/fd", path.process.get()));
+    processes.iter().position(|process| {
+        let files = std::fs::read_dir(format!("/proc/{process}/fd"));
         files.into_iter().flatten().flatten().any(|file| {
             std::fs::read_link(file.path()).is_ok_and(|target| target.to_string_lossy() == socket)
         })
--- a/crates/runpind/tests/soak/plan.rs
+++ b/crates/runpind/tests/soak/plan.rs
@@ -24,6 +24,10 @@
 /// Salt of the seed from which cuts are drawn, so that the other steps don't depend on them.
 const CUT_SALT: u64 = 0x0000_6375_7473;
 
+/// Distinguishes the draws of when new connections are reset, so that those of other cuts stay as they
+/// are.
+const RESET_SALT: u64 = 0x0072_6573_6574;
+
 /// Time for which instances are cut off from all backend servers: one in which they have to notice it
 /// and are judged after that, or one that ends before.
 const LONG_CUT_MS: std::ops::Range<u64> = 6_000..10_000;
@@ -140,6 +144,7 @@
 /// others, can pass their requests on.
 fn cut_steps(seed: u64, length: Duration) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed ^ CUT_SALT);
+    let mut reset_rng = StdRng::seed_from_u64(seed ^ RESET_SALT);
     let rounds = length.div_duration_f64(ROUND) as u64;
     let mut steps = Vec::new();
     for _ in 0..rounds.div_ceil(2) {
@@ -150,7 +155,10 @@
         let sets = [vec![0], vec![1], vec![2], vec![0, 1]];
         let instances = sets.choose(&mut rng).expect("there are sets").clone();
         let cuts = [Cut::Hang, Cut::Reset, Cut::NewReset];
-        let cut = *cuts.choose(&mut rng).expect("there are cuts");
+        let cut = match *cuts.choose(&mut rng).expect("there are cuts") {
+            Cut::NewReset if reset_rng.random() => Cut::NewResetOnRequest,
+            cut => cut,
+        };
         steps.push(Step {
             at: Duration::from_millis(at_ms),
             duration: Duration::from_millis(duration_ms),
--- a/crates/runpind/tests/soak/proxy.rs
+++ b/crates/runpind/tests/soak/proxy.rs
@@ -25,6 +25,8 @@
     Silent,
     /// Connections are reset, new ones too.
     Reset,
+    /// New connections are accepted, and reset once the side that connects has sent something.
+    ResetOnRequest,
 }
 
 #[derive(Clone, Copy, Eq, PartialEq)]
@@ -39,7 +41,7 @@
             Self::Silent => true,
             Self::NothingForward => direction == Direction::Forward,
             Self::NothingBack => direction == Direction::Back,
-            Self::Open | Self::Delayed(_) | Self::Reset => false,
+            Self::Open | Self::Delayed(_) | Self::Reset | Self::ResetOnRequest => false,
         }
     }
 }
@@ -77,6 +79,11 @@
     let link_at_start = state.wait_for(|link| *link != Link::Silent).await.map(|link| *link);
     let connected = match link_at_start {
         Ok(Link::Reset) | Err(_) => None,
+        Ok(Link::ResetOnRequest) => {
+            // Whether there is a request or the connection has ended, it is closed.
+            let _ = near.readable().await;
+            None
+        }
         Ok(_) => TcpStream::connect(target).await.ok(),
     };
     let Some(far) = connected else {
