Count a new connection as working only with its first response

What callers saw: with new connections to all backend servers accepted and then reset, while open ones live on, an instance went on opening connections for the length of the cut; requests that were not idempotent ended as unknown, and a sound version whose connections were all new was turned back.

Cause: reach took the end of connecting for a success, so the scope of new connections was never lost, and a response over an old connection let the failures of new ones count against their version.

A new connection now succeeds with its first response; one that breaks before, and a check that is not answered, are failures of new connections. Failures of roll-outs on new connections are held until a first response over another one explains them, which a check brings within some tenths of a second; a loss of new connections drops them.

New tests of scopes, and the model draws the cut.

--- a/crates/entry/src/process/held_failures.rs
+++ b/crates/entry/src/process/held_failures.rs
@@ -1,7 +1,8 @@
 //! Failures of requests that may say nothing about their backend servers.
 //!
 //! A connection breaks because of the server, or of the path to all servers.  The next response shows
-//! that it was the server; until then the failure must not count against the server's version.
+//! that it was the server, for a new connection the next first response; until then the failure must
+//! not count against the server's version.
 
 use std::sync::Arc;
 use steering::rollout::{Observation, OrderId};
@@ -16,9 +17,11 @@
     pub(crate) is_target: bool,
     pub(crate) route: Arc<str>,
     pub(crate) observation: Observation,
+    /// Whether it was the first exchange over its connection.
+    pub(crate) is_connection_new: bool,
 }
 
-/// Failures since the last response.
+/// Failures that no response has explained yet.
 #[derive(Debug, Default)]
 pub(crate) struct HeldFailures(Vec<HeldFailure>);
 
@@ -33,8 +36,8 @@
         self.0.push(failure);
     }
 
-    /// Takes all failures.
-    pub(crate) fn take(&mut self) -> Vec<HeldFailure> {
-        std::mem::take(&mut self.0)
+    /// Takes the failures that `is_explained` selects.
+    pub(crate) fn take(&mut self, is_explained: impl Fn(&HeldFailure) -> bool) -> Vec<HeldFailure> {
+        self.0.extract_if(.., |failure| is_explained(failure)).collect()
     }
 }
--- a/crates/entry/src/process/reach.rs
+++ b/crates/entry/src/process/reach.rs
@@ -50,16 +50,19 @@
     }
 }
 
-/// Records a response over a connection of this instance.
-pub(crate) fn record_response(instance: &Instance, service: &Arc<str>) {
-    let changes = instance.reach.borrow_mut().record_response(service, Instant::now());
-    count_held_failures(instance, |ending| ending);
-    publish(instance, &changes);
-}
-
-/// Records a new connection to a backend server.
-pub(crate) fn record_connection(instance: &Instance, service: &Arc<str>) {
-    let changes = instance.reach.borrow_mut().record_connection(service, Instant::now());
+/// Records a response over a connection of this instance, the first one if the connection is new.
+pub(crate) fn record_response(instance: &Instance, service: &Arc<str>, is_connection_new: bool) {
+    let now = Instant::now();
+    let changes = {
+        let mut reach = instance.reach.borrow_mut();
+        let mut changes = reach.record_response(service, now);
+        if is_connection_new {
+            changes.extend(reach.record_first_response(service, now));
+        }
+        changes
+    };
+    let is_explained = |failure: &HeldFailure| is_connection_new || !failure.is_connection_new;
+    count_held_failures(instance, is_explained, |ending| ending);
     publish(instance, &changes);
 }
 
@@ -126,10 +129,15 @@
     }
 }
 
-/// Counts the failures that were held for roll-outs, with another ending if `ending` gives one.
-fn count_held_failures(instance: &Instance, ending: impl Fn(Ending) -> Ending) {
-    let held = instance.held_failures.borrow_mut().take();
-    for HeldFailure { order, is_target, route, mut observation } in held {
+/// Counts those of the failures held for roll-outs that `is_explained` selects, with the ending that
+/// `ending` makes of theirs.
+fn count_held_failures(
+    instance: &Instance,
+    is_explained: impl Fn(&HeldFailure) -> bool,
+    ending: impl Fn(Ending) -> Ending,
+) {
+    let explained = instance.held_failures.borrow_mut().take(is_explained);
+    for HeldFailure { order, is_target, route, mut observation, .. } in explained {
         observation.ending = ending(observation.ending);
         let mut rollouts = instance.rollouts.borrow_mut();
         rollouts.record_ending(order, is_target, &route, &observation);
@@ -159,10 +167,15 @@
             last_success_ms = after_ms;
             "no backend server is reached"
         );
-        if *kind == ChangeKind::Exchanges {
-            instance.roster.borrow_mut().forgive_failures(scope, now);
-            count_held_failures(instance, |_| Ending::Unsent);
-            instance.reach_losses.send_modify(|losses| *losses += 1);
+        match kind {
+            ChangeKind::Connections => {
+                count_held_failures(instance, |held| held.is_connection_new, |_| Ending::Unsent);
+            }
+            ChangeKind::Exchanges => {
+                instance.roster.borrow_mut().forgive_failures(scope, now);
+                count_held_failures(instance, |_| true, |_| Ending::Unsent);
+                instance.reach_losses.send_modify(|losses| *losses += 1);
+            }
         }
     }
     report_own(instance, now);
--- a/crates/entry/src/process/reach_checks.rs
+++ b/crates/entry/src/process/reach_checks.rs
@@ -88,7 +88,7 @@
         Ok(stream) => {
             let getting = http_client::get_over(stream, *address, &path);
             if let Ok(Some(_)) = tokio::time::timeout(CHECK_TIMEOUT, getting).await {
-                reach::record_response(&instance, service);
+                reach::record_response(&instance, service, true);
                 ("check-answered", "answered".to_owned())
             } else {
                 let failure = Failure::CheckUnanswered;
@@ -124,18 +124,15 @@
     Some(join_all(connecting).await.contains(&true))
 }
 
-/// Connects for a check that began at `started`, and records whether this succeeded.
+/// Connects for a check that began at `started`, and records if this failed.
 async fn connect(
     instance: &Instance,
     CheckTarget { service, server, address }: &CheckTarget,
     started: Instant,
 ) -> io::Result<TcpStream> {
     let connected = dial(*address, DIAL_TIMEOUT, instance.timings.connections).await;
-    match connected {
-        Ok(_) => reach::record_connection(instance, service),
-        Err(_) => {
-            reach::record_failure(instance, service, server, Failure::CheckConnecting, started);
-        }
+    if connected.is_err() {
+        reach::record_failure(instance, service, server, Failure::CheckConnecting, started);
     }
     connected
 }
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -104,6 +104,7 @@
     });
     let _exchange_guard = relay.is_none().then(|| DirectExchangeGuard::enter(instance));
     guard.sent_at = Instant::now();
+    guard.is_connection_new = connection.is_new;
     guard.sent_flag.set();
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
@@ -117,7 +118,7 @@
                 *body = Some(request.into_body());
                 let is_server_failure = connection.is_new && relay.is_none();
                 if is_server_failure {
-                    record_not_reached(exchange, choice, guard.sent_at);
+                    record_broken(exchange, &guard);
                 }
                 let is_cut_off = is_cut_off(exchange);
                 guard.set_ending(match is_server_failure && !is_cut_off {
@@ -135,7 +136,7 @@
             let is_server_failure = !is_caller_error && relay.is_none();
             // Bytes that are no response came from the server all the same.
             if is_server_failure && !error.error().is_parse() {
-                record_not_reached(exchange, choice, guard.sent_at);
+                record_broken(exchange, &guard);
             }
             guard.set_ending(match is_server_failure && !is_cut_off(exchange) {
                 true => Ending::Failed,
@@ -159,7 +160,7 @@
         }
         instance.relays.borrow_mut().record_response(relay, Instant::now());
     } else {
-        reach::record_response(instance, &exchange.service);
+        reach::record_response(instance, &exchange.service, connection.is_new);
     }
     let request_id = exchange.head.request_id.as_deref();
     let head = instance.wire.decode_server_head(parts.status, &parts.headers, request_id);
@@ -194,10 +195,11 @@
     }
 }
 
-/// Records that a backend server was not reached over a connection of this instance.
-fn record_not_reached(exchange: &Exchange, choice: &Choice, since: Instant) {
-    let server = choice.incarnation();
-    reach::record_failure(&exchange.instance, &exchange.service, &server, Failure::Broken, since);
+/// Records that a connection of this instance to a backend server broke before there was a response.
+fn record_broken(exchange: &Exchange, guard: &AttemptGuard) {
+    let Exchange { instance, service, .. } = exchange;
+    let failure = Failure::broken(guard.is_connection_new);
+    reach::record_failure(instance, service, &guard.server, failure, guard.sent_at);
 }
 
 /// Returns whether this instance reaches no backend server of the request's service.
--- a/crates/entry/src/request/attempt_guard.rs
+++ b/crates/entry/src/request/attempt_guard.rs
@@ -29,6 +29,8 @@
     pub(super) sent_at: Instant,
     /// Set when a connection was available and sending the request began.
     pub(super) sent_flag: SentFlag,
+    /// Whether it is the first exchange over its connection.
+    pub(super) is_connection_new: bool,
     ending: Ending,
     pub(super) report: Option<LoadReport>,
 }
@@ -48,6 +50,7 @@
             was_object_warm: choice.was_object_warm,
             sent_at: Instant::now(),
             sent_flag,
+            is_connection_new: false,
             ending: Ending::Abandoned,
             report: None,
         }
@@ -62,19 +65,29 @@
     /// Counts the ending for a roll-out, unless the path to all backend servers may be its cause.
     fn count_for_rollout(&self, order: OrderId, mut observation: Observation) {
         let is_direct = self.sent_flag.through().is_none();
-        if is_direct && self.instance.reach.borrow().is_cut_off(&self.service) {
+        if is_direct && self.is_cut_off(observation.ending) {
             observation.ending = Ending::Unsent;
         }
         let is_full = || self.instance.held_failures.borrow().is_full();
         if is_direct && observation.ending == Ending::Failed && !is_full() {
             let (is_target, route) = (self.is_target, self.route.name.clone());
-            let failure = HeldFailure { order, is_target, route, observation };
+            let is_connection_new = self.is_connection_new;
+            let failure = HeldFailure { order, is_target, route, observation, is_connection_new };
             self.instance.held_failures.borrow_mut().hold(failure);
             return;
         }
         let mut rollouts = self.instance.rollouts.borrow_mut();
         rollouts.record_ending(order, self.is_target, &self.route.name, &observation);
     }
+
+    /// Returns whether this instance reaches no backend server over connections like this one, so that
+    /// `ending` says nothing about the server.
+    fn is_cut_off(&self, ending: Ending) -> bool {
+        let reach = self.instance.reach.borrow();
+        let has_new_broken = self.is_connection_new && ending == Ending::Failed;
+        reach.is_cut_off(&self.service)
+            || has_new_broken && reach.is_cut_off_from_new_connections(&self.service)
+    }
 }
 
 /// Counts an exchange over a connection of this instance as under way until this is dropped.
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -127,7 +127,6 @@
     }
     let mut connection = acquired?;
     if connection.is_new {
-        reach::record_connection(instance, &service);
         instance.metrics.connections.with_label_values(&[&*service]).inc();
     }
     let head = instance.wire.decode_caller_head(request.headers());
@@ -144,12 +143,13 @@
             return RelayError::Closed;
         }
         if !error.error().is_parse() {
-            reach::record_failure(instance, &service, server, Failure::Broken, sent_at);
+            let failure = Failure::broken(connection.is_new);
+            reach::record_failure(instance, &service, server, failure, sent_at);
         }
         RelayError::Sending(error.into_error())
     })?;
     drop(exchange_guard);
-    reach::record_response(instance, &service);
+    reach::record_response(instance, &service, connection.is_new);
     let server_head = instance.wire.decode_server_head(
         response.status(),
         response.headers(),
--- a/crates/entry/src/request/server_connection.rs
+++ b/crates/entry/src/request/server_connection.rs
@@ -89,7 +89,6 @@
         }
     };
     if connection.is_new {
-        reach::record_connection(instance, service);
         instance.metrics.connections.with_label_values(&[&**service]).inc();
         let mut roster = instance.roster.borrow_mut();
         if roster.is_in_other_region(&choice.availability_zone) {
--- a/crates/steering/src/reach/mod.rs
+++ b/crates/steering/src/reach/mod.rs
@@ -8,7 +8,8 @@
 //! can't reach a server either, the server has failed, and no longer counts.
 //!
 //! There is a scope of all servers and one for each service, each for exchanges and for new
-//! connections: open connections may live on while new ones fail.
+//! connections: open connections may live on while new ones fail.  A new connection succeeds with its
+//! first response, as what accepts it may reset it before that.
 
 mod failure;
 pub mod reports;
@@ -110,8 +111,9 @@
         })
     }
 
-    /// Records a new connection to a server; returns what changed.
-    pub fn record_connection(&mut self, service: &Arc<str>, now: Instant) -> Vec<Change> {
+    /// Records the first response over a new connection, besides [`Reach::record_response`]; returns
+    /// what changed.
+    pub fn record_first_response(&mut self, service: &Arc<str>, now: Instant) -> Vec<Change> {
         self.for_scopes(service, |scopes, scope, changes| {
             changes.extend(scopes.connections.record_success(scope, ChangeKind::Connections, now));
         })
@@ -143,7 +145,7 @@
                 );
             };
             record(&mut scopes.exchanges, ChangeKind::Exchanges);
-            if failure.is_of_connecting() {
+            if failure.is_of_new_connection() {
                 record(&mut scopes.connections, ChangeKind::Connections);
             }
         })
@@ -221,6 +223,13 @@
         self.is_cut_off_from_all() || of_service.is_some_and(|scopes| scopes.exchanges.is_lost())
     }
 
+    /// Returns whether no server of a service is reached over a new connection.
+    pub fn is_cut_off_from_new_connections(&self, service: &str) -> bool {
+        let of_service = self.by_service.get(service);
+        self.all.connections.is_lost()
+            || of_service.is_some_and(|scopes| scopes.connections.is_lost())
+    }
+
     /// Returns whether no server at all is reached.
     pub fn is_cut_off_from_all(&self) -> bool {
         self.all.exchanges.is_lost()
--- a/crates/steering/tests/reach/main.rs
+++ b/crates/steering/tests/reach/main.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-const CUTS: [Cut; 3] = [Cut::Hang, Cut::Reset, Cut::NewRefused];
+const CUTS: [Cut; 4] = [Cut::Hang, Cut::Reset, Cut::NewRefused, Cut::NewBroken];
 
 /// Fleets, from the smallest in which another instance can pass requests on.
 const SIZES: [usize; 4] = [2, 3, 12, 60];
@@ -137,7 +137,7 @@
 fn with_all_instances_cut_off_requests_are_refused_at_once() {
     for cut in CUTS {
         let outcome = run(scenario(12, cut, (0..12).collect(), 1));
-        if cut != Cut::NewRefused {
+        if !cut.is_of_new_connections() {
             assert_eq!(outcome.direct_during, 0, "none is sent to wait: {outcome:?}");
         }
         assert!(outcome.direct_after > 0, "{outcome:?}");
@@ -152,7 +152,7 @@
             run(Scenario { defect, ..scenario(12, cut, cut_off, 1) })
         };
         let outcome = without(Defect::NoStandIns);
-        let is_noticed = !keeps_rule(&outcome) || cut == Cut::NewRefused;
+        let is_noticed = !keeps_rule(&outcome) || cut.is_of_new_connections();
         assert!(is_noticed, "{cut:?}, no stand-ins: {outcome:?}");
     }
     let outcome =
--- a/crates/steering/tests/reach/model.rs
+++ b/crates/steering/tests/reach/model.rs
@@ -37,6 +37,23 @@
     Reset,
     /// Open connections live on; one of four requests needs a new one.
     NewRefused,
+    /// As [`Cut::NewRefused`], but new ones are accepted and reset with the first request.
+    NewBroken,
+}
+
+impl Cut {
+    /// Whether open connections live on.
+    pub(crate) fn is_of_new_connections(self) -> bool {
+        matches!(self, Self::NewRefused | Self::NewBroken)
+    }
+
+    /// How a check fails.
+    fn failure_of_check(self) -> Failure {
+        match self {
+            Self::NewBroken => Failure::CheckUnanswered,
+            Self::Hang | Self::Reset | Self::NewRefused => Failure::CheckConnecting,
+        }
+    }
 }
 
 /// What the code under test leaves out, to show that the model notices.
@@ -231,7 +248,7 @@
         match self.cut(instance, now_ms) {
             Some(Cut::Hang) => None,
             Some(Cut::Reset) => Some(false),
-            Some(Cut::NewRefused) if needs_new => Some(false),
+            Some(cut) if cut.is_of_new_connections() && needs_new => Some(false),
             _ => Some(!self.is_failed(server, now_ms)),
         }
     }
@@ -270,7 +287,7 @@
             Event::Heartbeat { instance } => self.heartbeat(instance, now_ms),
             Event::Check { instance } => self.check(instance, now_ms),
             Event::CheckEnds { instance, server, since_ms } => {
-                let failure = Failure::CheckConnecting;
+                let failure = self.scenario.cut.failure_of_check();
                 self.fail(instance, server, failure, since_ms, now_ms);
             }
             Event::Gossip { from, to } => self.gossip(from, to, now_ms),
@@ -309,9 +326,13 @@
                 self.record(instance, sent_ms, true, true);
             }
             Some(false) => {
-                self.fail(instance, server, Failure::Broken, now_ms, now_ms);
-                if self.scenario.cut == Cut::NewRefused {
-                    self.fail(instance, server, Failure::Connecting, now_ms, now_ms);
+                let failures: &[Failure] = match self.scenario.cut {
+                    Cut::NewRefused => &[Failure::Broken, Failure::Connecting],
+                    Cut::NewBroken => &[Failure::NewBroken],
+                    Cut::Hang | Cut::Reset => &[Failure::Broken],
+                };
+                for failure in failures {
+                    self.fail(instance, server, *failure, now_ms, now_ms);
                 }
                 self.at(now_ms + 1, Event::Attempt { instance, sent_ms, number: number + 1 });
             }
@@ -484,7 +505,7 @@
             None => {
                 let now = self.now(now_ms);
                 let reach = &mut self.instances[instance].reach;
-                let changes = reach.record_connection(&"service".into(), now);
+                let changes = reach.record_first_response(&"service".into(), now);
                 self.publish(instance, &changes, now_ms);
                 self.succeed(instance, now_ms);
             }
--- a/crates/steering/tests/reach/scopes.rs
+++ b/crates/steering/tests/reach/scopes.rs
@@ -127,10 +127,38 @@
     fail(&mut reach, 2, Failure::CheckConnecting, after(start, 3));
     reach.record_response(&service(), after(start, 4));
     assert_eq!(reach.path("dossier", 0.5, after(start, 5)), Path::OpenConnectionsOnly);
-    reach.record_connection(&service(), after(start, 6));
+    reach.record_first_response(&service(), after(start, 6));
     assert_eq!(reach.path("dossier", 0.5, after(start, 2_000)), Path::Direct);
 }
 
+// Guards against new connections that are accepted and reset with the first request, while responses over
+// open ones go on.
+#[test]
+fn new_connections_that_break_before_a_response_count_as_refused() {
+    let start = Instant::now();
+    let mut reach = Reach::default();
+    fail(&mut reach, 1, Failure::NewBroken, after(start, 1));
+    reach.record_response(&service(), after(start, 2));
+    fail(&mut reach, 2, Failure::CheckUnanswered, after(start, 3));
+    reach.record_response(&service(), after(start, 4));
+    assert_eq!(reach.path("dossier", 0.5, after(start, 5)), Path::OpenConnectionsOnly);
+    assert!(reach.is_cut_off_from_new_connections("dossier"));
+    assert!(!reach.is_cut_off("dossier"));
+}
+
+// Guards against open connections that break together, as their servers stop, and count as refused ones.
+#[test]
+fn open_connections_that_break_say_nothing_about_new_ones() {
+    let start = Instant::now();
+    let mut reach = Reach::default();
+    fail(&mut reach, 1, Failure::Broken, after(start, 1));
+    fail(&mut reach, 2, Failure::Overdue, after(start, 2));
+    reach.record_response(&service(), after(start, 3));
+    fail(&mut reach, 3, Failure::CheckUnanswered, after(start, 4));
+    reach.record_response(&service(), after(start, 5));
+    assert_eq!(reach.path("dossier", 0.5, after(start, 6)), Path::Direct);
+}
+
 #[test]
 fn requests_return_to_direct_paths_by_and_by() {
     let start = Instant::now();
