Pass nothing on over new connections that an instance can't open

What callers saw: in a zone whose new connections to all backend servers break while open ones live on, an instance passed requests on through others of the zone, which are no better off and broke them: 502 for what isn't idempotent, and a sound version turned back.

Cause: whether an instance passes on was decided by its exchanges alone, which go on over open connections; and a failure that the other instance reported counted against the version at once, as if the path to it were proven.

An instance that opens no new connections passes on over open ones only and answers `not-sent` otherwise, so the sender takes another. While an instance opens none itself, what breaks at one that passes on counts against no version; nor is the time of what is passed on compared, as it is that of two hops.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -97,7 +97,8 @@
         guard.set_ending(Ending::Unsent);
         return Outcome::NotSent;
     };
-    let relay = relay_hop.map(|RelayHop { relay, destination: (name, value) }| {
+    let relay = relay_hop.map(|RelayHop { relay, destination: (name, value), is_stand_in }| {
+        guard.is_passed_on = is_stand_in;
         request.headers_mut().insert(name, value);
         guard.sent_flag.set_through(&relay);
         relay
--- a/crates/entry/src/request/attempt_guard.rs
+++ b/crates/entry/src/request/attempt_guard.rs
@@ -31,6 +31,8 @@
     pub(super) sent_flag: SentFlag,
     /// Whether it is the first exchange over its connection.
     pub(super) is_connection_new: bool,
+    /// Whether another instance passes it on, as this one does not reach the backend server.
+    pub(super) is_passed_on: bool,
     ending: Ending,
     pub(super) report: Option<LoadReport>,
 }
@@ -51,6 +53,7 @@
             sent_at: Instant::now(),
             sent_flag,
             is_connection_new: false,
+            is_passed_on: false,
             ending: Ending::Abandoned,
             report: None,
         }
@@ -65,7 +68,7 @@
     /// Counts the ending for a roll-out, unless the path to all backend servers may be its cause.
     fn count_for_rollout(&self, order: OrderId, mut observation: Observation) {
         let is_direct = self.sent_flag.through().is_none();
-        if is_direct && self.is_cut_off(observation.ending) {
+        if self.is_cut_off(is_direct, observation.ending) {
             observation.ending = Ending::Unsent;
         }
         let is_full = || self.instance.held_failures.borrow().is_full();
@@ -80,13 +83,16 @@
         rollouts.record_ending(order, self.is_target, &self.route.name, &observation);
     }
 
-    /// Returns whether this instance reaches no backend server over connections like this one, so that
+    /// Returns whether this instance reaches no backend server by the path of the attempt, so that
     /// `ending` says nothing about the server.
-    fn is_cut_off(&self, ending: Ending) -> bool {
+    fn is_cut_off(&self, is_direct: bool, ending: Ending) -> bool {
         let reach = self.instance.reach.borrow();
-        let has_new_broken = self.is_connection_new && ending == Ending::Failed;
-        reach.is_cut_off(&self.service)
-            || has_new_broken && reach.is_cut_off_from_new_connections(&self.service)
+        let is_cut_off = reach.is_cut_off(&self.service);
+        // The instance that passes a request on may be cut off too, without knowing it yet.
+        let is_of_path =
+            ending == Ending::Failed && (self.is_passed_on || is_direct && self.is_connection_new);
+        is_direct && is_cut_off
+            || is_of_path && (is_cut_off || reach.is_cut_off_from_new_connections(&self.service))
     }
 }
 
@@ -126,6 +132,7 @@
             // An unreachable host says nothing about the version.
             ending: if self.sent_flag.is_set() { self.ending } else { Ending::Unsent },
             elapsed: self.sent_at.elapsed(),
+            is_passed_on: self.is_passed_on,
             was_object_warm: self.was_object_warm,
             was_cold: self.was_cold,
             warm_ms: roster.warm_response_ms(&self.service),
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -110,8 +110,12 @@
     let received_at = instance.clock.now();
     let Destination { server, address } = destination;
     let service = destination_service(instance, Caller::address_of(&request), destination)?;
-    let is_cut_off = || instance.reach.borrow().is_cut_off(&service);
-    if is_cut_off() {
+    let is_cut_off = |is_connection_new: bool| {
+        let reach = instance.reach.borrow();
+        reach.is_cut_off(&service)
+            || is_connection_new && reach.is_cut_off_from_new_connections(&service)
+    };
+    if is_cut_off(!instance.pools.has_idle(server)) {
         return Err(RelayError::CutOff);
     }
     let _relayed = RelayedGuard::enter(instance)?;
@@ -121,7 +125,7 @@
     if let Err(PoolError::Dial(_) | PoolError::Handshake(_)) = &acquired {
         reach::record_failure(instance, &service, server, Failure::Connecting, started);
         // Nothing is known of the backend server then.
-        if is_cut_off() {
+        if is_cut_off(true) {
             return Err(RelayError::CutOff);
         }
     }
--- a/crates/entry/src/request/server_connection.rs
+++ b/crates/entry/src/request/server_connection.rs
@@ -36,6 +36,8 @@
 pub(super) struct RelayHop {
     pub(super) relay: Relay,
     pub(super) destination: (HeaderName, HeaderValue),
+    /// Whether it passes the request on because this instance does not reach the backend server.
+    pub(super) is_stand_in: bool,
 }
 
 /// Takes a connection for an attempt from the pool, or opens one.
@@ -119,7 +121,7 @@
         match instance.pools.acquire_to_instance(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
             Ok(connection) => {
                 instance.metrics.passed_on.with_label_values(&[&**service]).inc();
-                let relay_hop = Some(RelayHop { relay, destination });
+                let relay_hop = Some(RelayHop { relay, destination, is_stand_in: true });
                 return Some(ServerConnection { connection, relay_hop });
             }
             Err(error) => {
@@ -158,7 +160,7 @@
     let peers = instance.peers.borrow();
     let mut relays = instance.relays.borrow_mut();
     let relay = relays.choose(&choice.availability_zone, &peers, Instant::now())?;
-    Some(RelayHop { relay, destination })
+    Some(RelayHop { relay, destination, is_stand_in: false })
 }
 
 /// Connections that this instance may open to one backend server of a service.
--- a/crates/steering/src/rollout/tally.rs
+++ b/crates/steering/src/rollout/tally.rs
@@ -18,6 +18,9 @@
     pub ending: Ending,
     /// Time from sending the request.
     pub elapsed: Duration,
+    /// Whether another instance passed it on, as the own one did not reach the backend server: the time
+    /// is that of both.
+    pub is_passed_on: bool,
     /// Whether its object was known to be warm there: other latencies depend on the object.
     pub was_object_warm: bool,
     /// Whether the backend server had just started.
@@ -81,7 +84,7 @@
 
 impl Observation {
     fn is_timed(&self) -> bool {
-        self.was_object_warm && !self.was_cold && self.warm_ms.is_some()
+        self.was_object_warm && !self.was_cold && !self.is_passed_on && self.warm_ms.is_some()
     }
 
     fn is_slow(&self) -> bool {
