--- a/crates/steering/tests/reach/main.rs
+++ b/crates/steering/tests/reach/main.rs
@@ -5,12 +5,14 @@
 
 mod checks;
 mod model;
+mod scenario;
 mod scopes;
 
-use model::{Cut, Defect, Outcome, Scenario, run, zone_of};
+use model::{run, zone_of};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use scenario::{Cut, Defect, Outcome, Scenario};
 
 const CUTS: [Cut; 4] = [Cut::Hang, Cut::Reset, Cut::NewRefused, Cut::NewBroken];
 
