Never carry two attempts of a request on one connection

What callers saw (REFUSED, TWICE): requests that may run once were answered 503, "not run", and ran; others ran twice.

Cause: a response is matched to its attempt by the request's id, and the repeat at a server that rejected the request carries the same id. A relay returns its connection to the pool after a rejection, so the repeat went over it, and a surplus copy of the rejection was read as its response while the server ran it. The sender drops its own connection after a rejection, so the fault needed a relay: regions with few servers.

Change: a connection remembers the ids that it has carried, and the pools never pick it for an attempt of one of these; a request without an id gets a connection of its own. This holds for direct connections, those to relays, those of relays, and for callers that use an id twice.

--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -87,7 +87,8 @@
         Self { clock, timings, own_host, by_server: Rc::default() }
     }
 
-    /// Takes an idle connection, or opens one while there are fewer than `limit`.
+    /// Takes an idle connection on which no response can be taken for one to this request, or opens one
+    /// while there are fewer than `limit`.
     ///
     /// # Errors
     ///
@@ -97,8 +98,9 @@
         server: &Incarnation,
         address: SocketAddr,
         limit: usize,
+        request_id: Option<&str>,
     ) -> Result<Connection, PoolError> {
-        self.acquire_from(server, address, limit, None).await
+        self.acquire_from(server, address, limit, None, request_id).await
     }
 
     /// As [`Pools::acquire`], for a connection to another instance: it comes from the address by which
@@ -112,8 +114,9 @@
         instance: &Incarnation,
         address: SocketAddr,
         limit: usize,
+        request_id: Option<&str>,
     ) -> Result<Connection, PoolError> {
-        self.acquire_from(instance, address, limit, Some(self.own_host)).await
+        self.acquire_from(instance, address, limit, Some(self.own_host), request_id).await
     }
 
     async fn acquire_from(
@@ -122,12 +125,13 @@
         address: SocketAddr,
         limit: usize,
         source: Option<IpAddr>,
+        request_id: Option<&str>,
     ) -> Result<Connection, PoolError> {
-        let mut connection = match self.take_idle(remote) {
+        let mut connection = match self.take_idle(remote, request_id) {
             Some(connection) => connection,
             None => self.open(remote, address, limit, source).await?,
         };
-        connection.carried.begin_exchange();
+        connection.carried.begin_exchange(request_id);
         Ok(connection)
     }
 
@@ -191,25 +195,31 @@
         Ok(Connection { remote: server.clone(), sender, is_new: true, carried })
     }
 
-    /// Returns whether an idle connection to an incarnation is open.
-    pub fn has_idle(&self, server: &Incarnation) -> bool {
+    /// Returns whether an idle connection to an incarnation is open that may carry the request.
+    pub fn has_idle(&self, server: &Incarnation, request_id: Option<&str>) -> bool {
         let pools = self.by_server.borrow();
         let now = self.clock.now();
-        pools.get(server).is_some_and(|pool| pool.idle.iter().any(|idle| idle.is_usable(now)))
+        pools.get(server).is_some_and(|pool| {
+            pool.idle
+                .iter()
+                .any(|idle| idle.is_usable(now) && idle.connection.carried.permits(request_id))
+        })
     }
 
-    fn take_idle(&self, server: &Incarnation) -> Option<Connection> {
+    fn take_idle(&self, server: &Incarnation, request_id: Option<&str>) -> Option<Connection> {
         let mut pools = self.by_server.borrow_mut();
         let pool = pools.get_mut(server)?;
         let now = self.clock.now();
         pool.idle.retain(|idle| idle.is_usable(now));
-        while let Some(IdleConnection { mut connection, .. }) = pool.idle.pop() {
+        loop {
+            let may_carry = |idle: &IdleConnection| idle.connection.carried.permits(request_id);
+            let position = pool.idle.iter().rposition(may_carry)?;
+            let IdleConnection { mut connection, .. } = pool.idle.remove(position);
             // A connection that is not ready at once has not finished its last exchange.
             if matches!(connection.sender.ready().now_or_never(), Some(Ok(()))) {
                 return Some(connection);
             }
         }
-        None
     }
 
     /// Returns a connection to the pool; `idle_timeout` is what the other side announced.
@@ -218,7 +228,8 @@
         let idle_timeout = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |idle_timeout| {
             idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN)
         });
-        if connection.sender.is_closed() || idle_timeout.is_zero() {
+        let is_usable = !connection.sender.is_closed() && connection.carried.permits_others();
+        if !is_usable || idle_timeout.is_zero() {
             return;
         }
         connection.is_new = false;
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -109,6 +109,8 @@
     in_flight: InFlightGuard,
 ) -> Result<Response<ResponseBody>, RelayError> {
     let received_at = instance.clock.now();
+    let head = instance.wire.decode_caller_head(request.headers());
+    let request_id = head.request_id.as_deref();
     let Destination { server, address } = destination;
     let service = destination_service(instance, Caller::address_of(&request), destination)?;
     let is_cut_off = |is_connection_new: bool| {
@@ -116,13 +118,13 @@
         reach.is_cut_off(&service)
             || is_connection_new && reach.is_cut_off_from_new_connections(&service)
     };
-    if is_cut_off(!instance.pools.has_idle(server)) {
+    if is_cut_off(!instance.pools.has_idle(server, request_id)) {
         return Err(RelayError::CutOff);
     }
     let _relayed = RelayedGuard::enter(instance)?;
     let limit = connection_limit(instance, &service);
     let started = Instant::now();
-    let acquired = instance.pools.acquire(server, *address, limit).await;
+    let acquired = instance.pools.acquire(server, *address, limit, request_id).await;
     if let Err(PoolError::Dial(_) | PoolError::Handshake(_)) = &acquired {
         reach::record_failure(instance, &service, server, Failure::Connecting, started);
         // Nothing is known of the backend server then.
@@ -134,7 +136,6 @@
     if connection.is_new {
         instance.metrics.connections.with_label_values(&[&*service]).inc();
     }
-    let head = instance.wire.decode_caller_head(request.headers());
     let mut request = to_server_request(request);
     if let Some(deadline) = head.deadline {
         let time_left = deadline.saturating_sub(instance.clock.now().since(received_at));
@@ -155,11 +156,8 @@
     })?;
     drop(exchange_guard);
     reach::record_response(instance, &service, connection.is_new);
-    let server_head = instance.wire.decode_server_head(
-        response.status(),
-        response.headers(),
-        head.request_id.as_deref(),
-    );
+    let server_head =
+        instance.wire.decode_server_head(response.status(), response.headers(), request_id);
     if !server_head.is_for_request {
         return Err(RelayError::MismatchedResponse);
     }
@@ -167,7 +165,7 @@
         let ConnectionLabel { local_port, exchange } = connection.carried.label();
         log::info!(
             target: "request",
-            id = head.request_id.as_deref().unwrap_or(""), server = &*server.id,
+            id = request_id.unwrap_or(""), server = &*server.id,
             status = response.status().as_str(), local_port, exchange;
             "rejection passed on"
         );
--- a/crates/entry/src/request/server_connection.rs
+++ b/crates/entry/src/request/server_connection.rs
@@ -57,11 +57,13 @@
     {
         return Ok(opened);
     }
+    let request_id = exchange.head.request_id.as_deref();
     if let Some(relay_hop) = find_relay_hop(exchange, choice) {
         let Relay { id, address } = &relay_hop.relay;
-        match instance.pools.acquire_to_instance(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
+        let limit = MAX_CONNECTIONS_PER_RELAY;
+        match instance.pools.acquire_to_instance(id, *address, limit, request_id).await {
             Ok(connection) => {
-                instance.pools.open_spare(id, *address, MAX_CONNECTIONS_PER_RELAY);
+                instance.pools.open_spare(id, *address, limit);
                 return Ok(ServerConnection { connection, relay_hop: Some(relay_hop) });
             }
             Err(error) => {
@@ -81,7 +83,8 @@
     let limit = connection_limit(instance, service);
     let server = choice.incarnation();
     let started = Instant::now();
-    let connection = match instance.pools.acquire(&server, choice.address, limit).await {
+    let connection = match instance.pools.acquire(&server, choice.address, limit, request_id).await
+    {
         Ok(connection) => connection,
         Err(error) => {
             if !matches!(error, PoolError::Limit(_)) {
@@ -106,7 +109,10 @@
     let Exchange { instance, service, .. } = exchange;
     match instance.reach.borrow().path(service, rand::random(), Instant::now()) {
         Path::Direct => false,
-        Path::OpenConnectionsOnly => !instance.pools.has_idle(&choice.incarnation()),
+        Path::OpenConnectionsOnly => {
+            let request_id = exchange.head.request_id.as_deref();
+            !instance.pools.has_idle(&choice.incarnation(), request_id)
+        }
         Path::StandIn { .. } => true,
     }
 }
@@ -115,10 +121,15 @@
 async fn connect_to_stand_in(exchange: &Exchange, choice: &Choice) -> Option<ServerConnection> {
     let Exchange { instance, service, .. } = exchange;
     let destination = destination(exchange, choice)?;
+    let request_id = exchange.head.request_id.as_deref();
     for _ in 0..MAX_STAND_IN_DIALS {
         let relay = instance.draw_stand_in(service)?;
         let Relay { id, address } = &relay;
-        match instance.pools.acquire_to_instance(id, *address, MAX_CONNECTIONS_PER_RELAY).await {
+        let acquired = instance
+            .pools
+            .acquire_to_instance(id, *address, MAX_CONNECTIONS_PER_RELAY, request_id)
+            .await;
+        match acquired {
             Ok(connection) => {
                 instance.metrics.passed_on.with_label_values(&[&**service]).inc();
                 let relay_hop = Some(RelayHop { relay, destination, is_stand_in: true });
