Close a relay's connection after a rejection, as a sender does

What callers saw: 502 for a request that may run once, though nothing had gone wrong with it.

Cause: a server in trouble sends a rejection twice. The relay returned its connection to the pool after the first; the second came in place of the response to whatever request the connection carried next, by another id. A sender drops its direct connections after any rejection; the relay kept them after all but a 421.

Evidence: of two requests sent after one that was rejected twice, one was answered 502 in the first run of the new test on the code before; it passes now. It costs a new connection within a region for each rejection that is passed on, which direct connections cost already.

--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -171,7 +171,8 @@
         );
     }
     let (mut parts, incoming) = response.into_parts();
-    let idle_timeout = keep_alive_timeout(&parts.headers).ok().filter(|_| !server_head.replaced);
+    // A rejection may come once more.
+    let idle_timeout = keep_alive_timeout(&parts.headers).ok().filter(|_| !server_head.not_run);
     let reusable = idle_timeout.map(|idle_timeout| (connection, idle_timeout));
     let body = ServerBody::read(incoming, &parts.headers).await.map_err(RelayError::Response)?;
     remove_hop_by_hop(&mut parts.headers);
