Share retries among all instances that may serve callers, heard or not

Cause: an instance saves its part of the fixed allowance, which was 0.6 of it divided by the instances that it heard. Regions, zones or single instances that don't hear each other each took the whole; heartbeats are late where a process has a fraction of a core.

Change: the part is that of the fleet as the quotas know it: instances count until they have been lost for a minute, and just after a start by the registrations and by what others report. While the number is unknown a single retry is saved. The rule stands in one place now, Peers::fleet_size, for quotas, roll-outs and retries.

Not covered: from a minute apart on, the parts forget each other.

--- a/crates/entry/src/process/fleet.rs
+++ b/crates/entry/src/process/fleet.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
+use steering::placement::peers::Startup;
 use steering::placement::{Peer, PeerState};
 use steering::quota::{Fleet, MemberId};
 use steering::rollout::Members;
@@ -32,7 +33,9 @@
 
 /// Passes the present set of serving instances to the quotas and roll-outs.
 pub(super) fn update_fleet(instance: &Instance) {
-    let Some(size) = fleet_size(instance) else { return };
+    let size = fleet_size(instance);
+    instance.retry_budgets.set_fleet_size(size);
+    let Some(size) = size else { return };
     let now = Instant::now();
     let own = instance.own_peer();
     let peers = instance.peers.borrow();
@@ -56,24 +59,15 @@
 }
 
 /// Number of instances that may be serving callers, reachable from here or not; none while unknown.
-///
-/// A peer counts until it is pruned, as one that is partitioned from this instance may still serve
-/// callers. Just after the start, when the list of peers may be incomplete, the registrations and the
-/// counts that peers report are used too.
 fn fleet_size(instance: &Instance) -> Option<usize> {
-    let peers = instance.peers.borrow();
-    let seen = peers.all().count();
-    if !instance.is_recently_started() {
-        return Some(seen + 1);
-    }
-    let own = &instance.settings.name;
-    let registered = instance.registrations.borrow();
-    let registered =
-        registered.as_ref().map(|all| all.iter().filter(|other| other.name != *own).count());
-    let reported = peers.all().map(|peer| peer.alive_peers).max().unwrap_or(0);
-    let other_count = seen.max(reported).max(registered.unwrap_or(0));
-    let is_known = other_count > 0
-        || registered.is_some()
-        || instance.uptime() >= instance.timings.liveness.lost_after;
-    is_known.then_some(other_count + 1)
+    let startup = instance.is_recently_started().then(|| {
+        let own = &instance.settings.name;
+        let registered = instance.registrations.borrow();
+        let others = registered.iter().flatten().filter(|other| other.name != *own);
+        Startup {
+            registered_others: registered.is_some().then(|| others.count()),
+            has_waited: instance.uptime() >= instance.timings.liveness.lost_after,
+        }
+    });
+    instance.peers.borrow().fleet_size(startup.as_ref())
 }
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -375,10 +375,8 @@
     /// Adds a request for a service to its retry budget.
     pub fn credit_retry_budget(&self, service: &Arc<str>) {
         let Settings { retry_ratio, retry_extra, .. } = self.settings;
-        // As of the last heartbeat: counting them for each request would cost more than the request.
-        let instances = self.own_peer.borrow().alive_peers + 1;
         let new = || RetryBudget::new(retry_ratio, retry_extra);
-        self.retry_budgets.credit(service, new, instances);
+        self.retry_budgets.credit(service, new);
     }
 
     /// Addresses of the instances that callers of an availability zone should use.
--- a/crates/steering/src/placement/budget.rs
+++ b/crates/steering/src/placement/budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget of a service: limits how many requests are sent to a second backend server.
 
-/// Fraction of the fixed allowance that instances use. An instance that knows few others keeps more
-/// than its share of it.
+/// Fraction of the fixed allowance that instances use. The remainder covers instances that not all
+/// others know yet, and retries that arrive late.
 const EXTRA_SHARE: f64 = 0.6;
 
 /// Fraction of the ratio that instances use. An instance earns retries only with the requests that
@@ -18,7 +18,7 @@
     ratio: f64,
     extra: f64,
     tokens: f64,
-    /// Number of instances that share the extra, as of the last request.
+    /// Number of instances that share the extra, as of the last request; 0 if it was unknown.
     instances: usize,
     /// Largest number of tokens that may be saved, as of the last request.
     max_tokens: f64,
@@ -31,10 +31,11 @@
     }
 
     /// Adds what one caller request earns; `instances` is the number of instances that share the
-    /// extra.
-    pub fn earn(&mut self, instances: usize) {
-        self.instances = instances;
-        self.max_tokens = (self.extra * EXTRA_SHARE / instances.max(1) as f64).max(1.0);
+    /// extra, whether they are heard or not. While it is unknown, a single token is saved.
+    pub fn earn(&mut self, instances: Option<usize>) {
+        self.instances = instances.unwrap_or(0);
+        let share = instances.map_or(0.0, |count| self.extra * EXTRA_SHARE / count.max(1) as f64);
+        self.max_tokens = share.max(1.0);
         self.tokens = (self.tokens + self.ratio * RATIO_SHARE).min(self.max_tokens);
     }
 
@@ -48,7 +49,7 @@
         self.tokens
     }
 
-    /// Number of instances that shared the extra at the last request.
+    /// Number of instances that shared the extra at the last request; 0 if it was unknown.
     pub fn instances(&self) -> usize {
         self.instances
     }
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -38,6 +38,15 @@
     pub description_lag: u64,
 }
 
+/// What an instance knows about others just after its start, when its list of peers may be incomplete.
+#[derive(Clone, Copy, Debug)]
+pub struct Startup {
+    /// Number of other instances that ever registered; `None` before the registrations were read.
+    pub registered_others: Option<usize>,
+    /// Whether any live instance would have been heard by now.
+    pub has_waited: bool,
+}
+
 #[derive(Debug)]
 pub(super) struct PeerEntry {
     /// The latest description, as of the heartbeat in it.
@@ -279,6 +288,20 @@
         self.all().filter(|peer| *peer.region == *region).count()
     }
 
+    /// Number of instances, this one included, that may be serving callers, reachable from here or not;
+    /// `None` while unknown.
+    ///
+    /// A peer counts until it is removed, as one that is partitioned from this instance may still
+    /// serve callers.
+    pub fn fleet_size(&self, startup: Option<&Startup>) -> Option<usize> {
+        let seen = self.entries.len();
+        let Some(startup) = startup else { return Some(seen + 1) };
+        let reported = self.all().map(|peer| peer.alive_peers).max().unwrap_or(0);
+        let other_count = seen.max(reported).max(startup.registered_others.unwrap_or(0));
+        let is_known = other_count > 0 || startup.registered_others.is_some() || startup.has_waited;
+        is_known.then_some(other_count + 1)
+    }
+
     /// Returns whether a known instance runs at a host.
     pub fn has_host(&self, host: IpAddr) -> bool {
         self.all().any(|peer| peer.knowledge_address.ip() == host)
--- a/crates/steering/tests/placement_bounds.rs
+++ b/crates/steering/tests/placement_bounds.rs
@@ -369,7 +369,7 @@
     let (mut requests, mut retries) = (0.0, 0.0);
     for _ in 0..200 {
         for budget in &mut budgets {
-            budget.earn(instances);
+            budget.earn(Some(instances));
             requests += 1.0;
             while budget.take() {
                 retries += 1.0;
@@ -386,13 +386,13 @@
     let mut budgets = vec![RetryBudget::new(ratio, extra); instances];
     for budget in &mut budgets {
         for _ in 0..1_000 {
-            budget.earn(instances);
+            budget.earn(Some(instances));
         }
     }
     let (mut requests, mut retries) = (0.0, 0.0);
     for budget in &mut budgets {
         for _ in 0..30 {
-            budget.earn(instances);
+            budget.earn(Some(instances));
             requests += 1.0;
             while budget.take() {
                 retries += 1.0;
@@ -404,7 +404,7 @@
 
 #[test]
 fn refunded_retries_do_not_exceed_what_may_be_saved() {
-    let fill = |budget: &mut RetryBudget| (0..1_000).for_each(|_| budget.earn(12));
+    let fill = |budget: &mut RetryBudget| (0..1_000).for_each(|_| budget.earn(Some(12)));
     let count_tokens =
         |mut budget: RetryBudget| std::iter::from_fn(|| budget.take().then_some(())).count();
     let mut budget = RetryBudget::new(0.2, 64.0);
