Bound what checks and responses of servers in trouble take of the memory

Cause: checks, and what instances fetch from others, collected the whole body; heads were bounded by the library's default of some 400 kB for each connection.

Change: a check takes at most 16 kB of a body of which only the head is used, an update of another instance 8 MB encoded (32 MB decoded, as before), and a connection buffers at most 32 kB, which bounds heads.

Evidence: 554 MB were taken by one check in the new test before (24 MB allowed, kernel buffers included); it passes now. The two tests of heads passed before, too: they guard the bound.

--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod carried;
 pub mod dial;
 pub(crate) mod encoding;
+mod handshake;
 mod head_timer;
 pub(crate) mod http_client;
 pub(crate) mod listener;
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -2,11 +2,11 @@
 
 use super::carried::Carried;
 use super::dial::{DIAL_TIMEOUT, dial, dial_from};
+use super::handshake::handshake;
 use crate::process::clock::Clock;
 use crate::request::body::RequestBody;
 use futures::FutureExt;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -185,8 +185,7 @@
             None => dial(address, DIAL_TIMEOUT, self.timings).await?,
         };
         let carried = Carried::nothing(stream.local_addr()?.port());
-        let (sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = handshake(stream).await?;
         tokio::task::spawn_local(async move {
             // Errors of the connection show up in the request that uses it.
             let _ = connection.await;
--- a/crates/entry/src/process/reach_checks.rs
+++ b/crates/entry/src/process/reach_checks.rs
@@ -86,7 +86,7 @@
     let (label, outcome) = match connect(&instance, &target, started).await {
         Err(error) => ("check-failed", error.to_string()),
         Ok(stream) => {
-            let getting = http_client::get_over(stream, *address, &path);
+            let getting = http_client::check_over(stream, *address, &path);
             if let Ok(Some(_)) = tokio::time::timeout(CHECK_TIMEOUT, getting).await {
                 reach::record_response(&instance, service, true);
                 ("check-answered", "answered".to_owned())
--- a/crates/entry/src/request/health_check.rs
+++ b/crates/entry/src/request/health_check.rs
@@ -28,10 +28,10 @@
         };
         let result = tokio::time::timeout(
             CHECK_TIMEOUT,
-            http_client::get_response(address, &path, DIAL_TIMEOUT, instance.timings.connections),
+            http_client::check(address, &path, DIAL_TIMEOUT, instance.timings.connections),
         )
         .await;
-        let Ok(Some((status, headers, _))) = result else {
+        let Ok(Some((status, headers))) = result else {
             log::info!(target: "backend-server", id = &*server.id; "health check failed");
             return;
         };
