Cut a streamed response that goes on long after its deadline

What callers saw: a response body without end held its caller, a connection to the server and the links between regions for as long as the caller read; a planned stop waited for it until its grace period was over.

Cause: the deadline of a request ends with the head of its response; a body that is streamed had none.

Change: a streamed body is cut 2 s after the request's deadline unless it is complete by then, so that what is nearly there still arrives; the caller sees an incomplete response, and a line is logged.

--- a/crates/entry/src/request/forward_response.rs
+++ b/crates/entry/src/request/forward_response.rs
@@ -11,7 +11,17 @@
 use http_body::{Body, Frame, SizeHint};
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use steering::placement::Ending;
+use tokio::time::Sleep;
+
+/// Time for which a body that has begun goes on after the request's deadline.
+const MAX_TIME_AFTER_DEADLINE: Duration = Duration::from_secs(2);
+
+/// A body that went on for too long after the request's deadline.
+#[derive(Debug, thiserror::Error)]
+#[error("response body not complete {} s after the deadline", MAX_TIME_AFTER_DEADLINE.as_secs())]
+struct EndlessBody;
 
 /// Builds the caller's response from that of a backend server.
 pub(super) fn forward_response(
@@ -33,7 +43,8 @@
         ServerBody::Streaming(incoming) => {
             let reusable = idle_timeout.ok().map(|idle_timeout| (connection, idle_timeout));
             let body = PooledBody::new(incoming, exchange.instance.pools.clone(), reusable);
-            Box::pin(StreamedResponse { body, exchange, guard, _in_flight: in_flight })
+            let end = Box::pin(tokio::time::sleep(exchange.time_left() + MAX_TIME_AFTER_DEADLINE));
+            Box::pin(StreamedResponse { body, end, exchange, guard, _in_flight: in_flight })
         }
     };
     let mut response = Response::new(body);
@@ -45,6 +56,8 @@
 /// The body of a long response, forwarded as it arrives.
 struct StreamedResponse {
     body: PooledBody,
+    /// When it is cut: a server in trouble may send without end.
+    end: Pin<Box<Sleep>>,
     exchange: Exchange,
     guard: AttemptGuard,
     _in_flight: InFlightGuard,
@@ -58,7 +71,16 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
+        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(None) => None,
+            _ if self.end.as_mut().poll(context).is_ready() => {
+                let id = self.exchange.head.request_id.as_deref().unwrap_or("");
+                log::info!(target: "request", id, server = &*self.guard.server.id; "{EndlessBody}");
+                Some(Err(EndlessBody.into()))
+            }
+            Poll::Ready(frame) => frame,
+            Poll::Pending => return Poll::Pending,
+        };
         match &frame {
             None => self.exchange.record_outcome(ANSWERED),
             Some(Err(_)) => {
