Ask in one place whether a backend server is reached over a connection

The condition "cut off, or from new connections if one is needed" stood in relays and in the record of an attempt, over two methods of reach that were twins. One method now takes whether the connection is new.

--- a/crates/entry/src/request/attempt_guard.rs
+++ b/crates/entry/src/request/attempt_guard.rs
@@ -90,13 +90,12 @@
     /// Returns whether this instance reaches no backend server by the path of the attempt, so that
     /// `ending` says nothing about the server.
     fn is_cut_off(&self, is_direct: bool, ending: Ending) -> bool {
-        let reach = self.instance.reach.borrow();
-        let is_cut_off = reach.is_cut_off(&self.service);
         // The instance that passes a request on may be cut off too, without knowing it yet.
-        let is_of_path =
+        let needs_new_connection =
             ending == Ending::Failed && (self.is_passed_on || is_direct && self.is_connection_new);
-        is_direct && is_cut_off
-            || is_of_path && (is_cut_off || reach.is_cut_off_from_new_connections(&self.service))
+        let reach = self.instance.reach.borrow();
+        (is_direct || needs_new_connection)
+            && reach.is_cut_off_over(&self.service, needs_new_connection)
     }
 }
 
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -114,9 +114,7 @@
     let Destination { server, address } = destination;
     let service = destination_service(instance, Caller::address_of(&request), destination)?;
     let is_cut_off = |is_connection_new: bool| {
-        let reach = instance.reach.borrow();
-        reach.is_cut_off(&service)
-            || is_connection_new && reach.is_cut_off_from_new_connections(&service)
+        instance.reach.borrow().is_cut_off_over(&service, is_connection_new)
     };
     if is_cut_off(!instance.pools.has_idle(server, request_id)) {
         return Err(RelayError::CutOff);
--- a/crates/steering/src/reach/mod.rs
+++ b/crates/steering/src/reach/mod.rs
@@ -219,15 +219,16 @@
 
     /// Returns whether no server of a service is reached.
     pub fn is_cut_off(&self, service: &str) -> bool {
-        let of_service = self.by_service.get(service);
-        self.is_cut_off_from_all() || of_service.is_some_and(|scopes| scopes.exchanges.is_lost())
+        self.is_cut_off_over(service, false)
     }
 
-    /// Returns whether no server of a service is reached over a new connection.
-    pub fn is_cut_off_from_new_connections(&self, service: &str) -> bool {
-        let of_service = self.by_service.get(service);
-        self.all.connections.is_lost()
-            || of_service.is_some_and(|scopes| scopes.connections.is_lost())
+    /// Returns whether no server of a service is reached over an open connection, or, if
+    /// `is_connection_new`, over a new one.
+    pub fn is_cut_off_over(&self, service: &str, is_connection_new: bool) -> bool {
+        let is_lost = |scopes: &Scopes| {
+            scopes.exchanges.is_lost() || is_connection_new && scopes.connections.is_lost()
+        };
+        is_lost(&self.all) || self.by_service.get(service).is_some_and(is_lost)
     }
 
     /// Returns whether no server at all is reached.
--- a/crates/steering/tests/reach/scopes.rs
+++ b/crates/steering/tests/reach/scopes.rs
@@ -142,7 +142,7 @@
     fail(&mut reach, 2, Failure::CheckUnanswered, after(start, 3));
     reach.record_response(&service(), after(start, 4));
     assert_eq!(reach.path("dossier", 0.5, after(start, 5)), Path::OpenConnectionsOnly);
-    assert!(reach.is_cut_off_from_new_connections("dossier"));
+    assert!(reach.is_cut_off_over("dossier", true));
     assert!(!reach.is_cut_off("dossier"));
 }
 
