--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -129,6 +129,17 @@
         }
     }
 
+    /// Backend servers of the attempts whose outcome is unknown, each with the relay if there was one.
+    pub(super) fn unfinished_attempts(&self) -> String {
+        let attempts = self.attempts.iter().zip(&self.sent_flags);
+        let unfinished = attempts.filter(|(attempt, _)| attempt.outcome == ABANDONED);
+        let names = unfinished.map(|(attempt, sent_flag)| match sent_flag.through() {
+            Some(relay) => format!("{} through {}", attempt.server, relay.id.id),
+            None => attempt.server.to_string(),
+        });
+        names.collect::<Vec<_>>().join(", ")
+    }
+
     /// The number of attempts so far.
     pub(super) fn attempt_count(&self) -> u32 {
         u32::try_from(self.attempts.len()).unwrap_or(u32::MAX)
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -45,6 +45,7 @@
     progress.refund_if_not_run(&exchange);
     let outcome_name = outcome.as_ref().map_or_else(Problem::as_str, |_| ANSWERED);
     let attempt_count = progress.attempt_count();
+    let unfinished_at = outcome.is_err().then(|| progress.unfinished_attempts());
     progress.record_decision(&exchange, outcome_name);
     match outcome {
         Ok(response) => forward_response::forward_response(exchange, response, in_flight),
@@ -59,6 +60,7 @@
                 target: "request", level,
                 id = exchange.head.request_id.as_deref().unwrap_or(""),
                 route, service = &*exchange.service, outcome, offers = attempt_count,
+                unfinished_at = unfinished_at.as_deref().unwrap_or(""),
                 version = exchange.version, customer = exchange.customer_name(),
                 servers_revision = instance.replica.borrow().servers.as_of,
                 age_ms = millis(exchange.age());
