Box the opening of a pooled connection

The bounded handshake made the future of each request 17 kB, above the linter's limit, though most requests find an open connection. Only the few that open one are boxed now. No behaviour changes; clippy passes.

--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -129,7 +129,8 @@
     ) -> Result<Connection, PoolError> {
         let mut connection = match self.take_idle(remote, request_id) {
             Some(connection) => connection,
-            None => self.open(remote, address, limit, source).await?,
+            // Boxed: most requests find a connection, and their futures stay small.
+            None => Box::pin(self.open(remote, address, limit, source)).await?,
         };
         connection.carried.begin_exchange(request_id);
         Ok(connection)
