Draw twelve instances, surplus responses, bytes without end and mass kills in the soak

What runs did not see: users have 11 to 12 instances, the soak had three; no server sent a response twice under the id of its request, or bytes without end; no more than one instance was killed at a time; no process was short of its processor.

Change: every third seed runs twelve instances, half of which or all are killed at once or in series, and which get 0.1 to 0.3 of a processor for some seconds; servers of the region that gets requests through relays reject twice, 1 to 300 ms apart; bodies, heads and responses to checks have no end. New rules: memory of the smallest machine, and service 15 s after the return of instances killed together. The draws of the other steps stay.

--- a/crates/runpind/tests/soak/callers.rs
+++ b/crates/runpind/tests/soak/callers.rs
@@ -18,12 +18,13 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-const CLASSES: [Class; 7] = [
+const CLASSES: [Class; 8] = [
     Class { route: "idempotent", customer: "large" },
     Class { route: "idempotent", customer: "small" },
     Class { route: "idempotent", customer: "southern" },
     Class { route: "non_idempotent", customer: "large" },
     Class { route: "non_idempotent", customer: "small" },
+    Class { route: "non_idempotent", customer: "southern" },
     Class { route: "upload", customer: "large" },
     Class { route: "extra", customer: "large" },
 ];
--- a/crates/runpind/tests/soak/checks.rs
+++ b/crates/runpind/tests/soak/checks.rs
@@ -99,6 +99,7 @@
         self.check_ended();
         self.fleet.history.forget_old_requests();
         self.fleet.check_processes();
+        self.fleet.check_memory();
         windows::check(&self.fleet);
         recover::check(&self.fleet);
     }
--- a/crates/runpind/tests/soak/faults.rs
+++ b/crates/runpind/tests/soak/faults.rs
@@ -25,6 +25,12 @@
 /// Number of requests to which a backend server responds in a mode.
 const RESPONSES: usize = 5;
 
+/// Number of requests for which a backend server sends a surplus response.
+const SURPLUS_RESPONSES: usize = 30;
+
+/// Period in which a throttled instance gets its share of a processor.
+const THROTTLE_PERIOD: Duration = Duration::from_millis(100);
+
 /// Number of backend servers of a bad version.
 const BAD_SERVERS: usize = 2;
 
@@ -82,6 +88,28 @@
             }
             Ok(())
         }
+        Fault::Surplus(delay) => {
+            let serving = fleet.serving();
+            for backend in serving.iter().filter(|backend| backend.region() == "south") {
+                backend.mock.surplus_delay.set(delay);
+                let mode = ResponseMode::RejectedTwice;
+                (0..SURPLUS_RESPONSES).for_each(|_| backend.mock.queue_mode(mode));
+            }
+            Ok(())
+        }
+        Fault::EndlessChecks(number) => {
+            if let Some(backend) = pick(fleet, number) {
+                backend.mock.has_endless_checks.set(true);
+                sleep(duration).await;
+                backend.mock.has_endless_checks.set(false);
+            }
+            Ok(())
+        }
+        Fault::KillMany(numbers, gap) => kill_many(fleet, &numbers, gap, duration).await,
+        Fault::Throttle(share) => {
+            throttle(fleet, share, duration).await;
+            Ok(())
+        }
         Fault::Limited(number, per_s) => {
             if let Some(backend) = pick(fleet, number) {
                 limit(&backend, per_s, duration).await;
@@ -151,6 +179,8 @@
     let mut process = node.process.lock().await;
     let disruption = fleet.disrupt_instance(node.number, true);
     send_signal(&process, Signal::TERM);
+    // It may be throttled, and is no longer while it is being stopped.
+    send_signal(&process, Signal::CONT);
     let own_delay = fleet.history.own_delay.get();
     let ended = tokio::time::timeout(GRACE, process.wait()).await;
     if ended.is_err() {
@@ -188,6 +218,40 @@
     Ok(())
 }
 
+/// Kills instances, all at once or with a pause after each, and starts them again in the same way.
+async fn kill_many(
+    fleet: &Fleet,
+    numbers: &[usize],
+    gap: Duration,
+    duration: Duration,
+) -> io::Result<()> {
+    let killing = numbers.iter().zip(0..).map(async |(number, place): (&usize, u32)| {
+        sleep(gap * place).await;
+        kill(fleet, &fleet.nodes[*number], duration).await
+    });
+    futures::future::try_join_all(killing).await?;
+    fleet.returned_at.set(Some(Instant::now()));
+    Ok(())
+}
+
+/// Lets all instances run for a part of each period only, as a machine with a quota of a processor does.
+async fn throttle(fleet: &Fleet, share: f64, duration: Duration) {
+    let disruption = fleet.history.begin_disruption(Scope::Fleet, false);
+    let started = Instant::now();
+    let signal_all = |signal| {
+        // Processes that are being stopped or replaced are left alone.
+        let idle = fleet.nodes.iter().filter_map(|node| node.process.try_lock().ok());
+        idle.for_each(|process| send_signal(&process, signal));
+    };
+    while started.elapsed() < duration {
+        signal_all(Signal::STOP);
+        sleep(THROTTLE_PERIOD.mul_f64(1.0 - share)).await;
+        signal_all(Signal::CONT);
+        sleep(THROTTLE_PERIOD.mul_f64(share)).await;
+    }
+    fleet.history.end_disruption(disruption);
+}
+
 /// Lets a backend server state a limit, unless it does already.
 async fn limit(backend: &Backend, per_s: f64, duration: Duration) {
     if backend.limit.get().is_some() {
--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -45,6 +45,9 @@
 /// Time for which a backend server is cold after its start.
 pub(crate) const COLD: Duration = Duration::from_secs(3);
 
+/// Memory of the smallest machine.
+const SMALLEST_MEMORY_KB: u64 = 160 * 1024;
+
 /// Availability zone that is evacuated.
 pub(crate) const EVACUATED_ZONE: &str = "north-b";
 
@@ -174,6 +177,8 @@
     pub(crate) extra_route: Cell<(bool, Instant)>,
     /// Cuts between instances and all backend servers that have ended and are not yet checked.
     pub(crate) ended_cuts: RefCell<Vec<EndedCut>>,
+    /// When the last of many instances that were killed was ready again.
+    pub(crate) returned_at: Cell<Option<Instant>>,
     limits: Limits,
     versions: Cell<u64>,
 }
@@ -204,6 +209,7 @@
             rollout: Cell::default(),
             extra_route: Cell::new((false, Instant::now())),
             ended_cuts: RefCell::default(),
+            returned_at: Cell::default(),
             limits,
             versions: Cell::default(),
         };
@@ -290,6 +296,17 @@
         }
     }
 
+    /// Records an instance that took more memory than the smallest machine has.
+    pub(crate) fn check_memory(&self) {
+        for node in &self.nodes {
+            let Some(peak_kb) = peak_memory_kb(node.paths.process.get()) else { continue };
+            if peak_kb > SMALLEST_MEMORY_KB {
+                let detail = format!("instance {} took {peak_kb} kB", node.number);
+                self.history.record_violation("memory", detail, &[]);
+            }
+        }
+    }
+
     /// Ends all processes.
     pub(crate) async fn stop(&self) {
         for node in &self.nodes {
@@ -304,6 +321,13 @@
     }
 }
 
+/// The most memory that a process had; `None` if it has ended.
+fn peak_memory_kb(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.trim().split(' ').next()?.parse().ok()
+}
+
 async fn start_node(
     folder: &Path,
     binary: &Path,
--- a/crates/runpind/tests/soak/history.rs
+++ b/crates/runpind/tests/soak/history.rs
@@ -60,7 +60,12 @@
 impl Visit {
     /// Returns whether the backend server ran the request.
     pub(crate) fn has_run(&self) -> bool {
-        let rejections = [ResponseMode::Overloaded, ResponseMode::Rejected, ResponseMode::Replaced];
+        let rejections = [
+            ResponseMode::Overloaded,
+            ResponseMode::Rejected,
+            ResponseMode::RejectedTwice,
+            ResponseMode::Replaced,
+        ];
         !rejections.contains(&self.mode)
     }
 
@@ -74,6 +79,8 @@
                 | ResponseMode::MismatchedId
                 | ResponseMode::NoResponse
                 | ResponseMode::Unsigned
+                | ResponseMode::EndlessBody
+                | ResponseMode::EndlessHead
         )
     }
 }
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -66,10 +66,9 @@
         return report::list();
     }
     record_panics();
-    if !options.runs_cases {
-        return run_seed(&options);
-    }
-    let mut runs = seeds().map(|seed| run_seed(&Options { seed, ..options.clone() }));
+    let seeds: Vec<u64> =
+        if options.runs_cases { seeds().collect() } else { options.seeds.clone() };
+    let mut runs = seeds.into_iter().map(|seed| run_seed(&Options { seed, ..options.clone() }));
     runs.find(|code| *code != ExitCode::SUCCESS).unwrap_or(ExitCode::SUCCESS)
 }
 
@@ -122,8 +121,8 @@
 /// Runs a plan until its end or the first violation.
 async fn run(options: &Options, folder: &Path, history: Rc<History>) -> io::Result<()> {
     let limits = plan::limits(options.seed);
-    let fleet =
-        Fleet::start(folder, &options.binary, &plan::ZONES, limits, history.clone()).await?;
+    let zones = plan::zones(options.seed);
+    let fleet = Fleet::start(folder, &options.binary, &zones, limits, history.clone()).await?;
     let started = Instant::now();
     history.started.set(Some(started));
     let until = started + options.length;
@@ -147,6 +146,7 @@
             history.record_violation("soak", "a task of the test panics".to_owned(), &[]);
         }
     }
+    recover::check_return(&fleet);
     fleet.stop().await;
     Ok(())
 }
--- a/crates/runpind/tests/soak/options.rs
+++ b/crates/runpind/tests/soak/options.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Seed of the run in CI.
-const DEFAULT_SEED: u64 = 1;
+/// Seeds of the runs in CI, one with few instances and one with many.
+const DEFAULT_SEEDS: [u64; 2] = [1, 3];
 
 /// Length of the run in CI.
 const DEFAULT_LENGTH: Duration = Duration::from_secs(31);
@@ -29,6 +29,9 @@
 /// What to run.
 #[derive(Clone, Debug)]
 pub(crate) struct Options {
+    /// Seeds of the runs.
+    pub(crate) seeds: Vec<u64>,
+    /// Seed of the present run.
     pub(crate) seed: u64,
     pub(crate) length: Duration,
     /// The binary to test.
@@ -45,7 +48,8 @@
         mut arguments: impl Iterator<Item = String>,
     ) -> Result<Self, OptionError> {
         let mut options = Self {
-            seed: DEFAULT_SEED,
+            seeds: DEFAULT_SEEDS.to_vec(),
+            seed: DEFAULT_SEEDS[0],
             length: DEFAULT_LENGTH,
             binary: env!("CARGO_BIN_EXE_runpind").into(),
             runs_cases: false,
@@ -53,7 +57,7 @@
         };
         while let Some(name) = arguments.next() {
             match name.as_str() {
-                "--seed" => options.seed = number(name, arguments.next())?,
+                "--seed" => options.seeds = vec![number(name, arguments.next())?],
                 "--minutes" => {
                     let minutes: f64 = number(name, arguments.next())?;
                     options.length = Duration::from_secs_f64(minutes.clamp(0.0, 1e6) * 60.0);
--- a/crates/runpind/tests/soak/plan.rs
+++ b/crates/runpind/tests/soak/plan.rs
@@ -5,12 +5,15 @@
 use crate::cuts::Cut;
 use crate::proxy::Link;
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-/// Availability zones of the instances of a run.
-pub(crate) const ZONES: [&str; 3] = ["north-a", "north-b", "south-a"];
+/// Availability zones of the instances of a run with few of them.
+const ZONES: [&str; 3] = ["north-a", "north-b", "south-a"];
+
+/// Instances of each availability zone in a run with many of them, as many as users have.
+const INSTANCES_PER_ZONE: usize = 4;
 
 /// Length of a round, which has either planned work or faults.
 const ROUND: Duration = Duration::from_secs(10);
@@ -28,6 +31,16 @@
 /// are.
 const RESET_SALT: u64 = 0x0072_6573_6574;
 
+/// Distinguishes the draws of servers in trouble, and of what happens to many instances at once, from
+/// all others.
+const TROUBLE_SALT: u64 = 0x7472_6f75_626c;
+
+/// Delays of surplus responses.
+const SURPLUS_DELAY_MS: std::ops::Range<u64> = 1..300;
+
+/// Processor shares of instances that are throttled.
+const THROTTLED_SHARES: std::ops::Range<f64> = 0.1..0.3;
+
 /// Time for which instances are cut off from all backend servers: one in which they have to notice it
 /// and are judged after that, or one that ends before.
 const LONG_CUT_MS: std::ops::Range<u64> = 6_000..10_000;
@@ -67,6 +80,15 @@
     Compact,
     /// A backend server responds to a few requests in a mode.
     Responses(usize, ResponseMode),
+    /// The backend servers of the region with fewer of them, which gets requests through relays, send surplus
+    /// rejections for some requests, late by the delay.
+    Surplus(Duration),
+    /// A backend server responds to health checks without end.
+    EndlessChecks(usize),
+    /// SIGKILL of instances, all at once or with a pause after each, and new processes after the duration.
+    KillMany(Vec<usize>, Duration),
+    /// All instances get a share of a processor.
+    Throttle(f64),
     /// A backend server states a limit in its responses, in requests per second.
     Limited(usize, f64),
     /// A backend server drains and is replaced by a cold one.
@@ -102,13 +124,28 @@
     pub(crate) pause_ms: u64,
 }
 
+/// Whether a run has many instances.
+pub(crate) fn is_large(seed: u64) -> bool {
+    seed.is_multiple_of(3)
+}
+
+/// Availability zones of the instances of a run.
+pub(crate) fn zones(seed: u64) -> Vec<&'static str> {
+    let per_zone = if is_large(seed) { INSTANCES_PER_ZONE } else { 1 };
+    ZONES.repeat(per_zone)
+}
+
 /// Draws the limits of a run; every third seed has few descriptors or full queues.
 pub(crate) fn limits(seed: u64) -> Limits {
     let has_full_queues = seed % 3 == 1;
     Limits {
         descriptors: if seed % 3 == 2 { 160 } else { 1_024 },
         service_time: Duration::from_millis(if has_full_queues { 220 } else { 25 }),
-        callers: if has_full_queues { 120 } else { 24 },
+        callers: match (has_full_queues, is_large(seed)) {
+            (true, _) => 120,
+            (false, true) => 48,
+            (false, false) => 24,
+        },
         pause_ms: 60,
     }
 }
@@ -136,10 +173,84 @@
     }
     steps.extend(limit_steps(seed, length));
     steps.extend(cut_steps(seed, length));
+    steps.extend(trouble_steps(seed, length));
+    if is_large(seed) {
+        let mut rng = StdRng::seed_from_u64(seed ^ TROUBLE_SALT);
+        steps.iter_mut().for_each(|step| spread(&mut step.fault, &mut rng));
+        steps.extend(large_steps(&mut rng, length));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Moves a fault of one of the first instances to any instance of its zone, a cut at times to all of them.
+fn spread(fault: &mut Fault, rng: &mut StdRng) {
+    let mut draw = || ZONES.len() * rng.random_range(0..INSTANCES_PER_ZONE);
+    match fault {
+        Fault::Terminate(number)
+        | Fault::Pause(number)
+        | Fault::Kill(number)
+        | Fault::Reload(number)
+        | Fault::CallerLink(number, _)
+        | Fault::StoreLink(number, _) => *number += draw(),
+        Fault::CutFromServers(numbers, _) => {
+            let all = numbers.iter().flat_map(|number| {
+                (0..INSTANCES_PER_ZONE).map(move |place| number + place * ZONES.len())
+            });
+            *numbers = match draw() {
+                0 => all.collect(),
+                offset => numbers.iter().map(|number| number + offset).collect(),
+            };
+        }
+        _ => {}
+    }
+}
+
+/// Draws what happens to many instances at once, in the first part of a run, so that what follows is
+/// judged.
+fn large_steps(rng: &mut StdRng, length: Duration) -> Vec<Step> {
+    let count = ZONES.len() * INSTANCES_PER_ZONE;
+    let mut instances: Vec<usize> = (0..count).collect();
+    instances.shuffle(rng);
+    instances.truncate(*[count, count, count / 2].choose(rng).expect("there are counts"));
+    let gap_ms = if rng.random() { 0 } else { rng.random_range(50..400) };
+    let first_third_ms = (length / 3).as_millis() as u64;
+    let kill = Step {
+        at: Duration::from_millis(rng.random_range(3_000..first_third_ms.max(3_001))),
+        duration: Duration::from_millis(rng.random_range(200..2_000)),
+        fault: Fault::KillMany(instances, Duration::from_millis(gap_ms)),
+    };
+    let throttle = Step {
+        at: kill.at.saturating_sub(Duration::from_millis(rng.random_range(0..2_000))),
+        duration: Duration::from_millis(rng.random_range(4_000..9_000)),
+        fault: Fault::Throttle(rng.random_range(THROTTLED_SHARES)),
+    };
+    vec![kill, throttle]
+}
+
+/// Draws servers in trouble: surplus responses and bytes without end, in rounds of any kind.
+fn trouble_steps(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ !TROUBLE_SALT);
+    let rounds = length.div_duration_f64(ROUND) as u64;
+    let mut steps = Vec::new();
+    for _ in 0..rounds * 3 {
+        let server = rng.random_range(0..16);
+        let delay = Duration::from_millis(rng.random_range(SURPLUS_DELAY_MS));
+        let fault = match rng.random_range(0..6) {
+            0 => Fault::Responses(server, ResponseMode::EndlessBody),
+            1 => Fault::Responses(server, ResponseMode::EndlessHead),
+            2 => Fault::EndlessChecks(server),
+            _ => Fault::Surplus(delay),
+        };
+        steps.push(Step {
+            at: Duration::from_millis(rng.random_range(0..length.as_millis() as u64)),
+            duration: Duration::from_millis(rng.random_range(2_000..8_000)),
+            fault,
+        });
+    }
+    steps
+}
+
 /// Draws when instances lose all backend servers, in rounds of any kind; the third instance, or both
 /// others, can pass their requests on.
 fn cut_steps(seed: u64, length: Duration) -> Vec<Step> {
--- a/crates/runpind/tests/soak/recover.rs
+++ b/crates/runpind/tests/soak/recover.rs
@@ -38,6 +38,28 @@
     }
 }
 
+/// Time after which a fleet that was killed serves again.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Fraction of the requests that it has to serve then.
+const MIN_SERVED_AFTER_RECOVERY: f64 = 0.25;
+
+/// Checks, at the end of a run, that a fleet of which many instances were killed serves again.
+pub(crate) fn check_return(fleet: &Fleet) {
+    let Some(returned_at) = fleet.returned_at.get() else { return };
+    let mut served = Served::default();
+    for request in fleet.history.requests.borrow().values() {
+        let is_owed = request.sent_at >= returned_at + RECOVERY;
+        let Some(has_succeeded) = has_succeeded(request).filter(|_| is_owed) else { continue };
+        served.sent += 1;
+        served.succeeded += u32::from(has_succeeded);
+    }
+    if served.sent > 0 && served.ratio() < MIN_SERVED_AFTER_RECOVERY {
+        let detail = format!("{served:?} from {RECOVERY:?} after the return of all instances");
+        fleet.history.record_violation("recover", detail, &[]);
+    }
+}
+
 /// Checks cuts that ended so long ago that their requests have ended too.
 pub(crate) fn check(fleet: &Fleet) {
     let settled = |cut: &mut EndedCut| cut.until.elapsed() > SETTLING;
