Look up the owners of the soak's connections once, and only during cuts

Cause: the test's proxies looked up in /proc who holds each new connection, one after the other, with twelve processes to search; connections queued behind those whose callers had left.

Change: owners are looked up only while some instance is cut off, for all connections at once, by both ports.

--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -4,7 +4,7 @@
 use crate::common::objects::{configuration_with_customers, customer, route, routes, server_spec};
 use crate::common::server::MockBackendServer;
 use crate::common::store::MockStore;
-use crate::cuts::{EndedCut, InstancePaths, ServerProxy};
+use crate::cuts::{EndedCut, InstancePaths, Owners, ServerProxy};
 use crate::history::{History, Scope};
 use crate::plan::Limits;
 use crate::proxy::Proxy;
@@ -179,6 +179,7 @@
     pub(crate) ended_cuts: RefCell<Vec<EndedCut>>,
     /// When the last of many instances that were killed was ready again.
     pub(crate) returned_at: Cell<Option<Instant>>,
+    owners: Rc<Owners>,
     limits: Limits,
     versions: Cell<u64>,
 }
@@ -210,6 +211,7 @@
             extra_route: Cell::new((false, Instant::now())),
             ended_cuts: RefCell::default(),
             returned_at: Cell::default(),
+            owners: Rc::default(),
             limits,
             versions: Cell::default(),
         };
@@ -257,7 +259,7 @@
         mock.body.replace(RESPONSE_BODY.to_owned());
         mock.service_time.set(self.limits.service_time);
         let paths = self.nodes.iter().map(|node| node.paths.clone()).collect();
-        let proxy = ServerProxy::start(mock.address, paths).await?;
+        let proxy = ServerProxy::start(mock.address, paths, self.owners.clone()).await?;
         let cold_from = is_cold.then(Instant::now);
         let draining_from = Cell::new(None);
         let limit = Cell::new(None);
