Leave out of the soak's rule lost what a server broke off, also if it was hedged

Cause: the check, not the product. It looked at the last attempt only, which was the hedge; the caller had got the response of the first one, which the server broke off. The rule does not count what the server broke off. Trace: `retry decided`, is_hedge true, for both ids, and visits CloseDelimitedReset, then Success.

Change: a request is not judged if any of its attempts was answered with a body that the server breaks off after its head; requests with other failed attempts are judged as before.

--- a/crates/runpind/tests/soak/checks.rs
+++ b/crates/runpind/tests/soak/checks.rs
@@ -240,6 +240,8 @@
 /// A request that was read is answered, also around planned work.
 fn check_lost(history: &History, id: &str, request: &Request, closed_at: Instant) {
     let was_read = match request.visits.last() {
+        // The response of any attempt may have been the one that the caller got.
+        Some(_) if request.visits.iter().any(Visit::broke_off) => false,
         Some(visit) => {
             visit.was_answered() && history.server_undisturbed(&visit.server, visit.at, closed_at)
         }
--- a/crates/runpind/tests/soak/history.rs
+++ b/crates/runpind/tests/soak/history.rs
@@ -69,6 +69,11 @@
         !rejections.contains(&self.mode)
     }
 
+    /// Returns whether the server broke off a response that may have been forwarded already.
+    pub(crate) fn broke_off(&self) -> bool {
+        matches!(self.mode, ResponseMode::CloseDelimitedReset | ResponseMode::EndlessBody)
+    }
+
     /// Returns whether the server's response was complete and belonged to the request.
     pub(crate) fn was_answered(&self) -> bool {
         !matches!(
