Review case 3: a change is missed while all watchers are gone, and the report

Cause: another instance watches in the place of one that is gone only when that counts as lost, after 3.8 s, which is longer than the 2.5 s within which a configuration has to be in force.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod case1;
+mod case3;
 mod client;
 mod fleet;
 mod http;
@@ -45,6 +46,7 @@
     ));
     let outcome = match case {
         "1" => case1::run(dir, &record, has_trouble),
+        "3" => case3::run(dir, &record, has_trouble),
         other => {
             record.say(&format!("no case {other}"));
             return 2;
