--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -17,12 +17,16 @@
 mod fleet;
 #[path = "soak/history.rs"]
 mod history;
+#[path = "soak/open_loop.rs"]
+mod open_loop;
 #[path = "soak/plan.rs"]
 mod plan;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "soak/recover.rs"]
 mod recover;
+#[path = "soak/retry_rules.rs"]
+mod retry_rules;
 #[path = "soak/windows.rs"]
 mod windows;
 
@@ -39,7 +43,7 @@
 use common::store::Failure;
 use cuts::Cut;
 use fleet::{Fleet, SERVER_ZONES};
-use history::History;
+use history::{FIRST_SERVICE, History};
 use plan::{Fault, Limits, Step};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -191,7 +195,15 @@
             if self.mode == ResponseMode::ConnectionClose { FEW_CALLERS } else { CALLERS };
         for number in 0..callers {
             let rng = StdRng::seed_from_u64(number);
-            spawn_local(callers::run(fleet.clone(), history.clone(), rng, until, limits.pause_ms));
+            let classes = &callers::CLASSES;
+            spawn_local(callers::run(
+                fleet.clone(),
+                history.clone(),
+                rng,
+                until,
+                limits.pause_ms,
+                classes,
+            ));
         }
         let mut checker = Checker::new(fleet.clone());
         let checking = async {
@@ -254,7 +266,10 @@
 
 async fn roll_out(fleet: &Fleet) {
     for zone in SERVER_ZONES {
-        fleet.add_backend(zone, SOUND_VERSION, false).await.expect("a backend server starts");
+        fleet
+            .add_backend(FIRST_SERVICE, zone, SOUND_VERSION, false)
+            .await
+            .expect("a backend server starts");
     }
     let duration_s = ROLLOUT.as_secs_f64();
     let order =
--- a/crates/runpind/tests/soak/callers.rs
+++ b/crates/runpind/tests/soak/callers.rs
@@ -18,7 +18,7 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-const CLASSES: [Class; 8] = [
+pub(crate) const CLASSES: [Class; 8] = [
     Class { route: "idempotent", customer: "large" },
     Class { route: "idempotent", customer: "small" },
     Class { route: "idempotent", customer: "southern" },
@@ -29,6 +29,12 @@
     Class { route: "extra", customer: "large" },
 ];
 
+/// Requests that may run more than once, of both services.
+pub(crate) const IDEMPOTENT_CLASSES: [Class; 2] = [
+    Class { route: "idempotent", customer: "large" },
+    Class { route: "second", customer: "large" },
+];
+
 /// Size of the body of an upload.
 const UPLOAD_BYTES: usize = 6_000;
 
@@ -36,7 +42,7 @@
 const OBJECTS: u32 = 60;
 
 /// What a caller does with its connection.
-enum Behavior {
+pub(crate) enum Behavior {
     /// Sends a request and waits for the response.
     Wait,
     /// Pipelines this many requests.
@@ -52,17 +58,16 @@
     mut rng: StdRng,
     until: Instant,
     pause_ms: u64,
+    classes: &'static [Class],
 ) {
     while Instant::now() < until {
         let instance = rng.random_range(0..fleet.nodes.len());
         let is_direct = rng.random_bool(0.7);
-        let address = fleet.nodes[instance].address_for_callers(is_direct);
-        let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
+        let opening = Connection::open(&fleet, &history, (instance, is_direct), classes);
+        let Some(mut connection) = opening.await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let mut connection =
-            Connection { stream, buffer: Vec::new(), history: &history, instance, is_direct };
         while Instant::now() < until {
             let behavior = match rng.random_range(0..10) {
                 0 => Behavior::SendAhead(rng.random_range(2..5)),
@@ -77,20 +82,40 @@
     }
 }
 
-struct Connection<'a> {
+/// A connection of a caller.
+pub(crate) struct Connection {
     stream: TcpStream,
     buffer: Vec<u8>,
-    history: &'a History,
+    history: Rc<History>,
     instance: usize,
     is_direct: bool,
+    classes: &'static [Class],
 }
 
-impl Connection<'_> {
+impl Connection {
+    /// Connects to an instance; `None` if that takes too long.
+    pub(crate) async fn open(
+        fleet: &Fleet,
+        history: &Rc<History>,
+        (instance, is_direct): (usize, bool),
+        classes: &'static [Class],
+    ) -> Option<Self> {
+        let address = fleet.nodes[instance].address_for_callers(is_direct);
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+        let history = history.clone();
+        Some(Self { stream, buffer: Vec::new(), history, instance, is_direct, classes })
+    }
+
+    /// The instance at the other end.
+    pub(crate) fn instance(&self) -> usize {
+        self.instance
+    }
+
     /// Sends requests and reads their responses; returns whether the connection can be used again.
-    async fn exchange(&mut self, behavior: &Behavior, rng: &mut StdRng) -> bool {
+    pub(crate) async fn exchange(&mut self, behavior: &Behavior, rng: &mut StdRng) -> bool {
         let classes: Vec<Class> = match behavior {
-            Behavior::SendAhead(count) => vec![CLASSES[0]; *count],
-            _ => vec![*CLASSES.choose(rng).expect("there are classes")],
+            Behavior::SendAhead(count) => vec![self.classes[0]; *count],
+            _ => vec![*self.classes.choose(rng).expect("there are classes")],
         };
         let mut ids = Vec::new();
         let mut text = String::new();
@@ -125,7 +150,7 @@
     async fn read_responses(&mut self, ids: &[String]) -> bool {
         for (number, id) in ids.iter().enumerate() {
             let response = read_next_response(&mut self.stream, &mut self.buffer).await;
-            checks::response(self.history, id, &response);
+            checks::response(&self.history, id, &response);
             let closes = response.header("connection").is_some_and(|value| value == "close");
             if !response.is_complete || closes {
                 self.history.record_end(id, Outcome::Closed);
--- a/crates/runpind/tests/soak/checks.rs
+++ b/crates/runpind/tests/soak/checks.rs
@@ -4,7 +4,8 @@
 use crate::common::server::Arrival;
 use crate::fleet::{Backend, EVACUATED_ZONE, Fleet, Order, RESPONSE_BODY};
 use crate::history::{History, Outcome, Request, Visit};
-use crate::{recover, windows};
+use crate::retry_rules::RetryRules;
+use crate::{recover, retry_rules, windows};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -80,12 +81,13 @@
 pub(crate) struct Checker {
     pub(crate) fleet: Rc<Fleet>,
     sent_after_leaving: usize,
+    pub(crate) retry_rules: RetryRules,
 }
 
 impl Checker {
     /// Creates a checker of a fleet.
     pub(crate) fn new(fleet: Rc<Fleet>) -> Self {
-        Self { fleet, sent_after_leaving: 0 }
+        Self { fleet, sent_after_leaving: 0, retry_rules: RetryRules::default() }
     }
 
     /// Checks what was recorded since the last call.
@@ -95,20 +97,30 @@
             for arrival in backend.mock.arrivals.take() {
                 self.check_arrival(backend, &arrival);
             }
+            for (id, at) in backend.mock.endings.take() {
+                self.fleet.history.record_visit_end(&id, &backend.mock.id, at);
+            }
         }
         self.check_ended();
         self.fleet.history.forget_old_requests();
         self.fleet.check_processes();
         self.fleet.check_memory();
         windows::check(&self.fleet);
+        retry_rules::check_sums(&self.fleet);
         recover::check(&self.fleet);
     }
 
     fn check_arrival(&mut self, backend: &Backend, arrival: &Arrival) {
         let history = self.fleet.history.clone();
         let id = arrival.header("x-request-id").unwrap_or_default().to_owned();
-        let visit =
-            Visit { server: backend.mock.id.as_str().into(), at: arrival.at, mode: arrival.mode };
+        let visit = Visit {
+            server: backend.mock.id.as_str().into(),
+            service: backend.service,
+            at: arrival.at,
+            mode: arrival.mode,
+            deadline_ms: arrival.header("x-deadline-ms").and_then(|value| value.parse().ok()),
+            ended_at: None,
+        };
         let found = {
             let mut requests = history.requests.borrow_mut();
             requests.get_mut(&id).map(|request| {
@@ -174,8 +186,8 @@
         }
     }
 
-    fn check_ended(&self) {
-        let history = &self.fleet.history;
+    fn check_ended(&mut self) {
+        let history = &self.fleet.history.clone();
         let ids = history.ended.take();
         for id in ids {
             let request = history.requests.borrow().get(&id).cloned();
@@ -189,6 +201,7 @@
                 continue;
             }
             check_run(history, &id, &request);
+            self.retry_rules.check(history, &id, &request);
             match outcome {
                 Outcome::Closed => check_lost(history, &id, &request, at),
                 Outcome::Answered { status } => self.check_answered(&id, &request, status),
--- a/crates/runpind/tests/soak/faults.rs
+++ b/crates/runpind/tests/soak/faults.rs
@@ -5,7 +5,7 @@
 use crate::common::store::Failure;
 use crate::cuts::{Cut, EndedCut};
 use crate::fleet::{Backend, EVACUATED_ZONE, Fleet, GRACE, Node, Order, StatedLimit, send_signal};
-use crate::history::Scope;
+use crate::history::{FIRST_SERVICE, Scope};
 use crate::plan::{Fault, Step};
 use crate::proxy::Link;
 use crate::windows::BAD_VERSION;
@@ -118,7 +118,7 @@
         }
         Fault::Drain(number) => match pick(fleet, number) {
             Some(backend) => {
-                fleet.add_backend(backend.zone, backend.version, true).await?;
+                fleet.add_backend(backend.service, backend.zone, backend.version, true).await?;
                 drain(fleet, &backend).await;
                 Ok(())
             }
@@ -280,7 +280,7 @@
     backend.mock.crash();
     sleep(REGISTRATION).await;
     fleet.store.remove("servers", id);
-    fleet.add_backend(backend.zone, backend.version, true).await?;
+    fleet.add_backend(backend.service, backend.zone, backend.version, true).await?;
     Ok(())
 }
 
@@ -302,7 +302,7 @@
     }
     let mut new = Vec::new();
     for zone in ["north-a", "south-a"].into_iter().cycle().take(BAD_SERVERS) {
-        let backend = fleet.add_backend(zone, BAD_VERSION, false).await?;
+        let backend = fleet.add_backend(FIRST_SERVICE, zone, BAD_VERSION, false).await?;
         backend.mock.set_mode(ResponseMode::InternalError);
         new.push(backend);
     }
--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -5,7 +5,7 @@
 use crate::common::server::MockBackendServer;
 use crate::common::store::MockStore;
 use crate::cuts::{EndedCut, InstancePaths, Owners, ServerProxy};
-use crate::history::{History, Scope};
+use crate::history::{FIRST_SERVICE, History, SECOND_SERVICE, Scope};
 use crate::plan::Limits;
 use crate::proxy::Proxy;
 use rustix::process::{Pid, Signal, kill_process};
@@ -36,6 +36,9 @@
 pub(crate) const SERVER_ZONES: [&str; 7] =
     ["north-a", "north-a", "north-a", "north-b", "north-b", "south-a", "south-a"];
 
+/// Availability zones of the backend servers of the second service.
+pub(crate) const SECOND_SERVER_ZONES: [&str; 3] = ["north-a", "north-b", "south-a"];
+
 /// Time from SIGTERM to SIGKILL.
 pub(crate) const GRACE: Duration = Duration::from_secs(6);
 
@@ -62,6 +65,7 @@
 pub(crate) struct Backend {
     pub(crate) mock: Rc<MockBackendServer>,
     pub(crate) proxy: Rc<ServerProxy>,
+    pub(crate) service: &'static str,
     pub(crate) zone: &'static str,
     pub(crate) version: &'static str,
     /// When it started, if it started cold.
@@ -89,6 +93,7 @@
     /// Its object in the store.
     pub(crate) fn spec(&self, state: &str) -> Value {
         let mut spec = server_spec(self.proxy.address, self.zone, self.version, state);
+        spec["service"] = self.service.into();
         spec["cold_remaining_s"] = (self.mock.cold_ms.get() as f64 / 1_000.0).into();
         spec
     }
@@ -217,7 +222,10 @@
         };
         fleet.configure(false);
         for zone in SERVER_ZONES {
-            fleet.add_backend(zone, "v1", false).await?;
+            fleet.add_backend(FIRST_SERVICE, zone, "v1", false).await?;
+        }
+        for zone in SECOND_SERVER_ZONES {
+            fleet.add_backend(SECOND_SERVICE, zone, "v1", false).await?;
         }
         for node in &fleet.nodes {
             if !node.wait_until_ready().await {
@@ -231,6 +239,10 @@
     pub(crate) fn configure(&self, has_extra: bool) {
         self.versions.set(self.versions.get() + 3);
         let mut routes = Vec::from(routes());
+        let mut second = route("second", 4.0);
+        second[3] = "idempotent".into();
+        second[7] = SECOND_SERVICE.into();
+        routes.push(second);
         if has_extra {
             let mut extra = route("extra", 2.0);
             extra[3] = "non_idempotent".into();
@@ -242,7 +254,11 @@
             customer("southern", &["key-of-southern"], 100_000.0, &["south"]),
         ];
         let version = format!("{:08x}", self.versions.get());
-        let configuration = configuration_with_customers(&version, &routes, &customers);
+        let mut configuration = configuration_with_customers(&version, &routes, &customers);
+        let services = configuration["services"]["rows"].as_array_mut();
+        services.into_iter().for_each(|rows| {
+            rows.push(json!([SECOND_SERVICE, "/health", 390, 3.0, 11.0]));
+        });
         self.store.put("config", "main", configuration);
         self.extra_route.set((has_extra, Instant::now()));
     }
@@ -250,6 +266,7 @@
     /// Starts a backend server and registers it.
     pub(crate) async fn add_backend(
         &self,
+        service: &'static str,
         zone: &'static str,
         version: &'static str,
         is_cold: bool,
@@ -263,8 +280,16 @@
         let cold_from = is_cold.then(Instant::now);
         let draining_from = Cell::new(None);
         let limit = Cell::new(None);
-        let backend =
-            Rc::new(Backend { mock, proxy, zone, version, cold_from, draining_from, limit });
+        let backend = Rc::new(Backend {
+            mock,
+            proxy,
+            service,
+            zone,
+            version,
+            cold_from,
+            draining_from,
+            limit,
+        });
         if is_cold {
             backend.mock.cold_ms.set(COLD.as_millis() as u64);
             let warming = backend.clone();
@@ -278,11 +303,13 @@
         Ok(backend)
     }
 
-    /// The backend servers that serve and are not about to leave.
+    /// The backend servers of the first service that serve and are not about to leave.
     pub(crate) fn serving(&self) -> Vec<Rc<Backend>> {
         let backends = self.backends.borrow();
         let is_serving = |backend: &&Rc<Backend>| {
-            backend.draining_from.get().is_none() && !backend.mock.has_crashed()
+            backend.service == FIRST_SERVICE
+                && backend.draining_from.get().is_none()
+                && !backend.mock.has_crashed()
         };
         backends.iter().filter(is_serving).cloned().collect()
     }
--- a/crates/runpind/tests/soak/history.rs
+++ b/crates/runpind/tests/soak/history.rs
@@ -13,6 +13,10 @@
 /// Time for which ended requests are remembered, longer than the windows of all rules.
 const RETENTION: Duration = Duration::from_secs(45);
 
+/// The service of all routes but one, and that of the route `second`.
+pub(crate) const FIRST_SERVICE: &str = "dossier";
+pub(crate) const SECOND_SERVICE: &str = "agenda";
+
 /// Kind of a request, from its path and the customer that sends it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Class {
@@ -24,7 +28,12 @@
 impl Class {
     /// Returns whether a request may run more than once.
     pub(crate) fn is_idempotent(self) -> bool {
-        self.route == "idempotent"
+        matches!(self.route, "idempotent" | "second")
+    }
+
+    /// The service that its requests are for.
+    pub(crate) fn service(self) -> &'static str {
+        if self.route == "second" { SECOND_SERVICE } else { FIRST_SERVICE }
     }
 }
 
@@ -53,8 +62,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Visit {
     pub(crate) server: Rc<str>,
+    /// The service that the server belongs to.
+    pub(crate) service: &'static str,
     pub(crate) at: Instant,
     pub(crate) mode: ResponseMode,
+    /// Time that the server was given, in milliseconds.
+    pub(crate) deadline_ms: Option<u64>,
+    /// When the server no longer worked on it.
+    pub(crate) ended_at: Option<Instant>,
 }
 
 impl Visit {
@@ -185,6 +200,15 @@
         }
     }
 
+    /// Records that a server no longer works on a request.
+    pub(crate) fn record_visit_end(&self, id: &str, server: &str, at: Instant) {
+        let mut requests = self.requests.borrow_mut();
+        let visits = requests.get_mut(id).into_iter().flat_map(|request| &mut request.visits);
+        let mut running =
+            visits.filter(|visit| *visit.server == *server && visit.ended_at.is_none());
+        running.by_ref().take(1).for_each(|visit| visit.ended_at = Some(at));
+    }
+
     /// Forgets requests that ended so long ago that no rule concerns them.
     pub(crate) fn forget_old_requests(&self) {
         let is_recent =
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -10,11 +10,13 @@
 mod faults;
 mod fleet;
 mod history;
+mod open_loop;
 mod options;
 mod plan;
 mod proxy;
 mod recover;
 mod report;
+mod retry_rules;
 mod windows;
 
 #[allow(dead_code, reason = "the fixtures serve the tests of the platform too")]
@@ -128,7 +130,15 @@
     let until = started + options.length;
     for number in 0..limits.callers {
         let rng = StdRng::seed_from_u64(options.seed ^ (number as u64 + 1) << 32);
-        spawn_local(callers::run(fleet.clone(), history.clone(), rng, until, limits.pause_ms));
+        let classes = &callers::CLASSES;
+        spawn_local(callers::run(
+            fleet.clone(),
+            history.clone(),
+            rng,
+            until,
+            limits.pause_ms,
+            classes,
+        ));
     }
     for step in plan::steps(options.seed, options.length) {
         spawn_local(run_step(fleet.clone(), step));
--- /dev/null
+++ b/crates/runpind/tests/soak/open_loop.rs
@@ -0,0 +1,68 @@
+//! Callers that send at a rate, whether earlier requests were answered or not.
+
+use crate::callers::{Behavior, Connection, IDEMPOTENT_CLASSES};
+use crate::fleet::Fleet;
+use crate::history::History;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep_until};
+
+/// Time between two rounds of requests.
+const ROUND: Duration = Duration::from_millis(10);
+
+/// Fraction of the exchanges that send requests ahead.
+const SENT_AHEAD: f64 = 0.05;
+
+/// Idle connections of all callers.
+type Idle = Rc<RefCell<Vec<Connection>>>;
+
+/// Sends idempotent requests of both services to some instances at a rate, from now until a time.
+pub(crate) async fn run(
+    fleet: Rc<Fleet>,
+    history: Rc<History>,
+    instances: Vec<usize>,
+    per_s: f64,
+    until: Instant,
+) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let idle = Idle::default();
+    let mut rounds = interval(ROUND);
+    let mut due = 0.0;
+    while Instant::now() < until {
+        rounds.tick().await;
+        due += per_s * ROUND.as_secs_f64();
+        while due >= 1.0 {
+            due -= 1.0;
+            let caller = StdRng::seed_from_u64(rng.random());
+            let instance = *instances.choose(&mut rng).expect("there are instances");
+            spawn_local(exchange(fleet.clone(), history.clone(), caller, idle.clone(), instance));
+        }
+    }
+    sleep_until(until.into()).await;
+}
+
+/// Sends a request, at times a few, over an idle connection to an instance or a new one.
+async fn exchange(
+    fleet: Rc<Fleet>,
+    history: Rc<History>,
+    mut rng: StdRng,
+    idle: Idle,
+    instance: usize,
+) {
+    let position = idle.borrow().iter().rposition(|idle| idle.instance() == instance);
+    let connection = match position.map(|position| idle.borrow_mut().swap_remove(position)) {
+        Some(connection) => Some(connection),
+        None => Connection::open(&fleet, &history, (instance, true), &IDEMPOTENT_CLASSES).await,
+    };
+    let Some(mut connection) = connection else { return };
+    let is_ahead = rng.random_bool(SENT_AHEAD);
+    let behavior = if is_ahead { Behavior::SendAhead(2) } else { Behavior::Wait };
+    if connection.exchange(&behavior, &mut rng).await {
+        idle.borrow_mut().push(connection);
+    }
+}
--- a/crates/runpind/tests/soak/windows.rs
+++ b/crates/runpind/tests/soak/windows.rs
@@ -1,4 +1,4 @@
-//! Rules about the number of requests in a span of time: quotas, retries, cold and limited servers,
+//! Rules about the number of requests in a span of time: quotas, cold and limited servers,
 //! roll-outs.
 
 use crate::fleet::{Backend, COLD, Fleet, Order, SMALL_QUOTA};
@@ -13,13 +13,6 @@
 /// Runs of the customer `small` in a window: rate and burst, the agreed overage and the slack.
 const QUOTA_LIMIT: f64 = (SMALL_QUOTA * QUOTA_WINDOW_S + SMALL_QUOTA) * 1.1 + 20.0;
 
-/// Window over which retries are counted.
-const RETRY_WINDOW: Duration = Duration::from_secs(10);
-
-/// Retries per request, and retries in addition, in a window.
-const RETRY_RATIO: f64 = 0.2;
-const RETRY_EXTRA: f64 = 64.0;
-
 /// Requests a second that a cold server may get: its rate, the agreed overage and the slack.
 const COLD_LIMIT: f64 = 11.0 * 1.5 + 8.0;
 
@@ -44,7 +37,6 @@
     let requests = fleet.history.requests.borrow();
     let now = Instant::now();
     check_quota(fleet, &requests, now);
-    check_retries(fleet, &requests, now);
     let backends = fleet.backends.borrow();
     for backend in backends.iter() {
         check_cold(fleet, &requests, backend);
@@ -55,9 +47,9 @@
     }
 }
 
-type Requests = BTreeMap<String, Request>;
+pub(crate) type Requests = BTreeMap<String, Request>;
 
-fn is_within(at: Instant, until: Instant, window: Duration) -> bool {
+pub(crate) fn is_within(at: Instant, until: Instant, window: Duration) -> bool {
     at <= until && until - at < window
 }
 
@@ -82,25 +74,6 @@
     }
 }
 
-fn check_retries(fleet: &Fleet, requests: &Requests, now: Instant) {
-    let sent = |until: Instant| {
-        requests.values().filter(|sent| is_within(sent.sent_at, until, RETRY_WINDOW)).count()
-    };
-    let retries: usize = requests
-        .values()
-        .map(|request| {
-            let later = request.visits.iter().skip(1);
-            later.filter(|visit| is_within(visit.at, now, RETRY_WINDOW)).count()
-        })
-        .sum();
-    let most_sent = [now, now - RETRY_WINDOW / 2, now - RETRY_WINDOW].map(sent).into_iter().max();
-    let allowed = RETRY_RATIO * most_sent.unwrap_or(0) as f64 + RETRY_EXTRA;
-    if retries as f64 > allowed {
-        let detail = format!("{retries} retries in {RETRY_WINDOW:?}, {allowed} allowed");
-        fleet.history.record_violation("retries", detail, &[]);
-    }
-}
-
 fn check_cold(fleet: &Fleet, requests: &Requests, backend: &Backend) {
     let Some(from) = backend.cold_from else { return };
     let now = Instant::now();
