Take the time that a request waited off its deadline

What waited in the kernel of an instance or a relay that stood still, or behind another request of its connection, got its whole time from then on. A relay also sent what had no time left. Change: a timer shows when the process stood still (0.3 s or more). What is read within 0.2 s after that counts as having waited since the last tick; what was read earlier counts from there. Without time left a request is refused with 503 before anything is sent, by a relay as not sent, so that its sender tries elsewhere. Two log lines. Why it works: the wait is never taken for shorter than it was; a request that came just before the end of a standstill gets less time than it has, or is refused with the promise that it has not run.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -70,8 +70,12 @@
     let instance_for_service = instance.clone();
     let progress = Rc::new(HeadProgress::default());
     let progress_for_service = progress.clone();
+    let buffer_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
+    let stream = ReadAhead::new(stream, buffer_bytes);
+    let stream_for_service = stream.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
-        request.extensions_mut().insert(Caller(caller));
+        let waited = time_waited(&instance_for_service, &stream_for_service);
+        request.extensions_mut().insert(Caller { host: caller, waited });
         let guard = progress_for_service.head_complete();
         let response = handler(instance_for_service.clone(), request);
         async move {
@@ -80,8 +84,6 @@
         }
     });
     let mut timer = HeadTimer::new(progress.clone(), limits.header_timeout);
-    let buffer_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
-    let stream = ReadAhead::new(stream, buffer_bytes);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -104,6 +106,13 @@
     }
 }
 
+/// Longest time for which a request whose head is complete may have waited: until it was read, and then behind
+/// others of its connection.
+fn time_waited(instance: &Instance, stream: &ReadAhead<TcpStream>) -> Duration {
+    let read_at = stream.last_read_at();
+    read_at.elapsed() + instance.standstills.longest_wait(read_at)
+}
+
 /// Polls a connection; ready when it is served, or its caller disconnects during a request.
 ///
 /// The connection must then be dropped, which cancels the request.
--- a/crates/entry/src/connection/read_ahead.rs
+++ b/crates/entry/src/connection/read_ahead.rs
@@ -9,6 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Largest number of bytes read at once.
@@ -23,6 +24,10 @@
     stream: S,
     /// Bytes that the reader has not taken yet.
     unread: BytesMut,
+    /// When the last bytes of `unread` were read from the stream.
+    unread_since: Instant,
+    /// When the last bytes that the reader has taken were read from the stream.
+    last_read_at: Instant,
     /// Largest length of `unread`.
     max_bytes: usize,
     /// Whether the reader itself waits for the stream.
@@ -38,8 +43,15 @@
 impl<S: AsyncRead + AsyncWrite + Unpin> ReadAhead<S> {
     /// Wraps a connection of which at most `max_bytes` are read ahead.
     pub fn new(stream: S, max_bytes: usize) -> Self {
-        let unread = BytesMut::new();
-        Self(Rc::new(RefCell::new(State { stream, unread, max_bytes, is_reader_waiting: false })))
+        let now = Instant::now();
+        Self(Rc::new(RefCell::new(State {
+            stream,
+            unread: BytesMut::new(),
+            unread_since: now,
+            last_read_at: now,
+            max_bytes,
+            is_reader_waiting: false,
+        })))
     }
 
     /// Number of bytes read ahead that the reader has not taken yet.
@@ -47,6 +59,11 @@
         self.0.borrow().unread.len()
     }
 
+    /// When the last bytes that the reader has taken were read from the stream.
+    pub fn last_read_at(&self) -> Instant {
+        self.0.borrow().last_read_at
+    }
+
     /// Forgets that the reader waits for the stream; call before polling the reader.
     pub fn begin_poll(&self) {
         self.0.borrow_mut().is_reader_waiting = false;
@@ -73,6 +90,7 @@
                 return Poll::Ready(());
             }
             state.unread.extend_from_slice(piece.filled());
+            state.unread_since = Instant::now();
         }
     }
 }
@@ -87,9 +105,13 @@
         if state.unread.is_empty() {
             let read = Pin::new(&mut state.stream).poll_read(context, buffer);
             state.is_reader_waiting = read.is_pending();
+            if read.is_ready() {
+                state.last_read_at = Instant::now();
+            }
             return read;
         }
         let count = state.unread.len().min(buffer.remaining());
+        state.last_read_at = state.unread_since;
         buffer.put_slice(&state.unread[..count]);
         state.unread.advance(count);
         if state.unread.is_empty() {
--- a/crates/entry/src/process/daemon.rs
+++ b/crates/entry/src/process/daemon.rs
@@ -3,7 +3,7 @@
 use super::instance::Instance;
 use super::listeners::Listeners;
 use super::reload::SettingsFile;
-use super::{gossip, reach_checks, resync, stop, store_sync, terms};
+use super::{gossip, reach_checks, resync, standstills, stop, store_sync, terms};
 use crate::connection::listener;
 use crate::error::EntryError;
 use crate::platform_api::{Store, Subject, Wire};
@@ -61,6 +61,7 @@
     listener::listen(instance, operators, request::operators::handle);
     let gossip = Rc::new(gossip);
     gossip::run(instance, gossip.clone());
+    spawn_local(standstills::run(instance.standstills.clone()));
     spawn_local(resync::run(instance.clone()));
     spawn_local(reach_checks::run(instance.clone()));
     let has_rollouts = settings.exposure.is_some();
--- a/crates/entry/src/process/fleet.rs
+++ b/crates/entry/src/process/fleet.rs
@@ -60,14 +60,9 @@
 
 /// Number of instances that may be serving callers, reachable from here or not; none while unknown.
 fn fleet_size(instance: &Instance) -> Option<usize> {
-    let startup = instance.is_recently_started().then(|| {
-        let own = &instance.settings.name;
-        let registered = instance.registrations.borrow();
-        let others = registered.iter().flatten().filter(|other| other.name != *own);
-        Startup {
-            registered_others: registered.is_some().then(|| others.count()),
-            has_waited: instance.uptime() >= instance.timings.liveness.lost_after,
-        }
+    let startup = instance.is_recently_started().then(|| Startup {
+        registered_others: instance.registrations.count_of_others(&instance.settings.name),
+        has_waited: instance.uptime() >= instance.timings.liveness.lost_after,
     });
     instance.peers.borrow().fleet_size(startup.as_ref())
 }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -201,7 +201,7 @@
             let _ = socket.send_to(&bytes, other.gossip_address).await;
         }
         let is_registered = registrations.contains(&own);
-        instance.registrations.replace(Some(registrations));
+        instance.registrations.replace(registrations);
         fleet::update_fleet(&instance);
         if !is_registered {
             let registered = instance.store.register(&own).await;
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -7,12 +7,14 @@
 use super::probes::Probes;
 use super::quotas::Quotas;
 use super::recent_decisions::RecentDecisions;
+use super::registrations::Registrations;
 use super::relays::{Relay, Relays};
 use super::retry_budgets::RetryBudgets;
 use super::service_selectors::ServiceSelectors;
+use super::standstills::Standstills;
 use crate::connection::pool::Pools;
 use crate::error::EntryError;
-use crate::platform_api::{Registration, SUBJECTS, Store, Wire};
+use crate::platform_api::{SUBJECTS, Store, Wire};
 use crate::settings::Settings;
 use crate::version::{ActiveConfiguration, StoreReplica};
 use bytes::Bytes;
@@ -75,8 +77,8 @@
     pub roster: RefCell<Roster>,
     /// The other instances.
     pub peers: RefCell<Peers>,
-    /// The registered instances of the store's last response; none before the first response.
-    pub registrations: RefCell<Option<Vec<Registration>>>,
+    /// The instances that are registered in the store.
+    pub(super) registrations: Registrations,
     /// Connections to backend servers.
     pub pools: Pools,
     /// The instances that relay requests to other regions.
@@ -115,6 +117,8 @@
     pub stop: watch::Sender<StopPhase>,
     /// The clock that keeps running while the machine is suspended.
     pub clock: Rc<Clock>,
+    /// When the process stood still.
+    pub(crate) standstills: Rc<Standstills>,
     /// Value of [`Clock::long_suspensions`] at the last resynchronization.
     pub resynced: watch::Sender<u64>,
     /// Time by which requests that arrive during a planned stop have to be answered.
@@ -203,7 +207,7 @@
             active_configuration: RefCell::default(),
             roster: RefCell::new(roster),
             peers: RefCell::new(Peers::in_zone(zone, timings.liveness)),
-            registrations: RefCell::default(),
+            registrations: Registrations::default(),
             pools: Pools::new(clock.clone(), timings.connections, own_host),
             relays: RefCell::new(relays),
             reach: RefCell::default(),
@@ -223,6 +227,7 @@
             arm_counts: RefCell::default(),
             metrics: Metrics::new()?,
             stop: watch::Sender::new(StopPhase::Running),
+            standstills: Rc::new(Standstills::new(Instant::now())),
             resynced: watch::Sender::new(0),
             stop_deadline: Cell::new(None),
             in_flight: Cell::new(0),
@@ -285,8 +290,8 @@
         if now.duration_since(self.started_at) >= self.timings.liveness.lost_after {
             return peers.is_watcher(&own, now);
         }
-        let registered = self.registrations.borrow();
-        peers.is_first_watcher(&own, registered_names(&registered, &own.region), now)
+        let registered = self.registrations.names_in(&own.region);
+        peers.is_first_watcher(&own, registered.iter().map(|name| &**name), now)
     }
 
     /// Draws an instance that passes on a request for a service.
@@ -300,21 +305,18 @@
     /// yet known which instances are live.
     pub(super) fn startup_rank(&self) -> usize {
         let own = self.own_peer.borrow();
-        let registered = self.registrations.borrow();
-        let names = registered_names(&registered, &own.region);
-        let peers = self.peers.borrow();
-        peers.startup_rank(&own, names, Instant::now())
+        let registered = self.registrations.names_in(&own.region);
+        let names = registered.iter().map(|name| &**name);
+        self.peers.borrow().startup_rank(&own, names, Instant::now())
     }
 
     /// What is known about other instances just after the start.
     pub(super) fn registration_state(&self) -> RegistrationState {
-        let registered = self.registrations.borrow();
         let own = &self.settings.name;
-        let was_registered = registered.iter().flatten().any(|other| other.name == *own);
-        let is_alone =
-            registered.as_ref().is_some_and(|all| all.iter().all(|other| other.name == *own))
-                && self.seeds.borrow().is_empty()
-                && self.peers.borrow().all().next().is_none();
+        let was_registered = self.registrations.contains(own);
+        let is_alone = self.registrations.count_of_others(own) == Some(0)
+            && self.seeds.borrow().is_empty()
+            && self.peers.borrow().all().next().is_none();
         match (is_alone, was_registered) {
             (true, _) => RegistrationState::None,
             (false, true) => RegistrationState::Registered,
@@ -384,14 +386,3 @@
         self.peers.borrow().look_up(&self.own_peer(), zone, region, Instant::now())
     }
 }
-
-fn registered_names<'a>(
-    registered: &'a Option<Vec<Registration>>,
-    region: &str,
-) -> impl Iterator<Item = &'a str> {
-    registered
-        .iter()
-        .flatten()
-        .filter(move |other| *other.region == *region)
-        .map(|other| &*other.name)
-}
--- a/crates/entry/src/request/handle.rs
+++ b/crates/entry/src/request/handle.rs
@@ -1,5 +1,6 @@
 //! The first and the last stage of a caller's request.
 
+use super::attempt::millis;
 use super::body::ResponseBody;
 use super::caller::Caller;
 use super::caller_body::CallerBody;
@@ -20,6 +21,9 @@
 use steering::deployment::Authentication;
 use steering::placement::rank::name_hash;
 
+/// Shortest wait that is logged.
+const LOGGED_WAIT: Duration = Duration::from_millis(250);
+
 /// Answers a caller's request.
 pub async fn handle(instance: Rc<Instance>, request: Request<Incoming>) -> Response<ResponseBody> {
     let in_flight = InFlightGuard::enter(&instance);
@@ -50,8 +54,8 @@
     request: Request<Incoming>,
     head: CallerHead,
 ) -> Result<(Exchange, CallerBody), Problem> {
-    let started = instance.clock.now();
-    let caller = Caller::address_of(&request);
+    let Caller { host: caller, waited } = Caller::of(&request);
+    let started = instance.clock.now() - waited;
     if !instance.has_required_state() {
         return Err(Problem::NoConfiguration);
     }
@@ -75,6 +79,18 @@
     let deadline = instance.stop_deadline.get().map_or(deadline, |latest| latest.min(deadline));
     let body = CallerBody::read(request, configuration.body_limit_bytes);
     let body = with_deadline(instance, deadline, body).await.ok_or(Problem::BodyTimeout)??;
+    let time_left = deadline.since(instance.clock.now());
+    if waited >= LOGGED_WAIT {
+        log::info!(
+            target: "request",
+            id = head.request_id.as_deref().unwrap_or(""), waited_ms = millis(waited),
+            time_left_ms = millis(time_left);
+            "waited before its handling began"
+        );
+    }
+    if time_left.is_zero() {
+        return Err(Problem::TimeoutBeforeSend);
+    }
     let service = instance.service_selectors.select(&route).ok_or(Problem::NoRoute)?;
     let key_hash = match &head.affinity_key {
         Some(key) if route.affinity => name_hash(key) ^ name_hash(&service),
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -38,6 +38,8 @@
     UnknownSender(IpAddr),
     #[error("state not resynchronized since a suspension")]
     StaleState,
+    #[error("its time was over after it had waited for up to {0:?}")]
+    Expired(Duration),
     #[error("no known backend server at this address")]
     UnknownServer,
     #[error("no backend server of the service is reached")]
@@ -61,6 +63,7 @@
         match self {
             Self::UnknownSender(_)
             | Self::StaleState
+            | Self::Expired(_)
             | Self::UnknownServer
             | Self::CutOff
             | Self::Busy(_)
@@ -108,11 +111,12 @@
     destination: &Destination,
     in_flight: InFlightGuard,
 ) -> Result<Response<ResponseBody>, RelayError> {
-    let received_at = instance.clock.now();
+    let Caller { host: sender, waited } = Caller::of(&request);
+    let received_at = instance.clock.now() - waited;
     let head = instance.wire.decode_caller_head(request.headers());
     let request_id = head.request_id.as_deref();
     let Destination { server, address } = destination;
-    let service = destination_service(instance, Caller::address_of(&request), destination)?;
+    let service = destination_service(instance, sender, destination)?;
     let is_cut_off = |is_connection_new: bool| {
         instance.reach.borrow().is_cut_off_over(&service, is_connection_new)
     };
@@ -137,6 +141,10 @@
     let mut request = to_server_request(request);
     if let Some(deadline) = head.deadline {
         let time_left = deadline.saturating_sub(instance.clock.now().since(received_at));
+        if time_left.is_zero() {
+            instance.pools.release(connection, None);
+            return Err(RelayError::Expired(waited));
+        }
         instance.wire.add_server_headers(request.headers_mut(), time_left, &server.id, None);
     }
     let sent_at = Instant::now();
--- /dev/null
+++ b/crates/entry/tests/standstills.rs
@@ -0,0 +1,46 @@
+//! Standstills of the process, and how long requests that are read after them may have waited.
+
+use entry::process::standstills::Standstills;
+use std::time::{Duration, Instant};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A record with ticks in time, until a time that is returned.
+fn running() -> (Standstills, Instant) {
+    let started = Instant::now();
+    let standstills = Standstills::new(started);
+    let ticks = [200, 405, 600].map(|at| standstills.record_tick(started + ms(at)));
+    assert_eq!(ticks, [None; 3]);
+    (standstills, started + ms(600))
+}
+
+#[test]
+fn a_request_of_a_process_that_runs_has_not_waited() {
+    let (standstills, last_tick) = running();
+    assert_eq!(standstills.longest_wait(last_tick + ms(199)), Duration::ZERO);
+}
+
+// Guards against requests that are read before the tick that shows the standstill.
+#[test]
+fn a_request_that_is_read_before_the_late_tick_may_have_waited_since_the_last_one() {
+    let (standstills, last_tick) = running();
+    assert_eq!(standstills.longest_wait(last_tick + ms(2_500)), ms(2_500));
+}
+
+#[test]
+fn a_request_that_is_read_after_the_late_tick_may_have_waited_since_the_one_before() {
+    let (standstills, last_tick) = running();
+    assert_eq!(standstills.record_tick(last_tick + ms(2_500)), Some(ms(2_500)));
+    assert_eq!(standstills.longest_wait(last_tick + ms(2_520)), ms(2_520));
+    assert_eq!(standstills.longest_wait(last_tick + ms(2_700)), Duration::ZERO);
+}
+
+// Guards against requests that were read before a standstill, and handled after it.
+#[test]
+fn a_request_that_was_read_before_a_standstill_has_not_waited_to_be_read() {
+    let (standstills, last_tick) = running();
+    standstills.record_tick(last_tick + ms(2_500));
+    assert_eq!(standstills.longest_wait(last_tick - ms(10)), Duration::ZERO);
+}
--- a/crates/runpind/tests/soak/open_loop.rs
+++ b/crates/runpind/tests/soak/open_loop.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
-use tokio::time::{interval, sleep_until};
+use tokio::time::interval;
 
 /// Time between two rounds of requests.
 const ROUND: Duration = Duration::from_millis(10);
@@ -21,29 +21,29 @@
 /// Idle connections of all callers.
 type Idle = Rc<RefCell<Vec<Connection>>>;
 
-/// Sends idempotent requests of both services to some instances at a rate, from now until a time.
-pub(crate) async fn run(
-    fleet: Rc<Fleet>,
-    history: Rc<History>,
-    instances: Vec<usize>,
-    per_s: f64,
-    until: Instant,
-) {
+/// Requests per second, and the instances that they are sent to.
+pub(crate) struct Load {
+    pub(crate) instances: Vec<usize>,
+    pub(crate) per_s: f64,
+}
+
+/// Sends idempotent requests of both services, from now until a time.
+pub(crate) async fn run(fleet: &Rc<Fleet>, history: &Rc<History>, load: Load, until: Instant) {
     let mut rng = StdRng::seed_from_u64(1);
     let idle = Idle::default();
     let mut rounds = interval(ROUND);
     let mut due = 0.0;
     while Instant::now() < until {
         rounds.tick().await;
-        due += per_s * ROUND.as_secs_f64();
+        due += load.per_s * ROUND.as_secs_f64();
         while due >= 1.0 {
             due -= 1.0;
             let caller = StdRng::seed_from_u64(rng.random());
-            let instance = *instances.choose(&mut rng).expect("there are instances");
-            spawn_local(exchange(fleet.clone(), history.clone(), caller, idle.clone(), instance));
+            let instance = *load.instances.choose(&mut rng).expect("there are instances");
+            let (fleet, history) = (fleet.clone(), history.clone());
+            spawn_local(exchange(fleet, history, caller, idle.clone(), instance));
         }
     }
-    sleep_until(until.into()).await;
 }
 
 /// Sends a request, at times a few, over an idle connection to an instance or a new one.
--- a/crates/runpind/tests/soak/retry_budget.rs
+++ b/crates/runpind/tests/soak/retry_budget.rs
@@ -86,8 +86,9 @@
 struct Scenario {
     /// Instances that callers use.
     called: Vec<usize>,
-    /// Requests per second of both services together.
-    per_s: f64,
+    /// Requests per second of both services together, and those after `slower_after`.
+    per_s: [f64; 2],
+    slower_after: Duration,
     /// Time in which backend servers respond with success, and instances save retries.
     quiet: Duration,
     /// How backend servers respond after that.
@@ -142,13 +143,15 @@
         let started = Instant::now();
         history.started.set(Some(started));
         let until = started + self.quiet + self.failing_for;
-        spawn_local(open_loop::run(
-            fleet.clone(),
-            history.clone(),
-            self.called.clone(),
-            self.per_s,
-            until,
-        ));
+        let [first, rest] =
+            self.per_s.map(|per_s| open_loop::Load { instances: self.called.clone(), per_s });
+        let slower_after = self.slower_after;
+        let calling = (fleet.clone(), history.clone());
+        spawn_local(async move {
+            let (fleet, history) = calling;
+            open_loop::run(&fleet, &history, first, started + slower_after).await;
+            open_loop::run(&fleet, &history, rest, until).await;
+        });
         let mut checker = Checker::new(fleet.clone());
         let mut worst = [Sum::default(); 2];
         let checking = async {
@@ -277,7 +280,8 @@
     Scenario {
         called: (0..ZONES.len()).collect(),
         quiet: Duration::from_secs(5),
-        per_s: 600.0,
+        per_s: [600.0; 2],
+        slower_after: Duration::ZERO,
         mode: ResponseMode::InternalError,
         service_time: Duration::from_millis(25),
         disturbance,
@@ -351,14 +355,17 @@
 // Guards against instances that heard nobody for over a minute and then spend the whole budget each.
 #[test]
 fn retries_stay_within_the_budget_after_most_instances_stood_still_for_over_a_minute() {
-    let length = Duration::from_secs(66);
+    let length = Duration::from_secs(77);
     let numbers = (1..ZONES.len()).collect();
     let disturbance = Disturbance::StallInstances { numbers, length, pause: Duration::ZERO };
+    // Nearly half of the requests go to the one that doesn't stand still.
+    let called = std::iter::repeat_n(0, ZONES.len() - 3).chain(1..ZONES.len()).collect();
     let scenario = Scenario {
-        called: vec![0],
-        quiet: length + Duration::from_millis(3_500),
-        per_s: 20.0,
-        disturbed_after: Duration::from_secs(3),
+        called,
+        quiet: Duration::from_secs(83),
+        per_s: [150.0, 20.0],
+        slower_after: Duration::from_secs(71),
+        disturbed_after: Duration::from_secs(5),
         failing_for: Duration::from_secs(12),
         ..all_fail(disturbance)
     };
