Count retries until they can't arrive any more

Callers saw: repeats piled up beyond what is allowed (BUDGET), at three deployments. Whether this is why is not known. Cause: a retry was charged when it was sent, and is counted where and when it arrives. What is sent during a stall arrives at its end, beside the retries of a whole window. The same holds for a first attempt that is held up while its hedge is served: it is the repeat then. Change: beside its tokens, a budget has a window. A retry counts while any attempt of its request has no outcome, for as long as a closed connection still carries what was given up where the outcome stays unknown, and for a window from then on. Retries that were not sent are returned, also those of attempts that were begun. Log line 'retries ended' sets attempts that may have arrived against retries taken, by id. What log lines need of durations stands in one file. Why it works: all retries that arrive in a window are counted at the last moment at which one of them is sent.

--- a/crates/entry/src/process/clock.rs
+++ b/crates/entry/src/process/clock.rs
@@ -5,6 +5,7 @@
 //! measured by [`Clock`]; failure detection by silence uses `Instant`, as nothing can be received
 //! during a suspension. The time of day is used for neither, as it may be set.
 
+use super::millis::millis;
 use rustix::time::{ClockId, clock_gettime};
 use std::cell::Cell;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -84,7 +85,7 @@
         let suspended = offset.saturating_sub(self.offset.get());
         if suspended >= SUSPENSION_THRESHOLD {
             self.offset.set(offset);
-            let suspended_ms = u64::try_from(suspended.as_millis()).unwrap_or(u64::MAX);
+            let suspended_ms = millis(suspended);
             log::warn!(target: "process", suspended_ms; "machine was suspended");
             if suspended >= STALE_THRESHOLD {
                 self.long_suspensions.set(self.long_suspensions.get() + 1);
@@ -97,7 +98,7 @@
     /// The time of day, in milliseconds since the Unix epoch.
     pub fn unix_ms() -> u64 {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+        millis(since_epoch)
     }
 
     /// Number of suspensions so far after which the state counts as stale.
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -28,7 +28,7 @@
 use steering::placement::bootstrap_delay::RegistrationState;
 use steering::placement::peer_update::StartId;
 use steering::placement::peers::FORGOTTEN_AFTER;
-use steering::placement::{Peer, PeerState, Peers, RetryBudget, Roster, start_id};
+use steering::placement::{Peer, PeerState, Peers, Roster, start_id};
 use steering::quota::MemberId;
 use steering::reach::Reach;
 use steering::rollout::{ExposureLimit, RolloutTable};
@@ -193,6 +193,8 @@
         );
         let quotas = Quotas::new(&settings.name, own.started_ms, settings.quota_terms);
         let timings = Timings::from(&settings.terms);
+        let max_lateness = timings.connections.user_timeout;
+        let retry_budgets = RetryBudgets::new(clock.clone(), settings.retry_terms, max_lateness);
         let own_host = settings.peer_address.ip();
         let zone = settings.availability_zone.clone();
         let roster = Roster::new(&settings.name, zone.clone(), settings.regions.clone())
@@ -221,7 +223,7 @@
             suspects: RefCell::default(),
             urgent_gossip: Notify::new(),
             probes: RefCell::default(),
-            retry_budgets: RetryBudgets::default(),
+            retry_budgets,
             service_selectors: ServiceSelectors::default(),
             recent_decisions: RefCell::default(),
             arm_counts: RefCell::default(),
@@ -374,13 +376,6 @@
         self.replica.borrow().configuration.content.services.get(name).cloned()
     }
 
-    /// Adds a request for a service to its retry budget.
-    pub fn credit_retry_budget(&self, service: &Arc<str>) {
-        let Settings { retry_ratio, retry_extra, .. } = self.settings;
-        let new = || RetryBudget::new(retry_ratio, retry_extra);
-        self.retry_budgets.credit(service, new);
-    }
-
     /// Addresses of the instances that callers of an availability zone should use.
     pub fn look_up(&self, zone: &str, region: &str) -> Vec<SocketAddr> {
         self.peers.borrow().look_up(&self.own_peer(), zone, region, Instant::now())
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -15,6 +15,7 @@
 pub mod listeners;
 pub mod logging;
 pub mod metrics;
+pub(crate) mod millis;
 pub mod probes;
 pub mod quotas;
 pub(crate) mod reach;
--- a/crates/entry/src/process/reach_checks.rs
+++ b/crates/entry/src/process/reach_checks.rs
@@ -1,6 +1,7 @@
 //! Checks whether backend servers are reached, while requests leave it unclear.
 
 use super::instance::Instance;
+use super::millis::millis;
 use super::reach;
 use crate::connection::dial::{DIAL_TIMEOUT, dial};
 use crate::connection::http_client;
@@ -100,7 +101,7 @@
     instance.metrics.reach.with_label_values(&[label, "check"]).inc();
     log::info!(
         target: "reach", service = &**service, server = &*server.id, outcome,
-        after_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        after_ms = millis(started.elapsed());
         "checked a backend server"
     );
 }
--- a/crates/entry/src/process/standstills.rs
+++ b/crates/entry/src/process/standstills.rs
@@ -1,5 +1,6 @@
 //! Detects that the process stood still, as what it reads then may have waited for long.
 
+use super::millis::millis;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -57,7 +58,7 @@
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         if let Some(length) = standstills.record_tick(Instant::now()) {
-            let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+            let length_ms = millis(length);
             log::warn!(target: "process", length_ms; "process stood still");
         }
     }
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -9,10 +9,11 @@
 use crate::connection::relay_protocol::RelayOutcome;
 use crate::platform_api::ServerHead;
 use crate::process::crash_detection::probe_after_close;
+use crate::process::millis::millis;
 use crate::process::relays::Relay;
 use crate::process::{conditions, reach, suspects};
 use http::{HeaderMap, Request, StatusCode, Uri};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use steering::placement::load::LoadReport;
 use steering::placement::{Choice, Ending};
 use steering::reach::Failure;
@@ -361,8 +362,3 @@
         "attempt failed"
     );
 }
-
-/// The duration in whole milliseconds.
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/entry/src/request/handle.rs
+++ b/crates/entry/src/request/handle.rs
@@ -1,6 +1,5 @@
 //! The first and the last stage of a caller's request.
 
-use super::attempt::millis;
 use super::body::ResponseBody;
 use super::caller::Caller;
 use super::caller_body::CallerBody;
@@ -12,6 +11,7 @@
 use crate::platform_api::CallerHead;
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
+use crate::process::millis::millis;
 use http::header::{CONNECTION, HOST};
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
--- a/crates/entry/src/request/health_check.rs
+++ b/crates/entry/src/request/health_check.rs
@@ -1,10 +1,10 @@
 //! Health checks of backend servers whose state is unknown.
 
-use super::attempt::millis;
 use crate::connection::dial::DIAL_TIMEOUT;
 use crate::connection::http_client;
 use crate::process::conditions;
 use crate::process::instance::Instance;
+use crate::process::millis::millis;
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/entry/src/request/hedge.rs
+++ b/crates/entry/src/request/hedge.rs
@@ -9,6 +9,7 @@
 use super::exchange::Exchange;
 use super::progress::Progress;
 use super::sent_flag::SentFlag;
+use crate::process::millis::millis;
 use crate::process::reach;
 use crate::process::relays::Relay;
 use std::future::Future;
@@ -115,7 +116,9 @@
         return None;
     }
     let choice = choose_for_hedge(exchange, progress).ok()?;
-    exchange.take_retry(true);
+    if !progress.take_retry(exchange, true) {
+        return None;
+    }
     let (number, sent_flag) = progress.begin_attempt(&choice, exchange);
     let guard = AttemptGuard::new(exchange, &choice, sent_flag);
     Some(send(exchange, number, choice, guard, body.take()))
@@ -179,7 +182,7 @@
             log::info!(
                 target: "request",
                 id = exchange.head.request_id.as_deref().unwrap_or(""), service = &**service,
-                was_sent, age_ms = attempt::millis(exchange.age());
+                was_sent, age_ms = millis(exchange.age());
                 "attempt given up, as no backend server is reached"
             );
             (number, if was_sent { Outcome::Broken } else { Outcome::NotForwarded }, None)
--- a/crates/entry/src/request/operators.rs
+++ b/crates/entry/src/request/operators.rs
@@ -1,11 +1,11 @@
 //! The HTTP interface for operators: metrics, status, and decisions about requests.
 
-use super::attempt::millis;
 use super::body::{ResponseBody, full_body};
 use super::rollouts;
 use crate::error::EntryError;
 use crate::process::arm_counts::FlowCounts;
 use crate::process::instance::Instance;
+use crate::process::millis::millis;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -1,9 +1,11 @@
 //! The attempts of a request so far: backend servers, outcomes, and what counts against the quota.
 
-use super::attempt::{Outcome, millis};
+use super::attempt::Outcome;
 use super::exchange::Exchange;
 use super::sent_flag::SentFlag;
+use crate::process::millis::millis;
 use crate::process::recent_decisions::{AttemptRecord, Decision};
+use crate::process::retry_budgets::RetryOutcome;
 use std::sync::Arc;
 use steering::placement::Choice;
 
@@ -16,13 +18,34 @@
 /// The object is in a warm cache there, but one that refuses everything would use up the attempts.
 const MAX_REPEATS_PER_SERVER: usize = 1;
 
+/// What the outcome of an attempt says about its arrival at the backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Arrival {
+    /// It has not arrived and never will.
+    Never,
+    /// It has arrived.
+    Past,
+    /// It may arrive later.
+    Unknown,
+}
+
+impl Arrival {
+    fn of(outcome: &Outcome) -> Self {
+        match outcome {
+            Outcome::NotSent | Outcome::NotForwarded => Self::Never,
+            Outcome::Answered(_) | Outcome::NotRun | Outcome::Refused => Self::Past,
+            Outcome::Broken => Self::Unknown,
+        }
+    }
+}
+
 /// The attempts of a request so far.
 #[derive(Default)]
 pub(super) struct Progress {
     /// Whether the request was counted against its customer's quota.
     is_counted: bool,
-    /// Whether a retry was taken from the budget for an attempt that has not begun.
-    is_retry_taken: bool,
+    /// Retries that were taken from the budget.
+    retries_taken: u32,
     /// Attempts that may have run it: those in flight, and those that ended without a sign that it
     /// has not run.
     may_have_run: u32,
@@ -32,6 +55,8 @@
     attempts: Vec<AttemptRecord>,
     /// For each attempt, whether sending the request began.
     sent_flags: Vec<SentFlag>,
+    /// For each attempt, what its outcome says about its arrival; `None` before that.
+    arrivals: Vec<Option<Arrival>>,
 }
 
 impl Progress {
@@ -41,16 +66,29 @@
     }
 
     /// Takes a retry from the budget for the next attempt; returns whether there was one.
-    pub(super) fn take_retry(&mut self, exchange: &Exchange) -> bool {
-        self.is_retry_taken = exchange.take_retry(false);
-        self.is_retry_taken
+    pub(super) fn take_retry(&mut self, exchange: &Exchange, is_hedge: bool) -> bool {
+        let granted = exchange.take_retry(is_hedge);
+        self.retries_taken += u32::from(granted);
+        granted
     }
 
-    /// Returns a retry to the budget if its attempt has not begun and never will.
-    pub(super) fn refund_unsent_retry(&self, exchange: &Exchange) {
-        if self.is_retry_taken {
-            exchange.instance.retry_budgets.refund(&exchange.service);
-        }
+    /// Ends the retries of a request that has an outcome or was given up; those that were not sent are
+    /// returned to the budget.
+    pub(super) fn end_retries(&self, exchange: &Exchange) {
+        let sent =
+            self.sent_flags.iter().zip(&self.arrivals).filter(|(sent_flag, arrival)| {
+                sent_flag.is_set() && **arrival != Some(Arrival::Never)
+            });
+        let outcome = sent.fold(
+            RetryOutcome { taken: self.retries_taken, sent: 0, unknown: 0 },
+            |outcome, (_, arrival)| RetryOutcome {
+                sent: outcome.sent + 1,
+                unknown: outcome.unknown + u32::from(*arrival != Some(Arrival::Past)),
+                ..outcome
+            },
+        );
+        let request_id = exchange.head.request_id.as_deref().unwrap_or("");
+        exchange.instance.retry_budgets.end(&exchange.service, request_id, outcome);
     }
 
     /// Refunds the quota if the request has not run and never will.
@@ -83,7 +121,6 @@
         if self.may_have_run > 0 {
             exchange.charge_quota();
         }
-        self.is_retry_taken = false;
         self.may_have_run += 1;
         self.excluded_servers.push(choice.id.clone());
         self.attempts.push(AttemptRecord {
@@ -98,6 +135,7 @@
         });
         let sent_flag = SentFlag::default();
         self.sent_flags.push(sent_flag.clone());
+        self.arrivals.push(None);
         (self.attempts.len() - 1, sent_flag)
     }
 
@@ -114,6 +152,9 @@
             attempt.ended_ms = millis(exchange.age());
             attempt.outcome = outcome.as_str();
         }
+        if let Some(arrival) = self.arrivals.get_mut(number) {
+            *arrival = Some(Arrival::of(outcome));
+        }
         if outcome.has_not_run() {
             self.may_have_run -= 1;
             if self.may_have_run > 0 {
--- a/crates/entry/src/request/rollouts.rs
+++ b/crates/entry/src/request/rollouts.rs
@@ -1,7 +1,7 @@
 //! Status of roll-outs for operators.
 
-use super::attempt::millis;
 use crate::process::instance::Instance;
+use crate::process::millis::millis;
 use serde::Serialize;
 use std::sync::Arc;
 use steering::rollout::{Reach, RolloutStatus, Tally, VersionTallies};
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -1,6 +1,6 @@
 //! Sends a request to backend servers until one answers.
 
-use super::attempt::{self, Outcome, millis};
+use super::attempt::{self, Outcome};
 use super::body::ResponseBody;
 use super::caller_body::CallerBody;
 use super::choose::choose;
@@ -11,6 +11,7 @@
 use super::problem::Problem;
 use super::progress::Progress;
 use super::unfinished::Unfinished;
+use crate::process::millis::millis;
 use http::{Response, StatusCode};
 use std::time::Instant;
 
@@ -43,6 +44,7 @@
             false => problem,
         });
     progress.refund_if_not_run(&exchange);
+    progress.end_retries(&exchange);
     let outcome_name = outcome.as_ref().map_or_else(Problem::as_str, |_| ANSWERED);
     let attempt_count = progress.attempt_count();
     let unfinished_at = outcome.is_err().then(|| progress.unfinished_attempts());
@@ -90,7 +92,7 @@
         granted.map_err(|retry_after| Problem::OverQuota { retry_after })?;
         progress.mark_counted();
     }
-    instance.credit_retry_budget(service);
+    instance.retry_budgets.credit(service);
     let allowed_regions = exchange.allowed_regions();
     instance.roster.borrow_mut().record_request(
         service,
@@ -152,7 +154,7 @@
                     ready_body = body.take();
                 }
                 let reached_server = !matches!(outcome, Outcome::NotSent | Outcome::NotForwarded);
-                let may_retry = !reached_server || progress.take_retry(exchange);
+                let may_retry = !reached_server || progress.take_retry(exchange, false);
                 if ready_body.is_none() || !may_retry {
                     return Err(all_refused(exchange));
                 }
@@ -161,7 +163,7 @@
                 let may_retry = exchange.route.kind.is_idempotent()
                     && progress.attempt_count() < exchange.route.max_attempts
                     && body.can_be_sent()
-                    && progress.take_retry(exchange);
+                    && progress.take_retry(exchange, false);
                 if !may_retry {
                     return Err(Problem::Broken);
                 }
@@ -181,7 +183,7 @@
         && response.status != StatusCode::GATEWAY_TIMEOUT
         && exchange.route.kind.is_idempotent()
         && progress.attempt_count() < exchange.route.max_attempts
-        && progress.take_retry(exchange)
+        && progress.take_retry(exchange, false)
 }
 
 fn all_refused(exchange: &Exchange) -> Problem {
--- a/crates/entry/src/request/unfinished.rs
+++ b/crates/entry/src/request/unfinished.rs
@@ -1,8 +1,8 @@
 //! A request whose caller may disconnect before it has an outcome.
 
-use super::attempt::millis;
 use super::exchange::Exchange;
 use super::progress::Progress;
+use crate::process::millis::millis;
 
 /// Outcome of a request whose caller disconnected before there was a response.
 const CALLER_LEFT: &str = "caller-left";
@@ -10,7 +10,7 @@
 /// The progress of a request without an outcome.
 ///
 /// Dropping it means that the caller has disconnected: it gives back the quota of attempts that were not
-/// sent and the retry of one that has not begun, and logs what was cancelled.
+/// sent and retries that were not sent, and logs what was cancelled.
 pub(super) struct Unfinished<'a> {
     exchange: &'a Exchange,
     pub(super) progress: Progress,
@@ -38,7 +38,7 @@
         let Self { exchange, progress, .. } = self;
         progress.end_unsent_attempts(exchange);
         progress.refund_if_not_run(exchange);
-        progress.refund_unsent_retry(exchange);
+        progress.end_retries(exchange);
         log::info!(
             target: "request",
             id = exchange.head.request_id.as_deref().unwrap_or(""),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
+use steering::placement::RetryTerms;
 use steering::quota::QuotaTerms;
 use steering::rollout::ExposureLimit;
 use steering::terms::{RawTerms, Terms};
@@ -46,6 +47,9 @@
     pub retry_ratio: f64,
     /// Additional retries allowed per window in which retries are counted, over all instances.
     pub retry_extra: f64,
+    /// Length of the window in which retries are counted, in seconds.
+    #[serde(default)]
+    pub retry_window_s: Option<f64>,
     /// Length of the window over which a customer's quota is enforced, in seconds.
     #[serde(default)]
     pub quota_window_s: Option<f64>,
@@ -91,10 +95,8 @@
     pub seeds: Vec<IpAddr>,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
-    /// Retries allowed per request, over all instances.
-    pub retry_ratio: f64,
-    /// Additional retries allowed per window in which retries are counted, over all instances.
-    pub retry_extra: f64,
+    /// Retries that all instances together may send to one service.
+    pub retry_terms: RetryTerms,
     /// Terms under which customers' quotas are enforced.
     pub quota_terms: QuotaTerms,
     /// Limit on the requests that a bad version may receive; none where there are no roll-outs.
@@ -161,6 +163,14 @@
             overage: check_range("quota_overage", raw.quota_overage)?,
             slack: check_range("quota_slack", raw.quota_slack)?,
         };
+        let retry_terms = RetryTerms {
+            ratio: check_range("retry_ratio", raw.retry_ratio)?,
+            extra: check_range("retry_extra", raw.retry_extra)?,
+            window: match raw.retry_window_s {
+                Some(window_s) => Duration::from_secs_f64(check_range("retry_window_s", window_s)?),
+                None => RetryTerms::default().window,
+            },
+        };
         let terms = Terms::try_from(raw.terms)?;
         let rollback = terms.rollout.rollback;
         let exposure = terms.rollout.exposure_share.map(|share| ExposureLimit { share, rollback });
@@ -182,8 +192,7 @@
                 .map(|seed| parse_address("seeds", seed).map(|seed| seed.ip()))
                 .collect::<Result<_, _>>()?,
             store_address: parse_address("store_address", &raw.store_address)?,
-            retry_ratio: check_range("retry_ratio", raw.retry_ratio)?,
-            retry_extra: check_range("retry_extra", raw.retry_extra)?,
+            retry_terms,
             quota_terms,
             exposure,
             max_ttl: Duration::from_secs_f64(check_range("max_ttl_s", raw.max_ttl_s)?),
--- a/crates/runpin/tests/entry_policy.rs
+++ b/crates/runpin/tests/entry_policy.rs
@@ -57,6 +57,7 @@
         store_address: store.to_string(),
         retry_ratio: 0.2,
         retry_extra: 64.0,
+        retry_window_s: None,
         quota_window_s: None,
         quota_overage: 0.0,
         quota_slack: 0.0,
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -33,6 +33,7 @@
 mod reach_checks;
 mod region_view;
 pub mod request;
+mod retry_window;
 pub mod role;
 pub mod roster;
 pub mod rounds;
@@ -50,7 +51,7 @@
 
 pub use arms::PolicyFailure;
 pub use bootstrap_delay::BootstrapDelay;
-pub use budget::RetryBudget;
+pub use budget::{RetryBudget, RetryTerms};
 pub use condition::{Condition, ConditionChange, Limit};
 pub use incarnation::{Incarnation, ServerRef};
 pub use peer_choice::start_id;
--- a/crates/steering/tests/retry_budget_fleet.rs
+++ b/crates/steering/tests/retry_budget_fleet.rs
@@ -4,8 +4,9 @@
 
 use placement_common::peer;
 use std::time::Instant;
+use steering::Time;
 use steering::placement::peers::{HEARTBEAT_INTERVAL, LOST_AFTER, Startup};
-use steering::placement::{Peers, RetryBudget};
+use steering::placement::{Peers, RetryBudget, RetryTerms};
 
 const RATIO: f64 = 0.2;
 const EXTRA: f64 = 64.0;
@@ -33,7 +34,11 @@
     fn start(step: usize, registered_others: Option<usize>) -> Self {
         Self {
             peers: Peers::default(),
-            budget: RetryBudget::new(RATIO, EXTRA),
+            budget: RetryBudget::new(RetryTerms {
+                ratio: RATIO,
+                extra: EXTRA,
+                ..RetryTerms::default()
+            }),
             start: (step, registered_others),
             is_alive: true,
         }
@@ -67,6 +72,7 @@
     fn step(&mut self, requests: usize, fail: bool, hears: impl Fn(usize, usize) -> bool) {
         let step = self.counts.len();
         let now = self.started + HEARTBEAT_INTERVAL * step as u32;
+        let time = Time::default() + HEARTBEAT_INTERVAL * step as u32;
         let senders: Vec<_> = self.instances.iter().map(|other| other.is_alive).collect();
         let mut counts = (0.0, 0.0);
         for (number, instance) in self.instances.iter_mut().enumerate() {
@@ -83,9 +89,10 @@
             instance.peers.prune(now);
             let size = instance.fleet_size(step);
             for _ in 0..requests {
-                instance.budget.earn(size);
+                instance.budget.earn(size, time);
                 counts.0 += 1.0;
-                if fail && instance.budget.take() {
+                if fail && instance.budget.take(time) {
+                    instance.budget.end(time, time);
                     counts.1 += 1.0;
                 }
             }
