Remember instances that are not heard for two hours

Cause: parts of the fleet that don't hear each other forgot each other after a minute, and each took the whole of what all share: retries, quotas, and the ranks of roll-outs. Regions lose each other for an hour at times. Change: an instance that is removed after a minute without having said that it stops is remembered for two hours, and counts in the size of the fleet. A log line tells when that size changes, and by which evidence. Why it works: retries, quotas and roll-outs ask one function for the size of the fleet. What it costs: while instances are gone for good and not replaced under their names, their part of quotas is not granted for two hours, instead of a minute.

--- a/crates/entry/src/process/fleet.rs
+++ b/crates/entry/src/process/fleet.rs
@@ -1,6 +1,7 @@
 //! The instances that take part in quotas and roll-outs, and the timer of the quotas.
 
 use super::instance::Instance;
+use super::millis::millis;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -34,7 +35,9 @@
 /// Passes the present set of serving instances to the quotas and roll-outs.
 pub(super) fn update_fleet(instance: &Instance) {
     let size = fleet_size(instance);
-    instance.retry_budgets.set_fleet_size(size);
+    if instance.retry_budgets.set_fleet_size(size) {
+        log_fleet_size(instance, size);
+    }
     let Some(size) = size else { return };
     let now = Instant::now();
     let own = instance.own_peer();
@@ -58,6 +61,19 @@
     instance.quotas.set_fleet(fleet, addresses, now);
 }
 
+/// Logs a change of the number of instances that may be serving callers, with the evidence for it.
+fn log_fleet_size(instance: &Instance, size: Option<usize>) {
+    let peers = instance.peers.borrow();
+    let registered_others = instance.registrations.count_of_others(&instance.settings.name);
+    log::info!(
+        target: "instances",
+        size = size.unwrap_or(0), alive = peers.alive_count(Instant::now()),
+        heard = peers.all().count(), remembered = peers.remembered_count(),
+        registered = registered_others.unwrap_or(0), uptime_ms = millis(instance.uptime());
+        "size of the fleet changed"
+    );
+}
+
 /// Number of instances that may be serving callers, reachable from here or not; none while unknown.
 fn fleet_size(instance: &Instance) -> Option<usize> {
     let startup = instance.is_recently_started().then(|| Startup {
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -32,6 +32,7 @@
 pub mod rank;
 mod reach_checks;
 mod region_view;
+mod remembered;
 pub mod request;
 mod retry_window;
 pub mod role;
--- a/crates/steering/src/placement/peers.rs
+++ b/crates/steering/src/placement/peers.rs
@@ -9,6 +9,8 @@
 pub use super::peer::{Demand, Peer, PeerState};
 use super::peer_update::{Heartbeat, PeerUpdate, StartId};
 use super::rank::name_hash;
+pub use super::remembered::REMEMBERED_FOR;
+use super::remembered::Remembered;
 use crate::reach::reports::ReachReports;
 use crate::terms::timings::LivenessTimings;
 pub use crate::terms::timings::{HEARTBEAT_INTERVAL, LOST_AFTER};
@@ -74,6 +76,8 @@
 #[derive(Debug)]
 pub struct Peers {
     entries: BTreeMap<Arc<str>, PeerEntry>,
+    /// Instances that were removed from `entries` and may still serve callers.
+    remembered: Remembered,
     zones: Zones,
     /// Which instances don't reach the backend servers.
     pub reach: ReachReports,
@@ -93,7 +97,7 @@
 
     fn new(zones: Zones) -> Self {
         let reach = ReachReports::new(zones.timings().lost_after);
-        Self { entries: BTreeMap::new(), zones, reach }
+        Self { entries: BTreeMap::new(), remembered: Remembered::default(), zones, reach }
     }
 
     /// Records the description that an instance sent itself; returns whether it was newer than the
@@ -117,7 +121,9 @@
                 true
             }
             _ => {
-                self.entries.insert(peer.name.clone(), PeerEntry::new(peer, age, now));
+                let entry = PeerEntry::new(peer, age, now);
+                self.remembered.remove(entry.name_hash);
+                self.entries.insert(entry.peer.name.clone(), entry);
                 true
             }
         }
@@ -176,9 +182,20 @@
     }
 
     /// Removes instances that have been lost for long, and updates which zones are silent.
+    ///
+    /// Those that did not say that they stop are remembered, as they may serve callers that this
+    /// instance can't reach.
     pub fn prune(&mut self, now: Instant) {
-        self.entries
-            .retain(|_, entry| now.duration_since(entry.record.received_at) < FORGOTTEN_AFTER);
+        let Self { entries, remembered, .. } = self;
+        entries.retain(|_, entry| {
+            let received_at = entry.record.received_at;
+            let is_recent = now.duration_since(received_at) < FORGOTTEN_AFTER;
+            if !is_recent && entry.peer.state != PeerState::Leaving {
+                remembered.add(entry.name_hash, received_at);
+            }
+            is_recent
+        });
+        remembered.prune(now);
         let records =
             self.entries.values().map(|entry| (&entry.peer.availability_zone, &entry.record));
         self.zones.update(records, now);
@@ -223,6 +240,11 @@
         self.alive_entries(now).count()
     }
 
+    /// Number of instances that have not been heard for long and may still serve callers.
+    pub fn remembered_count(&self) -> usize {
+        self.remembered.len()
+    }
+
     /// All known instances, including lost ones that are not yet removed.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
         self.entries.values().map(|entry| &entry.peer)
@@ -291,10 +313,10 @@
     /// Number of instances, this one included, that may be serving callers, reachable from here or not;
     /// `None` while unknown.
     ///
-    /// A peer counts until it is removed, as one that is partitioned from this instance may still
-    /// serve callers.
+    /// A peer counts until it is neither known nor remembered, as one that is partitioned from this
+    /// instance may still serve callers.
     pub fn fleet_size(&self, startup: Option<&Startup>) -> Option<usize> {
-        let seen = self.entries.len();
+        let seen = self.entries.len() + self.remembered.len();
         let Some(startup) = startup else { return Some(seen + 1) };
         let reported = self.all().map(|peer| peer.alive_peers).max().unwrap_or(0);
         let other_count = seen.max(reported).max(startup.registered_others.unwrap_or(0));
--- a/crates/steering/tests/retry_budget_fleet.rs
+++ b/crates/steering/tests/retry_budget_fleet.rs
@@ -5,8 +5,8 @@
 use placement_common::peer;
 use std::time::Instant;
 use steering::Time;
-use steering::placement::peers::{HEARTBEAT_INTERVAL, LOST_AFTER, Startup};
-use steering::placement::{Peers, RetryBudget, RetryTerms};
+use steering::placement::peers::{FORGOTTEN_AFTER, HEARTBEAT_INTERVAL, LOST_AFTER, Startup};
+use steering::placement::{PeerState, Peers, RetryBudget, RetryTerms};
 
 const RATIO: f64 = 0.2;
 const EXTRA: f64 = 64.0;
@@ -27,6 +27,7 @@
     budget: RetryBudget,
     /// Step of its start, and other instances that it found registered.
     start: (usize, Option<usize>),
+    state: PeerState,
     is_alive: bool,
 }
 
@@ -40,6 +41,7 @@
                 ..RetryTerms::default()
             }),
             start: (step, registered_others),
+            state: PeerState::Serving,
             is_alive: true,
         }
     }
@@ -47,8 +49,9 @@
     /// Number of instances that share the budget, as far as it knows.
     fn fleet_size(&self, step: usize) -> Option<usize> {
         let (started, registered_others) = self.start;
-        let has_waited = HEARTBEAT_INTERVAL * (step - started) as u32 >= LOST_AFTER;
-        self.peers.fleet_size(Some(&Startup { registered_others, has_waited }))
+        let uptime = HEARTBEAT_INTERVAL * (step - started) as u32;
+        let startup = Startup { registered_others, has_waited: uptime >= LOST_AFTER };
+        self.peers.fleet_size((uptime < FORGOTTEN_AFTER).then_some(&startup))
     }
 }
 
@@ -73,16 +76,18 @@
         let step = self.counts.len();
         let now = self.started + HEARTBEAT_INTERVAL * step as u32;
         let time = Time::default() + HEARTBEAT_INTERVAL * step as u32;
-        let senders: Vec<_> = self.instances.iter().map(|other| other.is_alive).collect();
+        let senders: Vec<_> =
+            self.instances.iter().map(|other| other.is_alive.then_some(other.state)).collect();
         let mut counts = (0.0, 0.0);
         for (number, instance) in self.instances.iter_mut().enumerate() {
             if !instance.is_alive {
                 continue;
             }
-            for other in (0..INSTANCES).filter(|other| senders[*other] && *other != number) {
-                if hears(number, other) {
+            for other in (0..INSTANCES).filter(|other| *other != number) {
+                if let Some(state) = senders[other].filter(|_| hears(number, other)) {
                     let mut heard = peer(&format!("instance-{other}"), "north-a");
                     heard.heartbeat = step as u64 + 1;
+                    heard.state = state;
                     instance.peers.record(heard, now);
                 }
             }
@@ -153,6 +158,34 @@
     check_cut(1);
 }
 
+// Guards against parts of the fleet that have been apart for over a minute and spend the whole budget each.
+#[test]
+fn retries_of_parts_that_forget_each_other_stay_within_the_budget() {
+    for group in [1, 2, 4, 6] {
+        for requests in [1, 5, 20] {
+            let mut fleet = Fleet::start();
+            fleet.rest();
+            let hears = |number: usize, other: usize| number / group == other / group;
+            (0..2 * QUIET + TROUBLE).for_each(|_| fleet.step(20, false, hears));
+            (0..TROUBLE).for_each(|_| fleet.step(requests, true, hears));
+            fleet.check();
+        }
+    }
+}
+
+// Guards against the share of instances that have stopped as planned, which nobody uses any more.
+#[test]
+fn instances_that_have_stopped_for_over_a_minute_no_longer_share_the_budget() {
+    let mut fleet = Fleet::start();
+    fleet.rest();
+    fleet.instances[0].state = PeerState::Leaving;
+    fleet.step(20, false, |_, _| true);
+    fleet.instances[0].is_alive = false;
+    (0..2 * QUIET + TROUBLE).for_each(|_| fleet.step(20, false, |_, _| true));
+    let step = fleet.counts.len();
+    assert_eq!(fleet.instances[1].fleet_size(step), Some(INSTANCES - 1));
+}
+
 // Guards against instances that spend the share of others that died, whose retries still count.
 #[test]
 fn retries_after_most_instances_died_at_once_stay_within_the_budget() {
