--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -179,6 +179,7 @@
             service_time: Duration::from_millis(25),
             callers: 0,
             pause_ms: 60,
+            second_per_s: 0.0,
         };
         let history = Rc::new(History::default());
         let binary = std::env::var_os(BINARY_VARIABLE)
--- a/crates/runpind/tests/soak/callers.rs
+++ b/crates/runpind/tests/soak/callers.rs
@@ -35,6 +35,9 @@
     Class { route: "second", customer: "large" },
 ];
 
+/// Requests of the second service.
+pub(crate) const SECOND_CLASSES: [Class; 1] = [IDEMPOTENT_CLASSES[1]];
+
 /// Size of the body of an upload.
 const UPLOAD_BYTES: usize = 6_000;
 
--- a/crates/runpind/tests/soak/faults.rs
+++ b/crates/runpind/tests/soak/faults.rs
@@ -5,7 +5,7 @@
 use crate::common::store::Failure;
 use crate::cuts::{Cut, EndedCut};
 use crate::fleet::{Backend, EVACUATED_ZONE, Fleet, GRACE, Node, Order, StatedLimit, send_signal};
-use crate::history::{FIRST_SERVICE, Scope};
+use crate::history::{FIRST_SERVICE, SECOND_SERVICE, Scope};
 use crate::plan::{Fault, Step};
 use crate::proxy::Link;
 use crate::windows::BAD_VERSION;
@@ -135,9 +135,28 @@
             Ok(())
         }
         Fault::BadRollout => roll_out(fleet, duration).await,
+        Fault::FailSecond => {
+            set_second_mode(fleet, ResponseMode::InternalError);
+            sleep(duration).await;
+            set_second_mode(fleet, ResponseMode::Success);
+            Ok(())
+        }
+        Fault::StallSecond(zone) => {
+            let second = fleet.serving_of(SECOND_SERVICE);
+            for backend in second.iter().filter(|backend| backend.zone == zone) {
+                let scope = Scope::Server(backend.mock.id.as_str().into());
+                let set = |link| backend.proxy.set(link);
+                harm(fleet, scope, set, Link::NothingForward, duration).await;
+            }
+            Ok(())
+        }
     }
 }
 
+fn set_second_mode(fleet: &Fleet, mode: ResponseMode) {
+    fleet.serving_of(SECOND_SERVICE).iter().for_each(|backend| backend.mock.set_mode(mode));
+}
+
 /// One of the backend servers that serve, without those of the bad version.
 fn pick(fleet: &Fleet, number: usize) -> Option<Rc<Backend>> {
     let serving = fleet.serving();
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -140,6 +140,14 @@
             classes,
         ));
     }
+    let second = (fleet.clone(), history.clone());
+    let load = open_loop::Load {
+        instances: (0..zones.len()).collect(),
+        per_s: limits.second_per_s,
+        classes: &callers::SECOND_CLASSES,
+        seed: options.seed,
+    };
+    spawn_local(async move { open_loop::run(&second.0, &second.1, load, until).await });
     for step in plan::steps(options.seed, options.length) {
         spawn_local(run_step(fleet.clone(), step));
     }
--- a/crates/runpind/tests/soak/recover.rs
+++ b/crates/runpind/tests/soak/recover.rs
@@ -2,7 +2,7 @@
 
 use crate::cuts::EndedCut;
 use crate::fleet::Fleet;
-use crate::history::{Outcome, RECONNECTION, Request};
+use crate::history::{FIRST_SERVICE, Outcome, RECONNECTION, Request};
 use std::time::{Duration, Instant};
 
 /// Time after the end of a cut in which its requests end.
@@ -108,6 +108,10 @@
 
 /// Returns whether a request was served; `None` if it was not owed.
 fn has_succeeded(request: &Request) -> Option<bool> {
+    // The other service fails as a whole at times.
+    if request.class.service() != FIRST_SERVICE {
+        return None;
+    }
     // The small customer is beyond its quota, and the extra route exists at times.
     if request.class.customer == "small" || request.class.route == "extra" {
         return None;
