Set arrivals at servers against retries that were paid for, by id

Cause: that no path sends a request again without a token was known by reading only. Change: after a run, each line 'retries ended' is set against what the servers saw of its id.

--- a/crates/runpind/tests/soak/retry_budget.rs
+++ b/crates/runpind/tests/soak/retry_budget.rs
@@ -34,6 +34,8 @@
 use proxy::Link;
 use retry_rules::{Sum, TOO_LONG_ALLOWED};
 use rustix::process::Signal;
+use serde_json::Value;
+use std::io::Write;
 use std::rc::Rc;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -111,6 +113,10 @@
     late: usize,
     /// As `too_long`, at instances that were disturbed too.
     too_long_anywhere: usize,
+    /// Requests whose retries an instance has logged, and those of them that arrived more often than it knows or
+    /// has paid for.
+    logged: usize,
+    unpaid: Vec<String>,
     violations: Vec<String>,
 }
 
@@ -185,12 +191,15 @@
         };
         tokio::join!(checking, failing, disturbing);
         fleet.stop().await;
+        let (logged, unpaid) = unpaid(folder.path(), &history);
         let violations = history.violations.borrow();
         let outcome = Outcome {
             worst,
             too_long: checker.retry_rules.too_long,
             late: checker.retry_rules.late,
             too_long_anywhere: checker.retry_rules.too_long_anywhere,
+            logged,
+            unpaid,
             violations: violations
                 .iter()
                 .map(|violation| format!("{}: {}", violation.rule, violation.detail))
@@ -202,23 +211,45 @@
 }
 
 impl Outcome {
+    /// Writes what was seen to standard output.
     fn print(&self, scenario: &Scenario, history: &History) {
-        println!("{scenario:?}");
-        for (sum, service) in self.worst.iter().zip([FIRST_SERVICE, SECOND_SERVICE]) {
-            println!(
-                "  {service}: {} of {:.0} retries ({:.2})",
-                sum.retries,
-                sum.allowed,
-                sum.ratio()
-            );
+        let sums = self.worst.iter().zip([FIRST_SERVICE, SECOND_SERVICE]).map(|(sum, service)| {
+            format!("{service}: {} of {:.0} retries ({:.2})", sum.retries, sum.allowed, sum.ratio())
+        });
+        let Self { too_long, late, too_long_anywhere, logged, unpaid, violations, .. } = self;
+        let lines = sums.chain([
+            format!("{too_long} attempts with too much time, {too_long_anywhere} at any instance"),
+            format!("{late} late attempts without"),
+            format!("{} of {logged} requests with retries arrived unpaid", unpaid.len()),
+            format!("{:?}; held up for {:?}", history.outcomes.borrow(), history.own_delay.get()),
+        ]);
+        let lines: Vec<String> = lines.chain(violations.iter().take(3).cloned()).collect();
+        // Without standard output there is nowhere to report to.
+        let _ = writeln!(std::io::stdout(), "{scenario:?}\n  {}", lines.join("\n  "));
+    }
+}
+
+/// Sets the arrivals of requests against the retries that their instances took, by id, as far as these were logged.
+fn unpaid(folder: &std::path::Path, history: &History) -> (usize, Vec<String>) {
+    let requests = history.requests.borrow();
+    let logs = (0..ZONES.len()).filter_map(|number| {
+        std::fs::read_to_string(folder.join(format!("instance-{number}.log"))).ok()
+    });
+    let (mut logged, mut unpaid) = (0, Vec::new());
+    for line in logs.flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>()) {
+        let Ok(line) = serde_json::from_str::<Value>(&line) else { continue };
+        let id = line["id"].as_str().unwrap_or_default();
+        let Some(request) = requests.get(id).filter(|_| line["event"] == "retries ended") else {
+            continue;
+        };
+        logged += 1;
+        let count = |field: &str| line[field].as_u64().unwrap_or(0);
+        let (taken, sent) = (count("taken"), count("sent"));
+        if sent > taken + 1 || request.visits.len() as u64 > sent {
+            unpaid.push(format!("{line}: {:?}", request.visits));
         }
-        let Self { too_long, late, too_long_anywhere, violations, .. } = self;
-        println!(
-            "  {too_long} attempts with too much time ({too_long_anywhere} at any instance), {late} other late ones"
-        );
-        println!("  {:?}; held up for {:?}", history.outcomes.borrow(), history.own_delay.get());
-        violations.iter().take(3).for_each(|violation| println!("  {violation}"));
     }
+    (logged, unpaid)
 }
 
 async fn disturb(
@@ -298,6 +329,7 @@
 /// Asserts that a run kept the rules.
 fn assert_kept(outcome: &Outcome) {
     assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
+    assert!(outcome.unpaid.is_empty(), "{:?}", outcome.unpaid);
 }
 
 // Guards against retries, servers at a time and deadlines beyond what is allowed while nothing else happens.
