Use a relay again that stood still and says so

Cause: a relay that read requests whose time was over answered as one that can't pass requests on, so senders avoided it for some seconds, although it was back; with the only other instance of a region killed, the sender then had no way. Change: the relay tells these requests apart, and its sender counts the answer as a response of the relay. A wait before a request's handling is logged only where it took half of its time, as requests sent ahead wait as a rule.

--- a/crates/entry/src/connection/relay_protocol.rs
+++ b/crates/entry/src/connection/relay_protocol.rs
@@ -52,6 +52,8 @@
     Forwarded,
     /// Nothing of the request was sent, for a reason that does not concern the backend server.
     NotSent,
+    /// Nothing of the request was sent, as its time was over before the relay read it.
+    Expired,
     /// Nothing of the request was sent, as connecting to the backend server failed.
     Unreachable,
     /// The request was sent, and there is no usable response.
@@ -64,6 +66,7 @@
         match self {
             Self::Forwarded => "passed-on",
             Self::NotSent => "not-sent",
+            Self::Expired => "expired",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
         }
@@ -79,7 +82,7 @@
     /// A response without a valid outcome did not come from a relay, so the request may have run.
     pub(crate) fn take_from(headers: &mut HeaderMap) -> Self {
         let value = headers.remove(RELAYED);
-        let all = [Self::Forwarded, Self::NotSent, Self::Unreachable];
+        let all = [Self::Forwarded, Self::NotSent, Self::Expired, Self::Unreachable];
         let outcome = all
             .into_iter()
             .find(|outcome| value.as_ref().is_some_and(|value| value == outcome.as_str()));
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -232,6 +232,12 @@
             guard.set_ending(Ending::Unsent);
             Outcome::NotForwarded
         }
+        RelayOutcome::Expired => {
+            // The relay stood still, and no longer does.
+            exchange.instance.relays.borrow_mut().record_response(relay, Instant::now());
+            guard.set_ending(Ending::Unsent);
+            Outcome::NotForwarded
+        }
         RelayOutcome::Unreachable => {
             let server = choice.incarnation();
             reach::record_failed_server(&exchange.instance, &exchange.service, &server);
--- a/crates/entry/src/request/handle.rs
+++ b/crates/entry/src/request/handle.rs
@@ -21,9 +21,6 @@
 use steering::deployment::Authentication;
 use steering::placement::rank::name_hash;
 
-/// Shortest wait that is logged.
-const LOGGED_WAIT: Duration = Duration::from_millis(250);
-
 /// Answers a caller's request.
 pub async fn handle(instance: Rc<Instance>, request: Request<Incoming>) -> Response<ResponseBody> {
     let in_flight = InFlightGuard::enter(&instance);
@@ -80,7 +77,7 @@
     let body = CallerBody::read(request, configuration.body_limit_bytes);
     let body = with_deadline(instance, deadline, body).await.ok_or(Problem::BodyTimeout)??;
     let time_left = deadline.since(instance.clock.now());
-    if waited >= LOGGED_WAIT {
+    if waited >= max_wait / 2 {
         log::info!(
             target: "request",
             id = head.request_id.as_deref().unwrap_or(""), waited_ms = millis(waited),
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -63,11 +63,11 @@
         match self {
             Self::UnknownSender(_)
             | Self::StaleState
-            | Self::Expired(_)
             | Self::UnknownServer
             | Self::CutOff
             | Self::Busy(_)
             | Self::Closed => RelayOutcome::NotSent,
+            Self::Expired(_) => RelayOutcome::Expired,
             Self::Pool(PoolError::Limit(_)) => RelayOutcome::NotSent,
             Self::Pool(PoolError::Dial(_) | PoolError::Handshake(_)) => RelayOutcome::Unreachable,
             Self::Sending(_) | Self::Response(_) | Self::MismatchedResponse => RelayOutcome::Broken,
