--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -44,7 +44,7 @@
 use cuts::Cut;
 use fleet::{Fleet, SERVER_ZONES};
 use history::{FIRST_SERVICE, History};
-use plan::{Fault, Limits, Step};
+use plan::{Fault, Limits, Step, TWELVE_ZONES};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use recover::Served;
@@ -61,12 +61,6 @@
 /// Interval of the checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Four instances in each of three availability zones, two of them of one region.
-const ZONES: [&str; 12] = [
-    "north-a", "north-a", "north-a", "north-a", "north-b", "north-b", "north-b", "north-b",
-    "south-a", "south-a", "south-a", "south-a",
-];
-
 /// Callers of a run.
 const CALLERS: u64 = 24;
 
@@ -185,7 +179,7 @@
         let binary = std::env::var_os(BINARY_VARIABLE)
             .unwrap_or_else(|| env!("CARGO_BIN_EXE_runpind").into());
         let binary = std::path::Path::new(&binary);
-        let fleet = Fleet::start(folder.path(), binary, &ZONES, limits, history.clone())
+        let fleet = Fleet::start(folder.path(), binary, &TWELVE_ZONES, limits, history.clone())
             .await
             .expect("the fleet starts");
         fleet.backends.borrow().iter().for_each(|backend| backend.mock.set_mode(self.mode));
@@ -230,7 +224,7 @@
         let violations = history.violations.borrow();
         let violations =
             violations.iter().map(|violation| format!("{}: {}", violation.rule, violation.detail));
-        let logs = (0..ZONES.len()).map(|number| {
+        let logs = (0..TWELVE_ZONES.len()).map(|number| {
             let path = folder.path().join(format!("instance-{number}.log"));
             std::fs::read_to_string(path).expect("each instance logs")
         });
@@ -296,7 +290,7 @@
         .filter_map(|request| {
             let server = &request.visits.last()?.server;
             let backend = backends.iter().find(|backend| *backend.mock.id == **server)?;
-            Some(ZONES[request.instance].starts_with(backend.region()))
+            Some(TWELVE_ZONES[request.instance].starts_with(backend.region()))
         })
         .collect();
     (regions.len(), regions.iter().filter(|is_own| !**is_own).count())
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod history;
 mod open_loop;
 mod options;
+#[allow(dead_code, reason = "other tests of real processes use its zones")]
 mod plan;
 mod proxy;
 mod recover;
--- a/crates/runpind/tests/soak/plan.rs
+++ b/crates/runpind/tests/soak/plan.rs
@@ -17,6 +17,12 @@
 const INSTANCES_PER_ZONE: usize = 4;
 const MOST_INSTANCES_PER_ZONE: usize = 32;
 
+/// Availability zones of the instances of tests that draw nothing: four in each, two of them of one region.
+pub(crate) const TWELVE_ZONES: [&str; 12] = [
+    "north-a", "north-a", "north-a", "north-a", "north-b", "north-b", "north-b", "north-b",
+    "south-a", "south-a", "south-a", "south-a",
+];
+
 /// Length of a round, which has either planned work or faults.
 const ROUND: Duration = Duration::from_secs(10);
 
--- a/crates/runpind/tests/soak/retry_budget.rs
+++ b/crates/runpind/tests/soak/retry_budget.rs
@@ -30,7 +30,7 @@
 use common::server::ResponseMode;
 use fleet::{Backend, Fleet, send_signal};
 use history::{FIRST_SERVICE, History, SECOND_SERVICE, Scope};
-use plan::{Fault, Limits, Step};
+use plan::{Fault, Limits, Step, TWELVE_ZONES};
 use proxy::Link;
 use retry_rules::{Sum, TOO_LONG_ALLOWED};
 use rustix::process::Signal;
@@ -48,12 +48,6 @@
 /// Interval of the checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Four instances in each of three availability zones, two of them of one region.
-const ZONES: [&str; 12] = [
-    "north-a", "north-a", "north-a", "north-a", "north-b", "north-b", "north-b", "north-b",
-    "south-a", "south-a", "south-a", "south-a",
-];
-
 /// Time in which the last requests end.
 const SETTLING: Duration = Duration::from_secs(4);
 
@@ -143,7 +137,7 @@
         let binary = std::env::var_os(BINARY_VARIABLE)
             .unwrap_or_else(|| env!("CARGO_BIN_EXE_runpind").into());
         let binary = std::path::Path::new(&binary);
-        let fleet = Fleet::start(folder.path(), binary, &ZONES, limits, history.clone())
+        let fleet = Fleet::start(folder.path(), binary, &TWELVE_ZONES, limits, history.clone())
             .await
             .expect("the fleet starts");
         let backends = fleet.backends.borrow().clone();
@@ -232,7 +226,7 @@
 /// Sets the arrivals of requests against the retries that their instances took, by id, as far as these were logged.
 fn unpaid(folder: &std::path::Path, history: &History) -> (usize, Vec<String>) {
     let requests = history.requests.borrow();
-    let logs = (0..ZONES.len()).filter_map(|number| {
+    let logs = (0..TWELVE_ZONES.len()).filter_map(|number| {
         std::fs::read_to_string(folder.join(format!("instance-{number}.log"))).ok()
     });
     let (mut logged, mut unpaid) = (0, Vec::new());
@@ -314,7 +308,7 @@
 /// All instances are used, and from the end of the quiet time on all requests fail at once.
 fn all_fail(disturbance: Disturbance) -> Scenario {
     Scenario {
-        called: (0..ZONES.len()).collect(),
+        called: (0..TWELVE_ZONES.len()).collect(),
         quiet: Duration::from_secs(5),
         per_s: [600.0; 2],
         slower_after: Duration::ZERO,
@@ -393,10 +387,11 @@
 #[test]
 fn retries_stay_within_the_budget_after_most_instances_stood_still_for_over_a_minute() {
     let length = Duration::from_secs(77);
-    let numbers = (1..ZONES.len()).collect();
+    let numbers = (1..TWELVE_ZONES.len()).collect();
     let disturbance = Disturbance::StallInstances { numbers, length, pause: Duration::ZERO };
     // Nearly half of the requests go to the one that doesn't stand still.
-    let called = std::iter::repeat_n(0, ZONES.len() - 3).chain(1..ZONES.len()).collect();
+    let called =
+        std::iter::repeat_n(0, TWELVE_ZONES.len() - 3).chain(1..TWELVE_ZONES.len()).collect();
     let scenario = Scenario {
         called,
         quiet: Duration::from_secs(83),
