Test what callers get when a response's head is cut at any byte

Cause: another operator's report: a server stopped in the middle of a response's head and closed, and callers got a 200 with an empty or short body, framed as whole. One place of the cut, directly at the server, had been tried.

--- a/crates/runpind/tests/whole_answers.rs
+++ b/crates/runpind/tests/whole_answers.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use common::raw::{AfterResponse, ScriptedBackend, exchange, read_head};
 use common::task::start_daemon;
+use futures::future::join_all;
 use http::Request;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http2;
@@ -31,6 +32,22 @@
     assert!(response.has_header("runpin-outcome: unknown"), "{}", response.text);
 }
 
+// Guards against a success with an empty or short body for callers whose backend server stops anywhere in the
+// head.
+#[tokio::test]
+async fn a_head_that_is_cut_at_any_byte_is_a_bad_gateway() {
+    let framings = ["Content-Length: 4", "Transfer-Encoding: chunked", "Connection: close"];
+    for framing in framings {
+        let head = format!("HTTP/1.1 200 OK\r\nServer: x\r\n{framing}\r\n\r\n");
+        let cuts = (0..head.len()).map(|length| &head[..length]);
+        let responses = join_all(cuts.clone().map(|cut| forward(GET, cut))).await;
+        for (cut, response) in cuts.zip(responses) {
+            assert_eq!(response.status(), 502, "{cut:?}: {}", response.text);
+            assert!(response.has_header("runpin-outcome: unknown"), "{cut:?}: {}", response.text);
+        }
+    }
+}
+
 #[tokio::test]
 async fn response_shorter_than_declared_stays_short() {
     let response = forward(GET, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf").await;
