Count retries that were given up for a window, as servers that stand still read them late

What callers saw: nothing; servers got more retries of a service than are allowed (BUDGET). Cause: a retry whose outcome is unknown counted for 3 s, the time for which a connection carries what isn't acknowledged. The kernel of a backend server that stands still acknowledges it all the same, and the server reads it when it goes on, however long ago the connection was closed. Why it works: what is unknown counts for one more window, so that a stall of up to a window leaves room for what it holds up; longer ones remain open.

--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -193,8 +193,7 @@
         );
         let quotas = Quotas::new(&settings.name, own.started_ms, settings.quota_terms);
         let timings = Timings::from(&settings.terms);
-        let max_lateness = timings.connections.user_timeout;
-        let retry_budgets = RetryBudgets::new(clock.clone(), settings.retry_terms, max_lateness);
+        let retry_budgets = RetryBudgets::new(clock.clone(), settings.retry_terms);
         let own_host = settings.peer_address.ip();
         let zone = settings.availability_zone.clone();
         let roster = Roster::new(&settings.name, zone.clone(), settings.regions.clone())
--- a/crates/entry/src/process/retry_budgets.rs
+++ b/crates/entry/src/process/retry_budgets.rs
@@ -5,7 +5,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use steering::placement::{RetryBudget, RetryTerms};
 
 /// What became of the retries of a request.
@@ -30,19 +29,15 @@
 pub struct RetryBudgets {
     clock: Rc<Clock>,
     terms: RetryTerms,
-    /// Longest time for which an attempt that was given up may be on the way.
-    max_lateness: Duration,
     by_service: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// Number of instances that share them, heard or not; `None` while unknown.
     fleet_size: Cell<Option<usize>>,
 }
 
 impl RetryBudgets {
-    /// Creates the budgets of an instance that sends over connections which carry what was given up for at
-    /// most `max_lateness`.
-    pub(super) fn new(clock: Rc<Clock>, terms: RetryTerms, max_lateness: Duration) -> Self {
-        let by_service = RefCell::default();
-        Self { clock, terms, max_lateness, by_service, fleet_size: Cell::default() }
+    /// Creates the budgets of an instance.
+    pub(super) fn new(clock: Rc<Clock>, terms: RetryTerms) -> Self {
+        Self { clock, terms, by_service: RefCell::default(), fleet_size: Cell::default() }
     }
 
     /// Sets the number of instances that share the budgets, heard or not; `None` while unknown. Returns
@@ -99,7 +94,7 @@
         let mut budgets = self.by_service.borrow_mut();
         let Some(budget) = budgets.get_mut(service) else { return };
         let now = self.clock.now();
-        let latest = if unknown == 0 { now } else { now + self.max_lateness };
+        let latest = if unknown == 0 { now } else { now + self.terms.max_lateness() };
         (0..taken.min(repeats)).for_each(|_| budget.end(latest, now));
         (repeats..taken).for_each(|_| budget.refund());
         log::info!(
--- a/crates/steering/src/placement/budget.rs
+++ b/crates/steering/src/placement/budget.rs
@@ -1,6 +1,6 @@
 //! Retry budget of a service: limits how many requests are sent to a second backend server.
 
-use super::retry_window::RetryWindow;
+use super::retry_window::{MAX_LATENESS_WINDOWS, RetryWindow};
 use crate::Time;
 use std::time::Duration;
 
@@ -24,6 +24,13 @@
     pub window: Duration,
 }
 
+impl RetryTerms {
+    /// Longest time for which an attempt that was given up may be on the way to a backend server.
+    pub fn max_lateness(&self) -> Duration {
+        self.window * MAX_LATENESS_WINDOWS
+    }
+}
+
 impl Default for RetryTerms {
     fn default() -> Self {
         Self { ratio: 0.0, extra: 0.0, window: Duration::from_secs(10) }
--- a/crates/steering/src/placement/retry_window.rs
+++ b/crates/steering/src/placement/retry_window.rs
@@ -9,12 +9,16 @@
 /// Slots that the window is divided into.
 const SLOTS_PER_WINDOW: u64 = 20;
 
-/// Slots that are kept: those of a window, the one that it begins in, and some in the future.
-const SLOTS: usize = 32;
+/// Slots that are kept: those of a window, the one that it begins in, and as many in the future.
+const SLOTS: usize = 2 * (SLOTS_PER_WINDOW as usize + 2);
 
 /// Largest number of slots in the future.
 const MAX_AHEAD: u64 = SLOTS as u64 - SLOTS_PER_WINDOW - 2;
 
+/// Windows for which an attempt that was given up may be on the way: a backend server that stands still
+/// reads it when it goes on, although its connection is closed.
+pub(super) const MAX_LATENESS_WINDOWS: u32 = 1;
+
 /// What falls into a part of a window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Slot {
--- a/crates/steering/tests/retry_budget_late.rs
+++ b/crates/steering/tests/retry_budget_late.rs
@@ -136,3 +136,20 @@
         check(stall_ms, 500);
     }
 }
+
+// Guards against retries that a server which stands still reads long after their connections were closed.
+#[test]
+fn retries_that_arrive_after_their_connections_are_closed_stay_within_the_budget() {
+    for stall_ms in [4_000, 6_000, 8_000, 10_000] {
+        for (per_s, extra) in SERVICES {
+            let run = Run {
+                per_s,
+                extra,
+                stall: Duration::from_millis(stall_ms),
+                patience: Duration::from_millis(500),
+                max_lateness: RetryTerms::default().max_lateness(),
+            };
+            run.check();
+        }
+    }
+}
