Count retries as arrived when the backend server ended their connection

Cause: each retry without a usable response counted as one that may arrive later, also where the server itself had closed or reset the connection, begun a response or sent one that can't be used. What it has closed it doesn't read any more. With the longer time that unknown ones count, lost responses alone would take most of the budget. Change: an attempt that broke says whether it is past; unknown are those that were given up, relayed ones, those whose connection timed out, and those whose place a response to another request took.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -13,6 +13,8 @@
 use crate::process::relays::Relay;
 use crate::process::{conditions, reach, suspects};
 use http::{HeaderMap, Request, StatusCode, Uri};
+use std::error::Error as _;
+use std::io::ErrorKind;
 use std::time::Instant;
 use steering::placement::load::LoadReport;
 use steering::placement::{Choice, Ending};
@@ -48,7 +50,10 @@
     /// As [`Outcome::NotRun`], although its load report shows capacity: it may be tried again.
     Refused,
     /// The backend server may have run the request, but there is no usable response.
-    Broken,
+    Broken {
+        /// Whether it has read the request or never will; if not, the request may arrive later.
+        is_past: bool,
+    },
 }
 
 impl Outcome {
@@ -65,7 +70,7 @@
             Self::NotForwarded => "not passed on",
             Self::NotRun => "not run",
             Self::Refused => "refused",
-            Self::Broken => "broken",
+            Self::Broken { .. } => "broken",
         }
     }
 }
@@ -150,10 +155,11 @@
             if relay.is_some() {
                 instance.pools.close_idle(&connection.remote);
             }
+            let is_past = relay.is_none() && was_ended_by_peer(error.error());
             if !is_caller_error {
                 handle_closed_connection(exchange, choice, guard).await;
             }
-            return Outcome::Broken;
+            return Outcome::Broken { is_past };
         }
     };
     let (mut parts, incoming) = response.into_parts();
@@ -194,11 +200,19 @@
             guard.set_ending(Ending::Failed);
             log_attempt(exchange, choice, &guard, "cut", &error.to_string());
             handle_closed_connection(exchange, choice, guard).await;
-            Outcome::Broken
+            // The response had begun.
+            Outcome::Broken { is_past: true }
         }
     }
 }
 
+/// Returns whether the other side ended a connection, rather than being silent or this side.
+fn was_ended_by_peer(error: &hyper::Error) -> bool {
+    let silent = [ErrorKind::TimedOut, ErrorKind::HostUnreachable, ErrorKind::NetworkUnreachable];
+    let io_error = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
+    !error.is_user() && io_error.is_none_or(|error| !silent.contains(&error.kind()))
+}
+
 /// Records that a connection of this instance to a backend server broke before there was a response.
 fn record_broken(exchange: &Exchange, guard: &AttemptGuard) {
     let Exchange { instance, service, .. } = exchange;
@@ -247,7 +261,7 @@
         RelayOutcome::Broken | RelayOutcome::Forwarded => {
             guard.set_ending(Ending::Failed);
             handle_closed_connection(exchange, choice, guard).await;
-            Outcome::Broken
+            Outcome::Broken { is_past: false }
         }
     }
 }
@@ -291,7 +305,7 @@
         // A surplus response to an earlier request. The connection is not reused, as its sender is dropped.
         guard.set_ending(Ending::Abandoned);
         log_attempt(exchange, choice, guard, "broken", "response to another request");
-        return Some(Outcome::Broken);
+        return Some(Outcome::Broken { is_past: false });
     }
     if head.replaced {
         guard.set_ending(Ending::Replaced);
@@ -315,12 +329,12 @@
         // did not say.
         guard.set_ending(Ending::Erred);
         log_attempt(exchange, choice, guard, "broken", status.as_str());
-        return Some(Outcome::Broken);
+        return Some(Outcome::Broken { is_past: true });
     }
     if status.is_success() && !head.is_signed {
         guard.set_ending(Ending::Failed);
         log_attempt(exchange, choice, guard, "broken", "response without a signature");
-        return Some(Outcome::Broken);
+        return Some(Outcome::Broken { is_past: true });
     }
     None
 }
--- a/crates/entry/src/request/hedge.rs
+++ b/crates/entry/src/request/hedge.rs
@@ -185,7 +185,9 @@
                 was_sent, age_ms = millis(exchange.age());
                 "attempt given up, as no backend server is reached"
             );
-            (number, if was_sent { Outcome::Broken } else { Outcome::NotForwarded }, None)
+            let outcome =
+                if was_sent { Outcome::Broken { is_past: false } } else { Outcome::NotForwarded };
+            (number, outcome, None)
         }
     }
 }
--- a/crates/entry/src/request/progress.rs
+++ b/crates/entry/src/request/progress.rs
@@ -33,8 +33,11 @@
     fn of(outcome: &Outcome) -> Self {
         match outcome {
             Outcome::NotSent | Outcome::NotForwarded => Self::Never,
-            Outcome::Answered(_) | Outcome::NotRun | Outcome::Refused => Self::Past,
-            Outcome::Broken => Self::Unknown,
+            Outcome::Answered(_)
+            | Outcome::NotRun
+            | Outcome::Refused
+            | Outcome::Broken { is_past: true } => Self::Past,
+            Outcome::Broken { is_past: false } => Self::Unknown,
         }
     }
 }
--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -159,7 +159,7 @@
                     return Err(all_refused(exchange));
                 }
             }
-            Outcome::Broken => {
+            Outcome::Broken { .. } => {
                 let may_retry = exchange.route.kind.is_idempotent()
                     && progress.attempt_count() < exchange.route.max_attempts
                     && body.can_be_sent()
