--- a/crates/runpind/tests/server_cuts.rs
+++ b/crates/runpind/tests/server_cuts.rs
@@ -21,6 +21,8 @@
 mod open_loop;
 #[path = "soak/plan.rs"]
 mod plan;
+#[path = "soak/process.rs"]
+mod process;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "soak/recover.rs"]
--- a/crates/runpind/tests/site/instance.rs
+++ b/crates/runpind/tests/site/instance.rs
@@ -1,19 +1,19 @@
 //! Instances as processes, each with its share of a processor.
 
+use crate::process::{host, spawn};
 use crate::proxy::Proxy;
 use crate::site::{Machines, Site};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 
 /// Ports of an instance; instances differ in their hosts.
 pub(crate) const CALLER_PORT: u16 = 7_300;
@@ -92,20 +92,9 @@
 
     /// Starts the process.
     pub(crate) fn start(&self) -> io::Result<()> {
+        let settings = settings_path(&self.folder, self.number);
         let log = self.folder.join(format!("instance-{}.log", self.number));
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
-        // The process ends with the test, also if the test is killed.
-        let script =
-            format!("ulimit -n {}; exec setpriv --pdeathsig KILL \"$0\"", self.descriptors);
-        let child = Command::new("sh")
-            .args(["-c", &script])
-            .arg(&self.binary)
-            .env("RUNPIN_CONFIG", settings_path(&self.folder, self.number))
-            .stdin(Stdio::null())
-            .stderr(log.try_clone()?)
-            .stdout(log)
-            .kill_on_drop(true)
-            .spawn()?;
+        let child = spawn(&self.binary, &settings, &log, self.descriptors)?;
         self.quota.process.store(child.id().unwrap_or(0), Ordering::Relaxed);
         self.process.replace(Some(child));
         Ok(())
@@ -180,13 +169,6 @@
     folder.join(format!("instance-{number}.json"))
 }
 
-/// A loopback address that other runs don't use, unless their process IDs differ in high bits only.
-pub(crate) fn host(number: usize) -> IpAddr {
-    let last = u32::try_from(number + 1).expect("there are few instances");
-    let bits = (std::process::id() << 8 | last) & 0x00ff_ffff;
-    Ipv4Addr::from_bits(Ipv4Addr::new(127, 0, 0, 0).to_bits() | bits).into()
-}
-
 fn settings(
     site: &Site,
     number: usize,
--- a/crates/runpind/tests/site/main.rs
+++ b/crates/runpind/tests/site/main.rs
@@ -16,6 +16,9 @@
 mod troubles;
 mod world;
 
+#[path = "../soak/process.rs"]
+mod process;
+
 #[path = "../soak/proxy.rs"]
 mod proxy;
 
--- a/crates/runpind/tests/soak/fleet.rs
+++ b/crates/runpind/tests/soak/fleet.rs
@@ -7,19 +7,19 @@
 use crate::cuts::{EndedCut, InstancePaths, Owners, ServerProxy};
 use crate::history::{FIRST_SERVICE, History, SECOND_SERVICE, Scope};
 use crate::plan::Limits;
+use crate::process::{host, spawn};
 use crate::proxy::Proxy;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::sync::Mutex;
 
 /// Body of all complete responses, longer than what one read takes.
@@ -392,29 +392,6 @@
     })
 }
 
-fn spawn(binary: &Path, settings: &Path, log: &Path, descriptors: u32) -> io::Result<Child> {
-    let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
-    // The process ends with the test, also if the test is killed.
-    let script = format!("ulimit -n {descriptors}; exec setpriv --pdeathsig KILL \"$0\"");
-    Command::new("sh")
-        .args(["-c", &script])
-        .arg(binary)
-        .env("RUNPIN_CONFIG", settings)
-        .stdin(Stdio::null())
-        .stderr(log.try_clone()?)
-        .stdout(log)
-        .kill_on_drop(true)
-        .spawn()
-}
-
-/// A loopback address that no other run uses, unless their process IDs differ in bits above the 16th
-/// only; there are at most 255 instances.
-fn host(number: usize) -> IpAddr {
-    let last = u32::try_from(number + 1).expect("there are few instances");
-    let bits = std::process::id() << 8 | last;
-    (Ipv4Addr::from_bits(Ipv4Addr::new(127, 0, 0, 0).to_bits() | bits & 0x00ff_ffff)).into()
-}
-
 fn settings_of(zones: &[&str], number: usize, store: SocketAddr) -> Value {
     let at = |port: u16| SocketAddr::new(host(number), port).to_string();
     let others = (0..zones.len()).filter(|other| *other != number);
--- a/crates/runpind/tests/soak/main.rs
+++ b/crates/runpind/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod options;
 #[allow(dead_code, reason = "other tests of real processes use its zones")]
 mod plan;
+mod process;
 mod proxy;
 mod recover;
 mod report;
--- a/crates/runpind/tests/soak/retry_budget.rs
+++ b/crates/runpind/tests/soak/retry_budget.rs
@@ -13,6 +13,7 @@
 mod history;
 mod open_loop;
 mod plan;
+mod process;
 mod proxy;
 mod recover;
 mod retry_rules;
