--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -35,6 +35,8 @@
     pub connections: IntCounterVec,
     /// Overdue responses to requests that may be repeated, by service and action taken.
     pub overdue: IntCounterVec,
+    /// Decisions on further attempts, by service, kind and whether the retry budget permitted them.
+    pub retries: IntCounterVec,
     /// Requests relayed for other instances, by outcome.
     pub relayed: IntCounterVec,
     /// Changes of whether backend servers are reached, and checks of it, by event and kind.
@@ -119,6 +121,11 @@
                 "Overdue answers by what was done.",
                 &["service", "action"],
             )?,
+            retries: counter(
+                "runpin_entry_retries_total",
+                "Further attempts by kind and whether the retry budget permitted them.",
+                &["service", "kind", "outcome"],
+            )?,
             relayed: counter(
                 "runpin_entry_relayed_total",
                 "Requests of other instances by outcome.",
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -103,6 +103,10 @@
     pub(super) fn take_retry(&self, is_hedge: bool) -> bool {
         let budgets = &self.instance.retry_budgets;
         let granted = budgets.take(&self.service);
+        let kind = if is_hedge { "hedge" } else { "retry" };
+        let outcome = if granted { "granted" } else { "refused" };
+        let labels = [&*self.service, kind, outcome];
+        self.instance.metrics.retries.with_label_values(&labels).inc();
         let id = self.head.request_id.as_deref().unwrap_or("");
         budgets.log_decision(&self.service, id, is_hedge, granted);
         granted
