Take the time that requests wait for turns of a busy process off their deadlines

What callers saw: nothing; backend servers got more time than remained (BUDGET), so that they worked on what nobody waited for any more, while instances were short of processor time. Cause: an instance that is short of processor time doesn't stand still, each of its tasks waits for its turn: a connection to be accepted, a request to be read, and its connection to the server or relay to write it, after its deadline was computed. None of this was taken off; a standstill was seen only for what is read in the 100 ms after a late tick. Change: two late ticks in a row show the delay of a turn; two turns are taken off on a new connection, one on an open one, and one before a request is written; what has no time left is not sent.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::IpAddr;
@@ -27,6 +28,10 @@
 /// Smallest read buffer in bytes that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 
+/// Turns for which a request waits until it is read: on a new connection also for being accepted.
+const TURNS_OF_NEW_CONNECTION: u32 = 2;
+const TURNS_OF_OPEN_CONNECTION: u32 = 1;
+
 /// Accepts connections and answers each request with `handler`, until a planned stop.
 pub(crate) fn listen<A, F>(instance: &Rc<Instance>, listener: TcpListener, handler: A)
 where
@@ -73,8 +78,10 @@
     let buffer_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
     let stream = ReadAhead::new(stream, buffer_bytes);
     let stream_for_service = stream.clone();
+    let turns = Cell::new(TURNS_OF_NEW_CONNECTION);
     let service = service_fn(move |mut request: Request<Incoming>| {
-        let waited = time_waited(&instance_for_service, &stream_for_service);
+        let turns = turns.replace(TURNS_OF_OPEN_CONNECTION);
+        let waited = time_waited(&instance_for_service, &stream_for_service, turns);
         request.extensions_mut().insert(Caller { host: caller, waited });
         let guard = progress_for_service.head_complete();
         let response = handler(instance_for_service.clone(), request);
@@ -106,11 +113,12 @@
     }
 }
 
-/// Longest time for which a request whose head is complete may have waited: until it was read, and then behind
-/// others of its connection.
-fn time_waited(instance: &Instance, stream: &ReadAhead<TcpStream>) -> Duration {
+/// Longest time for which a request whose head is complete may have waited: until it was read, for which its
+/// connection waited for some turns, and then behind others of its connection.
+fn time_waited(instance: &Instance, stream: &ReadAhead<TcpStream>, turns: u32) -> Duration {
     let read_at = stream.last_read_at();
-    read_at.elapsed() + instance.standstills.longest_wait(read_at)
+    let turns_delay = instance.standstills.turn_delay(Instant::now()) * turns;
+    read_at.elapsed() + instance.standstills.longest_wait(read_at).max(turns_delay)
 }
 
 /// Polls a connection; ready when it is served, or its caller disconnects during a request.
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, Request, StatusCode, Uri};
 use std::error::Error as _;
 use std::io::ErrorKind;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use steering::placement::load::LoadReport;
 use steering::placement::{Choice, Ending};
 use steering::reach::Failure;
@@ -100,7 +100,16 @@
                 return Outcome::NotSent;
             }
         };
-    let Some(mut request) = build_request(exchange, choice, body) else {
+    // The connection waits for its turn before it writes the request.
+    let turn_delay = instance.standstills.turn_delay(Instant::now());
+    let time_left = exchange.time_left().saturating_sub(turn_delay);
+    if time_left.is_zero() {
+        guard.set_ending(Ending::Unsent);
+        log_attempt(exchange, choice, &guard, "not sent", "no time left");
+        instance.pools.release(connection, None);
+        return Outcome::NotSent;
+    }
+    let Some(mut request) = build_request(exchange, choice, time_left, body) else {
         guard.set_ending(Ending::Unsent);
         return Outcome::NotSent;
     };
@@ -343,6 +352,7 @@
 fn build_request(
     exchange: &Exchange,
     choice: &Choice,
+    time_left: Duration,
     body: &mut Option<RequestBody>,
 ) -> Option<Request<RequestBody>> {
     let mut request = Request::new(body.take()?);
@@ -353,7 +363,7 @@
     let customer = exchange.customer.as_ref().map(|customer| &*customer.name);
     exchange.instance.wire.add_server_headers(
         request.headers_mut(),
-        exchange.time_left(),
+        time_left,
         &choice.id,
         customer,
     );
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -140,7 +140,10 @@
     }
     let mut request = to_server_request(request);
     if let Some(deadline) = head.deadline {
-        let time_left = deadline.saturating_sub(instance.clock.now().since(received_at));
+        // The connection waits for its turn before it writes the request.
+        let turn_delay = instance.standstills.turn_delay(Instant::now());
+        let spent = instance.clock.now().since(received_at) + turn_delay;
+        let time_left = deadline.saturating_sub(spent);
         if time_left.is_zero() {
             instance.pools.release(connection, None);
             return Err(RelayError::Expired(waited));
--- a/crates/entry/tests/standstills.rs
+++ b/crates/entry/tests/standstills.rs
@@ -44,3 +44,26 @@
     standstills.record_tick(last_tick + ms(2_500));
     assert_eq!(standstills.longest_wait(last_tick - ms(10)), Duration::ZERO);
 }
+
+// Guards against requests that wait for each turn of a process that is short of processor time, and get their
+// whole time all the same.
+#[test]
+fn a_process_whose_ticks_are_late_again_and_again_lets_its_tasks_wait() {
+    let (standstills, last_tick) = running();
+    standstills.record_tick(last_tick + ms(500));
+    standstills.record_tick(last_tick + ms(900));
+    assert_eq!(standstills.turn_delay(last_tick + ms(910)), ms(400));
+    assert_eq!(standstills.turn_delay(last_tick + ms(1_500)), ms(500));
+    assert_eq!(standstills.turn_delay(last_tick + ms(4_000)), ms(600));
+}
+
+// Guards against requests that lose their time after a single standstill.
+#[test]
+fn a_process_that_stood_still_once_does_not_let_its_tasks_wait() {
+    let (standstills, last_tick) = running();
+    assert_eq!(standstills.turn_delay(last_tick + ms(2_400)), Duration::ZERO);
+    standstills.record_tick(last_tick + ms(2_500));
+    assert_eq!(standstills.turn_delay(last_tick + ms(2_510)), Duration::ZERO);
+    standstills.record_tick(last_tick + ms(2_600));
+    assert_eq!(standstills.turn_delay(last_tick + ms(2_610)), Duration::ZERO);
+}
