--- a/crates/runpind/tests/site/main.rs
+++ b/crates/runpind/tests/site/main.rs
@@ -1,8 +1,8 @@
 //! Days of a deployment with real processes: its rates, services, kinds of requests, shares of a processor
 //! and troubles, judged by the rules about requests that are sent to more than one backend server.
 //!
-//! Without variables a small deployment of this folder is driven. `SITE_FILE` names another one, `SITE_DAYS`
-//! some of its days, `RUNPIND_BINARY` another build, and `SITE_LOGS` a folder that keeps the logs.
+//! Without variables a small deployment of this folder is driven. `SITE_FILE` names another one, such as
+//! `short-of-processor.toml` here, `SITE_DAYS` some of its days, `RUNPIND_BINARY` another build, and `SITE_LOGS` a folder that keeps the logs.
 
 #![allow(dead_code, reason = "the modules of the platform serve other tests too")]
 
