Refuse responses whose head does not say for certain where the body ends

What callers saw: a signed 200, complete, whose body was the framing (`c\r\ntwelve bytes\r\n0\r\n\r\n`) after `Transfer-Encoding: chunkd`, or five of twelve bytes after `Transfer-Encoding: x` beside `Content-Length: 5`; a signed 200 that never completes after `Content-Length: 12, 12`; no answer at all after a length that is no number beside `chunked`; 101, 600 and 999 as answers.

Cause: the response was taken from hyper as it decodes it. hyper reads a body whose last coding is not `chunked` until the connection ends, as a client may; the coding was then removed as hop-by-hop, so the undecoded bytes were a whole body to the caller. The length was copied unchecked beside whatever hyper had done.

`CheckedResponse` is now made from each raw response that an instance reads, before anything else is taken from it: a status from 200 to 599, no coding but `chunked` alone, no length beside it, and one number as length, which is told once. Whatever fails is a broken exchange as before: 502 with an unknown outcome, a retry if the request is idempotent, and a log line with the request's id and the ground of refusal. It is used for requests, relays, what relays say themselves, health checks, checks of reach (the server counts as reached all the same) and updates from other instances, whose failures have types and log lines now.

--- a/crates/entry/src/connection/http_client.rs
+++ b/crates/entry/src/connection/http_client.rs
@@ -3,11 +3,15 @@
 use super::dial::dial;
 use super::encoding::{DEFLATE, inflate};
 use super::handshake::handshake;
+use super::response::{CheckedResponse, ResponseError};
+use crate::request::body::BodyError;
 use bytes::Bytes;
 use http::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HOST};
 use http::request::Builder;
-use http::{HeaderMap, Request, StatusCode};
+use http::response::Parts;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Empty, Limited};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use steering::terms::timings::ConnectionTimings;
@@ -19,68 +23,108 @@
 /// Longest body of a backend server's response to a check, of which only the head is used.
 const MAX_CHECK_BODY_BYTES: usize = 16 * 1024;
 
-/// Sends a GET request to an instance and returns the decoded body of a 200 response; `None` for any other
-/// outcome.
+/// Why a request has no response that can be used.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum GetError {
+    /// The connection was not opened.
+    #[error("failed to connect: {0}")]
+    Dial(#[from] io::Error),
+    /// The request can't be built.
+    #[error("invalid request: {0}")]
+    Request(#[from] http::Error),
+    /// The connection broke, or its bytes are no response.
+    #[error("no response: {0}")]
+    Exchange(#[from] hyper::Error),
+    /// The head is spoilt.
+    #[error("spoilt response: {0}")]
+    Response(#[from] ResponseError),
+    /// The body is truncated, spoilt, or too long.
+    #[error("no usable body: {0}")]
+    Body(BodyError),
+    /// The status is not 200.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The body has an encoding that was not asked for.
+    #[error("unknown encoding {0:?}")]
+    Encoding(HeaderValue),
+}
+
+/// Sends a GET request to an instance and returns the decoded body of a 200 response.
 ///
 /// `connect_timeout` covers the connection only.
+///
+/// # Errors
+///
+/// Fails for any other outcome.
 pub(crate) async fn get(
     address: SocketAddr,
     path: &str,
     connect_timeout: Duration,
     timings: ConnectionTimings,
-) -> Option<Bytes> {
+) -> Result<Bytes, GetError> {
     let request = Request::get(path).header(ACCEPT_ENCODING, DEFLATE);
-    let stream = dial(address, connect_timeout, timings).await.ok()?;
-    let (status, headers, body) =
-        send_over(stream, address, request, MAX_INSTANCE_BODY_BYTES).await?;
-    if status != StatusCode::OK {
-        return None;
+    let stream = dial(address, connect_timeout, timings).await?;
+    let (parts, body) = send_over(stream, address, request, MAX_INSTANCE_BODY_BYTES).await?;
+    if parts.status != StatusCode::OK {
+        return Err(GetError::Status(parts.status));
     }
-    match headers.get(CONTENT_ENCODING) {
-        Some(encoding) if encoding == DEFLATE => inflate(&body).ok().map(Bytes::from),
-        Some(_) => None,
-        None => Some(body),
+    match parts.headers.get(CONTENT_ENCODING) {
+        Some(encoding) if encoding == DEFLATE => {
+            inflate(&body).map(Bytes::from).map_err(|error| GetError::Body(error.into()))
+        }
+        Some(encoding) => Err(GetError::Encoding(encoding.clone())),
+        None => Ok(body),
     }
 }
 
-/// Sends a GET request to a backend server and returns the head of the response; `None` if there is no
-/// complete one.
+/// Sends a GET request to a backend server and returns the head of the response.
 ///
 /// `connect_timeout` covers the connection only.
+///
+/// # Errors
+///
+/// Fails if there is no complete response.
 pub(crate) async fn check(
     address: SocketAddr,
     path: &str,
     connect_timeout: Duration,
     timings: ConnectionTimings,
-) -> Option<(StatusCode, HeaderMap)> {
-    let stream = dial(address, connect_timeout, timings).await.ok()?;
+) -> Result<(StatusCode, HeaderMap), GetError> {
+    let stream = dial(address, connect_timeout, timings).await?;
     check_over(stream, address, path).await
 }
 
 /// As [`check`], over a new connection.
+///
+/// # Errors
+///
+/// As [`check`].
 pub(crate) async fn check_over(
     stream: TcpStream,
     address: SocketAddr,
     path: &str,
-) -> Option<(StatusCode, HeaderMap)> {
-    let response = send_over(stream, address, Request::get(path), MAX_CHECK_BODY_BYTES).await;
-    response.map(|(status, headers, _)| (status, headers))
+) -> Result<(StatusCode, HeaderMap), GetError> {
+    let (parts, _) = send_over(stream, address, Request::get(path), MAX_CHECK_BODY_BYTES).await?;
+    Ok((parts.status, parts.headers))
 }
 
-/// Sends a GET request over a new connection and returns the whole response; `None` if there is none, or its
-/// body is longer than `max_body_bytes`.
+/// Sends a GET request over a new connection and returns the whole response.
+///
+/// # Errors
+///
+/// Fails if there is none, or its body is longer than `max_body_bytes`.
 async fn send_over(
     stream: TcpStream,
     address: SocketAddr,
     request: Builder,
     max_body_bytes: usize,
-) -> Option<(StatusCode, HeaderMap, Bytes)> {
-    let (mut sender, connection) = handshake(stream).await.ok()?;
+) -> Result<(Parts, Bytes), GetError> {
+    let (mut sender, connection) = handshake(stream).await?;
     let driver = tokio::task::spawn_local(connection);
-    let request = request.header(HOST, address.to_string()).body(Empty::<Bytes>::new());
-    let response = sender.send_request(request.ok()?).await.ok()?;
-    let (parts, body) = response.into_parts();
-    let body = Limited::new(body, max_body_bytes).collect().await.ok()?.to_bytes();
+    let request = request.header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
+    let response = sender.send_request(request).await?;
+    let CheckedResponse { parts, body, .. } = CheckedResponse::try_from(response)?;
+    let body = Limited::new(body, max_body_bytes).collect().await.map_err(GetError::Body)?;
     driver.abort();
-    Some((parts.status, parts.headers, body))
+    Ok((parts, body.to_bytes()))
 }
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -10,3 +10,4 @@
 pub mod pool;
 pub mod read_ahead;
 pub(crate) mod relay_protocol;
+pub mod response;
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -14,7 +14,7 @@
 use super::suspects::SuspectRequests;
 use super::update_requests::UpdateRequests;
 use super::{conditions, fleet, gossip_topics, reach, rollouts, suspects, watch_handover};
-use crate::connection::http_client;
+use crate::connection::http_client::{self, GetError};
 use crate::platform_api::{Registration, SUBJECTS, Subject};
 use crate::version::changes::Update;
 use crate::version::exchange;
@@ -301,11 +301,15 @@
     let as_of = instance.replica.borrow().all_as_of();
     let timeout = instance.timings.propagation.fetch_timeout;
     let fetching = fetch_update(&instance.timings, address, as_of);
-    let Ok(Some(update)) = tokio::time::timeout(timeout, fetching).await else {
-        log::warn!(target: "instances", address:%; "failed to fetch an update");
-        return;
-    };
-    apply_update(instance, update);
+    match tokio::time::timeout(timeout, fetching).await {
+        Ok(Ok(update)) => apply_update(instance, update),
+        Ok(Err(why)) => {
+            log::warn!(target: "instances", address:%, why:%; "failed to fetch an update");
+        }
+        Err(_) => {
+            log::warn!(target: "instances", address:%, why = "timeout"; "failed to fetch an update");
+        }
+    }
 }
 
 /// Applies an update from another instance.
@@ -319,15 +323,30 @@
     }
 }
 
-/// Fetches from another instance what changed since these revisions; none if that failed.
+/// Why an update was not fetched from another instance.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum FetchError {
+    /// There is no response with a body.
+    #[error(transparent)]
+    Get(#[from] GetError),
+    /// The body is not an update.
+    #[error("invalid update: {0}")]
+    Decode(#[from] postcard::Error),
+}
+
+/// Fetches from another instance what changed since these revisions.
+///
+/// # Errors
+///
+/// Fails if the other instance sends no update.
 pub(super) async fn fetch_update(
     timings: &Timings,
     address: SocketAddr,
     as_of: [u64; SUBJECTS],
-) -> Option<Update> {
+) -> Result<Update, FetchError> {
     let path = format!("{}?{}", exchange::UPDATE_PATH, exchange::encode_revisions(as_of));
     let body =
         http_client::get(address, &path, timings.propagation.connect_timeout, timings.connections)
             .await?;
-    postcard::from_bytes(&body).ok()
+    Ok(postcard::from_bytes(&body)?)
 }
--- a/crates/entry/src/process/reach_checks.rs
+++ b/crates/entry/src/process/reach_checks.rs
@@ -4,7 +4,7 @@
 use super::millis::millis;
 use super::reach;
 use crate::connection::dial::{DIAL_TIMEOUT, dial, is_exhaustion};
-use crate::connection::http_client;
+use crate::connection::http_client::{self, GetError};
 use futures::future::join_all;
 use rand::Rng;
 use std::io;
@@ -89,13 +89,23 @@
         Err(error) => ("check-failed", error.to_string()),
         Ok(stream) => {
             let getting = http_client::check_over(stream, *address, &path);
-            if let Ok(Some(_)) = tokio::time::timeout(CHECK_TIMEOUT, getting).await {
-                reach::record_response(&instance, service, true);
-                ("check-answered", "answered".to_owned())
-            } else {
-                let failure = Failure::CheckUnanswered;
-                reach::record_failure(&instance, service, server, failure, started);
-                ("check-failed", "unanswered".to_owned())
+            let why = match tokio::time::timeout(CHECK_TIMEOUT, getting).await {
+                Ok(Ok(_)) => Ok("answered".to_owned()),
+                // The backend server is reached, whatever it says.
+                Ok(Err(error @ GetError::Response(_))) => Ok(error.to_string()),
+                Ok(Err(error)) => Err(error.to_string()),
+                Err(_) => Err("unanswered".to_owned()),
+            };
+            match why {
+                Ok(outcome) => {
+                    reach::record_response(&instance, service, true);
+                    ("check-answered", outcome)
+                }
+                Err(outcome) => {
+                    let failure = Failure::CheckUnanswered;
+                    reach::record_failure(&instance, service, server, failure, started);
+                    ("check-failed", outcome)
+                }
             }
         }
     };
--- a/crates/entry/src/process/resync.rs
+++ b/crates/entry/src/process/resync.rs
@@ -49,9 +49,12 @@
     let mut responses: FuturesUnordered<_> =
         targets.into_iter().map(|target| fetch_update(&instance.timings, target, as_of)).collect();
     while let Some(response) = responses.next().await {
-        if let Some(update) = response {
-            apply_update(instance, update);
-            return true;
+        match response {
+            Ok(update) => {
+                apply_update(instance, update);
+                return true;
+            }
+            Err(why) => log::info!(target: "process", why:%; "no state from an instance"),
         }
     }
     false
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -8,9 +8,10 @@
 use super::outcome::{Outcome, ServerResponse};
 use super::server_connection::{self, RelayHop, ServerConnection};
 use crate::connection::relay_protocol::RelayOutcome;
+use crate::connection::response::CheckedResponse;
 use crate::platform_api::ServerHead;
 use crate::process::{conditions, reach, suspects};
-use http::{Request, Response, StatusCode, Uri};
+use http::{Request, StatusCode, Uri};
 use std::error::Error as _;
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
@@ -118,11 +119,27 @@
             return Outcome::Broken { is_past };
         }
     };
-    let (mut parts, incoming) = response.into_parts();
+    if relay.is_none() {
+        reach::record_response(instance, &exchange.service, connection.is_new);
+    }
+    let CheckedResponse { mut parts, framing, body: incoming } =
+        match CheckedResponse::try_from(response) {
+            Ok(response) => response,
+            Err(error) => {
+                let why = error.to_string();
+                guard.set_ending(if relay.is_none() { Ending::Failed } else { Ending::Abandoned });
+                if let Some(relay) = &relay {
+                    instance.relays.borrow_mut().record_failure(relay, &why, Instant::now());
+                }
+                log_attempt(exchange, choice, &guard, "broken", &why);
+                // It may be a surplus response to an earlier request.
+                return Outcome::Broken { is_past: false };
+            }
+        };
     if let Some(relay) = &relay {
         let outcome = RelayOutcome::take_from(&mut parts.headers);
         if outcome != RelayOutcome::Forwarded {
-            let response = Response::from_parts(parts, incoming);
+            let response = CheckedResponse { parts, framing, body: incoming };
             let attempt = (guard, connection);
             // Boxed: few requests get here, and the futures of all stay small.
             let handling =
@@ -130,8 +147,6 @@
             return Box::pin(handling).await;
         }
         instance.relays.borrow_mut().record_response(relay, Instant::now());
-    } else {
-        reach::record_response(instance, &exchange.service, connection.is_new);
     }
     let request_id = exchange.head.request_id.as_deref();
     let head = instance.wire.decode_server_head(parts.status, &parts.headers, request_id);
@@ -145,7 +160,7 @@
         return outcome;
     }
     let after = guard.sent_at.elapsed();
-    match ServerBody::read(incoming, &parts.headers).await {
+    match ServerBody::read(incoming, framing).await {
         Ok(body) => {
             let is_server_error = parts.status.is_server_error();
             record_request_success(exchange);
--- a/crates/entry/src/request/body.rs
+++ b/crates/entry/src/request/body.rs
@@ -1,8 +1,7 @@
 //! Bodies of requests and responses.
 
+use crate::connection::response::Framing;
 use bytes::{Bytes, BytesMut};
-use http::HeaderMap;
-use http::header::CONTENT_LENGTH;
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -41,12 +40,11 @@
     /// # Errors
     ///
     /// Fails if the body is truncated.
-    pub async fn read(mut body: Incoming, headers: &HeaderMap) -> Result<Self, hyper::Error> {
+    pub async fn read(mut body: Incoming, framing: Framing) -> Result<Self, hyper::Error> {
         if body.is_end_stream() {
             return Ok(Self::Buffered(Bytes::new()));
         }
-        let Some(length) = body.size_hint().exact() else { return Ok(Self::Streaming(body)) };
-        if length > MAX_BUFFERED_RESPONSE_BYTES || !headers.contains_key(CONTENT_LENGTH) {
+        if !matches!(framing, Framing::Length(length) if length <= MAX_BUFFERED_RESPONSE_BYTES) {
             return Ok(Self::Streaming(body));
         }
         let mut buffer = BytesMut::new();
--- a/crates/entry/src/request/health_check.rs
+++ b/crates/entry/src/request/health_check.rs
@@ -31,9 +31,19 @@
             http_client::check(address, &path, DIAL_TIMEOUT, instance.timings.connections),
         )
         .await;
-        let Ok(Some((status, headers))) = result else {
-            log::info!(target: "backend-server", id = &*server.id; "health check failed");
-            return;
+        let (status, headers) = match result {
+            Ok(Ok(head)) => head,
+            Ok(Err(why)) => {
+                log::info!(target: "backend-server", id = &*server.id, why:%; "health check failed");
+                return;
+            }
+            Err(_) => {
+                log::info!(
+                    target: "backend-server", id = &*server.id, why = "timeout";
+                    "health check failed"
+                );
+                return;
+            }
         };
         let health = instance.wire.decode_health(&headers);
         if health.server.as_deref() != Some(&*server.id) {
--- a/crates/entry/src/request/not_forwarded.rs
+++ b/crates/entry/src/request/not_forwarded.rs
@@ -8,9 +8,9 @@
 use super::outcome::Outcome;
 use crate::connection::pool::Connection;
 use crate::connection::relay_protocol::{RelayOutcome, read_backoffs};
+use crate::connection::response::CheckedResponse;
 use crate::process::relays::Relay;
 use crate::process::{conditions, reach};
-use http::Response;
 use hyper::body::Incoming;
 use std::time::Instant;
 use steering::placement::{Choice, Ending};
@@ -21,7 +21,7 @@
     choice: &Choice,
     relay: &Relay,
     outcome: RelayOutcome,
-    response: Response<Incoming>,
+    response: CheckedResponse<Incoming>,
     (mut guard, connection): (AttemptGuard, Connection),
 ) -> Outcome {
     log_attempt(exchange, choice, &guard, outcome.as_str(), "reported by the relay");
@@ -66,18 +66,17 @@
 /// Keeps the backoffs that a relay tells in place of the backend server's response.
 async fn keep_backoffs(
     Exchange { instance, head, .. }: &Exchange,
-    response: Response<Incoming>,
+    response: CheckedResponse<Incoming>,
     connection: Connection,
 ) {
-    let (parts, incoming) = response.into_parts();
+    let CheckedResponse { parts, framing, body } = response;
     let request_id = head.request_id.as_deref();
     for (server, left) in read_backoffs(&parts.headers) {
         conditions::record_backoff_of_relay(instance, &server, left, request_id);
     }
     let idle_timeout = keep_alive_timeout(&parts.headers);
-    if let (Ok(idle_timeout), Ok(ServerBody::Buffered(_))) =
-        (idle_timeout, ServerBody::read(incoming, &parts.headers).await)
-    {
+    let body = ServerBody::read(body, framing).await;
+    if let (Ok(idle_timeout), Ok(ServerBody::Buffered(_))) = (idle_timeout, body) {
         instance.pools.release(connection, idle_timeout);
     }
 }
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -15,6 +15,7 @@
 use crate::connection::relay_protocol::{
     Destination, RelayOutcome, RemainingBackoff, write_backoffs,
 };
+use crate::connection::response::{CheckedResponse, ResponseError};
 use crate::process::conditions;
 use crate::process::instance::Instance;
 use crate::process::millis::millis;
@@ -67,8 +68,10 @@
     Closed,
     #[error("no response: {0}")]
     Sending(hyper::Error),
+    #[error("spoilt response: {0}")]
+    SpoiltResponse(#[from] ResponseError),
     #[error("response body truncated: {0}")]
-    Response(hyper::Error),
+    Body(hyper::Error),
     #[error("response to another request")]
     MismatchedResponse,
 }
@@ -88,7 +91,10 @@
             Self::BackingOff { is_known: false, .. } => RelayOutcome::Unreachable,
             Self::Pool(error) if error.is_own() => RelayOutcome::NotSent,
             Self::Pool(_) => RelayOutcome::Unreachable,
-            Self::Sending(_) | Self::Response(_) | Self::MismatchedResponse => RelayOutcome::Broken,
+            Self::Sending(_)
+            | Self::SpoiltResponse(_)
+            | Self::Body(_)
+            | Self::MismatchedResponse => RelayOutcome::Broken,
         }
     }
 }
@@ -197,6 +203,7 @@
     if !server_head.is_for_request {
         return Err(RelayError::MismatchedResponse);
     }
+    let CheckedResponse { mut parts, framing, body } = CheckedResponse::try_from(response)?;
     if !server_head.replaced {
         conditions::record_condition(instance, server, server_head.condition, request_id);
     }
@@ -205,16 +212,15 @@
         log::info!(
             target: "request",
             id = request_id.unwrap_or(""), server = &*server.id,
-            status = response.status().as_str(), local_port, exchange, sender:%,
+            status = parts.status.as_str(), local_port, exchange, sender:%,
             rest_ms = millis(server_head.condition.backoff.unwrap_or_default());
             "rejection passed on"
         );
     }
-    let (mut parts, incoming) = response.into_parts();
     // A rejection may come once more.
     let idle_timeout = keep_alive_timeout(&parts.headers).ok().filter(|_| !server_head.not_run);
+    let body = ServerBody::read(body, framing).await.map_err(RelayError::Body)?;
     let reusable = idle_timeout.map(|idle_timeout| (connection, idle_timeout));
-    let body = ServerBody::read(incoming, &parts.headers).await.map_err(RelayError::Response)?;
     remove_hop_by_hop(&mut parts.headers);
     Ok(Response::from_parts(parts, response_body(instance, body, reusable, in_flight)))
 }
