Refuse a body that goes on after the length that its head states

What callers saw: a signed 200, complete, with five of twelve bytes after `Content-Length: 5`, or an empty 204 or 304 after a status that was spoilt.

Cause: hyper ends the body at the stated length. The bytes that follow it on the connection only closed the connection; whoever read the body did not learn of them.

The task that drives a connection now records whether bytes were left that are not the begin of another response, and a body fails in place of its last bytes if so. hyper looks at what is left in the same poll in which it passes on the end of a body, before the body's reader runs, so bytes that arrive together with that end are always seen. A surplus response is still no fault of the one before it. Not seen: a rest that arrives later than the end of the body, as a caller doesn't wait for what may never come.

--- a/crates/entry/src/connection/http_client.rs
+++ b/crates/entry/src/connection/http_client.rs
@@ -5,17 +5,20 @@
 use super::handshake::handshake;
 use super::response::{CheckedResponse, ResponseError};
 use crate::request::body::BodyError;
+use crate::request::server_stream::ServerStream;
 use bytes::Bytes;
 use http::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HOST};
 use http::request::Builder;
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::rt::TokioIo;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use steering::terms::timings::ConnectionTimings;
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Longest encoded body of an instance's response: the longest decoded one compresses to a quarter.
 const MAX_INSTANCE_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -119,12 +122,13 @@
     request: Builder,
     max_body_bytes: usize,
 ) -> Result<(Parts, Bytes), GetError> {
-    let (mut sender, connection) = handshake(stream).await?;
-    let driver = tokio::task::spawn_local(connection);
+    let (mut sender, remainder, driver) = handshake(TokioIo::new(stream)).await?;
+    let driver = AbortOnDropHandle::new(tokio::task::spawn_local(driver));
     let request = request.header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
-    let CheckedResponse { parts, body, .. } = CheckedResponse::try_from(response)?;
+    let CheckedResponse { parts, framing, body } = CheckedResponse::try_from(response)?;
+    let body = ServerStream::new(body, framing, remainder);
     let body = Limited::new(body, max_body_bytes).collect().await.map_err(GetError::Body)?;
-    driver.abort();
+    drop(driver);
     Ok((parts, body.to_bytes()))
 }
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -3,11 +3,12 @@
 pub mod carried;
 pub mod dial;
 pub(crate) mod encoding;
-mod handshake;
+pub mod handshake;
 mod head_timer;
 pub(crate) mod http_client;
 pub(crate) mod listener;
 pub mod pool;
 pub mod read_ahead;
 pub(crate) mod relay_protocol;
+pub mod remainder;
 pub mod response;
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -3,10 +3,12 @@
 use super::carried::Carried;
 use super::dial::{DIAL_TIMEOUT, dial, dial_from, is_exhaustion};
 use super::handshake::handshake;
+use super::remainder::Remainder;
 use crate::process::clock::Clock;
 use crate::request::body::RequestBody;
 use futures::FutureExt;
 use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -94,6 +96,8 @@
     pub is_new: bool,
     /// What it has carried, this use included.
     pub carried: Carried,
+    /// What follows its last response.
+    pub remainder: Remainder,
 }
 
 impl Pools {
@@ -202,13 +206,12 @@
             None => dial(address, DIAL_TIMEOUT, self.timings).await?,
         };
         let carried = Carried::nothing(stream.local_addr()?.port());
-        let (sender, connection) = handshake(stream).await?;
+        let (sender, remainder, driver) = handshake(TokioIo::new(stream)).await?;
         tokio::task::spawn_local(async move {
-            // Errors of the connection show up in the request that uses it.
-            let _ = connection.await;
+            driver.await;
             drop(guard);
         });
-        Ok(Connection { remote: server.clone(), sender, is_new: true, carried })
+        Ok(Connection { remote: server.clone(), sender, is_new: true, carried, remainder })
     }
 
     /// Returns whether an idle connection to an incarnation is open that may carry the request.
--- a/crates/entry/src/connection/response.rs
+++ b/crates/entry/src/connection/response.rs
@@ -25,6 +25,9 @@
     /// The length is not a number of bytes, or there are several that differ.
     #[error("length {0:?} is not one number of bytes")]
     Length(HeaderValue),
+    /// More bytes follow the stated length, and they are no other response.
+    #[error("the body goes on after its length")]
+    BodyAfterLength,
 }
 
 /// What tells where the body of a response ends (RFC 9112, section 6.3).
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -7,6 +7,7 @@
 use super::not_forwarded;
 use super::outcome::{Outcome, ServerResponse};
 use super::server_connection::{self, RelayHop, ServerConnection};
+use super::server_stream::ServerStream;
 use crate::connection::relay_protocol::RelayOutcome;
 use crate::connection::response::CheckedResponse;
 use crate::platform_api::ServerHead;
@@ -160,7 +161,8 @@
         return outcome;
     }
     let after = guard.sent_at.elapsed();
-    match ServerBody::read(incoming, framing).await {
+    let stream = ServerStream::new(incoming, framing, connection.remainder.clone());
+    match ServerBody::read(stream).await {
         Ok(body) => {
             let is_server_error = parts.status.is_server_error();
             record_request_success(exchange);
--- a/crates/entry/src/request/body.rs
+++ b/crates/entry/src/request/body.rs
@@ -1,12 +1,10 @@
 //! Bodies of requests and responses.
 
-use crate::connection::response::Framing;
+use super::server_stream::{ServerBodyError, ServerStream};
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use std::error::Error;
-use std::future::poll_fn;
 use std::pin::Pin;
 
 /// Longest response body in bytes that is buffered before it is forwarded.
@@ -31,7 +29,7 @@
     /// It was short and read completely.
     Buffered(Bytes),
     /// It is forwarded as it arrives.
-    Streaming(Incoming),
+    Streaming(ServerStream),
 }
 
 impl ServerBody {
@@ -39,20 +37,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body is truncated.
-    pub async fn read(mut body: Incoming, framing: Framing) -> Result<Self, hyper::Error> {
-        if body.is_end_stream() {
-            return Ok(Self::Buffered(Bytes::new()));
-        }
-        if !matches!(framing, Framing::Length(length) if length <= MAX_BUFFERED_RESPONSE_BYTES) {
-            return Ok(Self::Streaming(body));
+    /// Fails if the body is known by now to be truncated, or not to end where the head says.
+    pub async fn read(mut stream: ServerStream) -> Result<Self, ServerBodyError> {
+        if stream.length().is_none_or(|length| length > MAX_BUFFERED_RESPONSE_BYTES) {
+            return Ok(Self::Streaming(stream));
         }
         let mut buffer = BytesMut::new();
-        while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
+        while let Some(frame) = stream.frame().await {
             if let Ok(data) = frame?.into_data() {
                 buffer.extend_from_slice(&data);
             }
         }
+        stream.check_remainder()?;
         Ok(Self::Buffered(buffer.freeze()))
     }
 }
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -39,6 +39,7 @@
 mod run;
 mod sent_flag;
 mod server_connection;
+pub mod server_stream;
 mod unfinished;
 mod update;
 
--- a/crates/entry/src/request/not_forwarded.rs
+++ b/crates/entry/src/request/not_forwarded.rs
@@ -6,6 +6,7 @@
 use super::exchange::Exchange;
 use super::headers::keep_alive_timeout;
 use super::outcome::Outcome;
+use super::server_stream::ServerStream;
 use crate::connection::pool::Connection;
 use crate::connection::relay_protocol::{RelayOutcome, read_backoffs};
 use crate::connection::response::CheckedResponse;
@@ -75,7 +76,8 @@
         conditions::record_backoff_of_relay(instance, &server, left, request_id);
     }
     let idle_timeout = keep_alive_timeout(&parts.headers);
-    let body = ServerBody::read(body, framing).await;
+    let stream = ServerStream::new(body, framing, connection.remainder.clone());
+    let body = ServerBody::read(stream).await;
     if let (Ok(idle_timeout), Ok(ServerBody::Buffered(_))) = (idle_timeout, body) {
         instance.pools.release(connection, idle_timeout);
     }
--- a/crates/entry/src/request/pooled_body.rs
+++ b/crates/entry/src/request/pooled_body.rs
@@ -1,10 +1,10 @@
 //! Streamed response bodies that return their connection to the pool.
 
 use super::body::BodyError;
+use super::server_stream::ServerStream;
 use crate::connection::pool::{Connection, Pools};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -14,7 +14,7 @@
 /// The connection returns to the pool only after a complete body; otherwise, for example if the reader
 /// disconnects, it is closed.
 pub(super) struct PooledBody {
-    incoming: Incoming,
+    incoming: ServerStream,
     pools: Pools,
     /// The connection and its idle timeout, if it may be reused.
     reusable: Option<(Connection, Option<Duration>)>,
@@ -23,7 +23,7 @@
 impl PooledBody {
     /// A body that arrives over a connection of the pools.
     pub(super) fn new(
-        incoming: Incoming,
+        incoming: ServerStream,
         pools: Pools,
         reusable: Option<(Connection, Option<Duration>)>,
     ) -> Self {
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -10,6 +10,7 @@
 use super::headers::{keep_alive_timeout, remove_hop_by_hop};
 use super::pooled_body::PooledBody;
 use super::server_connection::connection_limit;
+use super::server_stream::{ServerBodyError, ServerStream};
 use crate::connection::carried::ConnectionLabel;
 use crate::connection::pool::{Connection, PoolError};
 use crate::connection::relay_protocol::{
@@ -70,8 +71,8 @@
     Sending(hyper::Error),
     #[error("spoilt response: {0}")]
     SpoiltResponse(#[from] ResponseError),
-    #[error("response body truncated: {0}")]
-    Body(hyper::Error),
+    #[error("spoilt response body: {0}")]
+    SpoiltBody(#[from] ServerBodyError),
     #[error("response to another request")]
     MismatchedResponse,
 }
@@ -93,7 +94,7 @@
             Self::Pool(_) => RelayOutcome::Unreachable,
             Self::Sending(_)
             | Self::SpoiltResponse(_)
-            | Self::Body(_)
+            | Self::SpoiltBody(_)
             | Self::MismatchedResponse => RelayOutcome::Broken,
         }
     }
@@ -219,7 +220,8 @@
     }
     // A rejection may come once more.
     let idle_timeout = keep_alive_timeout(&parts.headers).ok().filter(|_| !server_head.not_run);
-    let body = ServerBody::read(body, framing).await.map_err(RelayError::Body)?;
+    let body =
+        ServerBody::read(ServerStream::new(body, framing, connection.remainder.clone())).await?;
     let reusable = idle_timeout.map(|idle_timeout| (connection, idle_timeout));
     remove_hop_by_hop(&mut parts.headers);
     Ok(Response::from_parts(parts, response_body(instance, body, reusable, in_flight)))
