Refuse bodies without a length that hold the framing which the head has lost

What callers saw: a signed 200, complete, with `c\r\ntwelve bytes\r\n0\r\n\r\n` as body after `Transfer-Encodin: chunked`, or with the rest of the head before the body after an empty line in the head.

Cause: a response without a length and a coding is allowed, and ends with its connection. A head whose framing field is misspelt, or that an empty line ends too early, is read as one of these.

Responses without a length are served as before, but for three that no sound server sends: a field whose name is that of the length or the coding with up to three edits (not one that holds the whole name, as `X-Content-Length`); a body that begins with such fields up to an empty line; and a body that is chunks from its begin to its end.

--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod relay_protocol;
 pub mod remainder;
 pub mod response;
+pub(crate) mod unframed;
--- a/crates/entry/src/connection/response.rs
+++ b/crates/entry/src/connection/response.rs
@@ -5,7 +5,7 @@
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 
 /// The only transfer coding that hyper decodes.
 const CHUNKED: &[u8] = b"chunked";
@@ -28,6 +28,15 @@
     /// More bytes follow the stated length, and they are no other response.
     #[error("the body goes on after its length")]
     BodyAfterLength,
+    /// There is no length, and a field whose name is almost that of a length or a transfer coding.
+    #[error("no length, and a field {0:?}")]
+    MisspeltFraming(HeaderName),
+    /// A body without a length consists of chunks.
+    #[error("the body has chunks, and the head does not say so")]
+    UndeclaredChunks,
+    /// A body without a length begins with fields that belong to the head.
+    #[error("the body begins with a part of the head")]
+    HeadInBody,
 }
 
 /// What tells where the body of a response ends (RFC 9112, section 6.3).
@@ -53,7 +62,10 @@
                 length.map(Self::Length).ok_or_else(|| ResponseError::Length(first.clone()))
             }
             None if is_chunked => Ok(Self::Chunked),
-            None => Ok(Self::UntilClose),
+            None => match headers.keys().find(|name| resembles_framing(name.as_str())) {
+                Some(misspelt) => Err(ResponseError::MisspeltFraming(misspelt.clone())),
+                None => Ok(Self::UntilClose),
+            },
         }
     }
 }
@@ -89,6 +101,20 @@
     std::str::from_utf8(digits).ok().filter(|_| is_number)?.parse().ok()
 }
 
+/// Edits by which a name may differ from another one that it is taken for.
+const MAX_EDITS: usize = 3;
+
+/// Returns whether a name is that of a length or a transfer coding, or one of them with a few edits; one that
+/// contains the whole name of them is another field.
+pub(crate) fn resembles_framing(name: &str) -> bool {
+    let name = name.to_ascii_lowercase();
+    [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|framing| {
+        let framing = framing.as_str();
+        name == framing
+            || (!name.contains(framing) && strsim::osa_distance(&name, framing) <= MAX_EDITS)
+    })
+}
+
 /// A response with the status of a final one and a framing that only means one thing.
 #[derive(Debug)]
 pub struct CheckedResponse<B> {
--- a/crates/entry/src/request/server_stream.rs
+++ b/crates/entry/src/request/server_stream.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::remainder::Remainder;
 use crate::connection::response::{Framing, ResponseError};
+use crate::connection::unframed::UnframedBody;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
@@ -24,6 +25,8 @@
     incoming: Incoming,
     /// The length that the head states.
     length: Option<u64>,
+    /// Looks through a body whose end is that of its connection; boxed, as few bodies are like that.
+    unframed: Option<Box<UnframedBody>>,
     remainder: Remainder,
 }
 
@@ -34,7 +37,8 @@
             Framing::Length(length) => Some(length),
             Framing::Chunked | Framing::UntilClose => None,
         };
-        Self { incoming, length, remainder }
+        let unframed = (framing == Framing::UntilClose).then(Box::default);
+        Self { incoming, length, unframed, remainder }
     }
 
     /// Length in bytes, if the head states one.
@@ -53,6 +57,17 @@
             false => Ok(()),
         }
     }
+
+    fn check(&mut self, frame: Option<&Frame<Bytes>>) -> Result<(), ResponseError> {
+        self.check_remainder()?;
+        match (&mut self.unframed, frame) {
+            (Some(unframed), Some(frame)) => {
+                unframed.push(frame.data_ref().map_or(&[], |data| data))
+            }
+            (Some(unframed), None) => unframed.end(),
+            (None, _) => Ok(()),
+        }
+    }
 }
 
 impl Body for ServerStream {
@@ -64,12 +79,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ServerBodyError>>> {
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context)).transpose()?;
-        self.check_remainder()?;
+        self.check(frame.as_ref())?;
         Poll::Ready(frame.map(Ok))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        self.unframed.is_none() && self.incoming.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
