Answer callers whose server's body breaks before its head is passed on

What callers saw: no byte at all, the connection ended, for a request that a server had read, after a body that broke at its begin: a chunk size that is none, chunk extensions without end, a head that an empty line divides.

Cause: the head and the failure of the body were ready at once. The response was handed to hyper, which drops what it has not written when a body fails, the head included.

The first frame of a streamed body is now looked at before there is a response. If the body is known to be broken by then, the attempt is a broken one: 502 with an unknown outcome, or a retry if the request is idempotent. The look costs no time: a body of which nothing has arrived is streamed as before. Between the look and the write nothing else runs, so no failure can come in between.

Evidence: a_body_that_breaks_at_its_begin_is_refused, a_head_that_an_empty_line_divides_is_no_complete_response and both tests of spoilt_bytes.rs failed before, with connections that ended without a byte; all pass.

--- a/crates/entry/src/request/body.rs
+++ b/crates/entry/src/request/body.rs
@@ -33,14 +33,17 @@
 }
 
 impl ServerBody {
-    /// Buffers the body if its length is known and short.
+    /// Buffers the body if its length is known and short, or if it has ended already.
     ///
     /// # Errors
     ///
     /// Fails if the body is known by now to be truncated, or not to end where the head says.
     pub async fn read(mut stream: ServerStream) -> Result<Self, ServerBodyError> {
         if stream.length().is_none_or(|length| length > MAX_BUFFERED_RESPONSE_BYTES) {
-            return Ok(Self::Streaming(stream));
+            return Ok(match stream.has_ended_early()? {
+                true => Self::Buffered(Bytes::new()),
+                false => Self::Streaming(stream),
+            });
         }
         let mut buffer = BytesMut::new();
         while let Some(frame) = stream.frame().await {
