Bound the bytes that a server may send before its response

What was seen: a health check read 212 MB of interim responses (103) over one connection before it gave up, and a request read them until its deadline, then 504. No memory grew, but an instance with a tenth of a processor spends it on that.

Cause: hyper skips interim responses in any number. Heads are bounded by the buffer of a connection, and the body of a check by its own limit, but nothing counted what comes in between.

A connection now has a budget of 256 KiB until the head of its response is there, and a check one for all that it reads. Whoever exceeds it gets a broken exchange (502, unknown outcome). It doesn't count as a failure to reach the server, as bytes that are no response don't either.

Evidence: a_health_check_takes_little_of_interim_responses_without_end (212,481,360 bytes, 24 MiB allowed) and a_request_takes_little_of_interim_responses_without_end (504 at the deadline) failed before and pass.

--- a/crates/entry/src/connection/http_client.rs
+++ b/crates/entry/src/connection/http_client.rs
@@ -3,6 +3,7 @@
 use super::dial::dial;
 use super::encoding::{DEFLATE, inflate};
 use super::handshake::handshake;
+use super::read_budget::{BudgetedStream, ReadBudget};
 use super::response::{CheckedResponse, ResponseError};
 use crate::request::body::BodyError;
 use crate::request::server_stream::ServerStream;
@@ -26,6 +27,9 @@
 /// Longest body of a backend server's response to a check, of which only the head is used.
 const MAX_CHECK_BODY_BYTES: usize = 16 * 1024;
 
+/// Bytes besides its body that a response may have: its head, those of interim responses, and the framing.
+const MAX_OVERHEAD_BYTES: usize = 256 * 1024;
+
 /// Why a request has no response that can be used.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum GetError {
@@ -122,7 +126,10 @@
     request: Builder,
     max_body_bytes: usize,
 ) -> Result<(Parts, Bytes), GetError> {
-    let (mut sender, remainder, driver) = handshake(TokioIo::new(stream)).await?;
+    // Chunks of few bytes could go on without end as well, so the budget is never lifted.
+    let budget = ReadBudget::new((max_body_bytes + MAX_OVERHEAD_BYTES) as u64);
+    let stream = TokioIo::new(BudgetedStream { stream, budget });
+    let (mut sender, remainder, driver) = handshake(stream).await?;
     let driver = AbortOnDropHandle::new(tokio::task::spawn_local(driver));
     let request = request.header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod listener;
 pub mod pool;
 pub mod read_ahead;
+pub mod read_budget;
 pub(crate) mod relay_protocol;
 pub mod remainder;
 pub mod response;
--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -3,10 +3,14 @@
 use super::carried::Carried;
 use super::dial::{DIAL_TIMEOUT, dial, dial_from, is_exhaustion};
 use super::handshake::handshake;
+use super::read_budget::{BudgetedStream, ReadBudget};
 use super::remainder::Remainder;
 use crate::process::clock::Clock;
 use crate::request::body::RequestBody;
 use futures::FutureExt;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
@@ -25,6 +29,10 @@
 /// Time by which an idle connection is dropped before the backend server closes it.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1200);
 
+/// Bytes that a backend server may send before its response, interim responses included: several of the longest
+/// heads.
+const MAX_BYTES_BEFORE_RESPONSE: u64 = 256 * 1024;
+
 /// Why there is no connection.
 #[derive(Debug, thiserror::Error)]
 pub enum PoolError {
@@ -90,8 +98,9 @@
 pub struct Connection {
     /// The backend server or instance at the other end.
     pub remote: Incarnation,
-    /// Sends a request over it.
-    pub sender: SendRequest<RequestBody>,
+    sender: SendRequest<RequestBody>,
+    /// Bytes that may precede its next response.
+    budget: ReadBudget,
     /// Whether it was opened for this use.
     pub is_new: bool,
     /// What it has carried, this use included.
@@ -100,6 +109,23 @@
     pub remainder: Remainder,
 }
 
+impl Connection {
+    /// Sends a request and returns the response, as its head arrives.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks, or its bytes are no response.
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+        self.budget.set(MAX_BYTES_BEFORE_RESPONSE);
+        let response = self.sender.try_send_request(request).await;
+        self.budget.lift();
+        response
+    }
+}
+
 impl Pools {
     /// Pools without connections. Idle timeouts use a clock that includes suspensions, as the time
     /// passes for backend servers meanwhile.
@@ -206,12 +232,15 @@
             None => dial(address, DIAL_TIMEOUT, self.timings).await?,
         };
         let carried = Carried::nothing(stream.local_addr()?.port());
+        let budget = ReadBudget::new(MAX_BYTES_BEFORE_RESPONSE);
+        let stream = BudgetedStream { stream, budget: budget.clone() };
         let (sender, remainder, driver) = handshake(TokioIo::new(stream)).await?;
         tokio::task::spawn_local(async move {
             driver.await;
             drop(guard);
         });
-        Ok(Connection { remote: server.clone(), sender, is_new: true, carried, remainder })
+        let remote = server.clone();
+        Ok(Connection { remote, sender, budget, is_new: true, carried, remainder })
     }
 
     /// Returns whether an idle connection to an incarnation is open that may carry the request.
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -1,6 +1,8 @@
 //! Sends a request to one backend server and classifies the response.
 
-use super::attempt_failure::{handle_closed_connection, is_cut_off, log_attempt, record_broken};
+use super::attempt_failure::{
+    handle_closed_connection, is_cut_off, is_from_server, log_attempt, record_broken,
+};
 use super::attempt_guard::{AttemptGuard, DirectExchangeGuard};
 use super::body::{RequestBody, ServerBody};
 use super::exchange::Exchange;
@@ -73,7 +75,7 @@
     guard.is_connection_new = connection.is_new;
     guard.connection = Some(connection.carried.label());
     guard.sent_flag.set();
-    let response = match connection.sender.try_send_request(request).await {
+    let response = match connection.send(request).await {
         Ok(response) => response,
         Err(mut error) => {
             let why = error.error().to_string();
@@ -101,8 +103,7 @@
             }
             let is_caller_error = error.error().is_user();
             let is_server_failure = !is_caller_error && relay.is_none();
-            // Bytes that are no response came from the server all the same.
-            if is_server_failure && !error.error().is_parse() {
+            if is_server_failure && !is_from_server(error.error()) {
                 record_broken(exchange, &guard);
             }
             guard.set_ending(match is_server_failure && !is_cut_off(exchange) {
--- a/crates/entry/src/request/attempt_failure.rs
+++ b/crates/entry/src/request/attempt_failure.rs
@@ -3,9 +3,11 @@
 use super::attempt_guard::AttemptGuard;
 use super::exchange::Exchange;
 use crate::connection::carried::ConnectionLabel;
+use crate::connection::read_budget::is_used_up;
 use crate::process::crash_detection::probe_after_close;
 use crate::process::millis::millis;
 use crate::process::reach;
+use std::error::Error as _;
 use steering::placement::Choice;
 use steering::reach::Failure;
 
@@ -16,6 +18,12 @@
     reach::record_failure(instance, service, &guard.server, failure, guard.sent_at);
 }
 
+/// Returns whether an exchange failed because of what the other side sent, so that it is there all the same.
+pub(super) fn is_from_server(error: &hyper::Error) -> bool {
+    let io_error = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
+    error.is_parse() || io_error.is_some_and(is_used_up)
+}
+
 /// Returns whether this instance reaches no backend server of the request's service.
 pub(super) fn is_cut_off(exchange: &Exchange) -> bool {
     exchange.instance.reach.borrow().is_cut_off(&exchange.service)
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -3,6 +3,7 @@
 //! The sending instance decides on the backend server, retries and timeouts. The relay reports to it
 //! whether the request was sent.
 
+use super::attempt_failure::is_from_server;
 use super::attempt_guard::DirectExchangeGuard;
 use super::body::{BodyError, RequestBody, ResponseBody, ServerBody, full_body};
 use super::caller::Caller;
@@ -186,12 +187,12 @@
     }
     let sent_at = Instant::now();
     let exchange_guard = DirectExchangeGuard::enter(instance);
-    let response = connection.sender.try_send_request(request).await.map_err(|mut error| {
+    let response = connection.send(request).await.map_err(|mut error| {
         if error.take_message().is_some() {
             instance.pools.close_idle(server);
             return RelayError::Closed;
         }
-        if !error.error().is_parse() {
+        if !is_from_server(error.error()) {
             let failure = Failure::broken(connection.is_new);
             reach::record_failure(instance, &service, server, failure, sent_at);
         }
