Refuse requests whose body has another transfer coding than `chunked`

What servers got: after `Transfer-Encoding: x, chunked`, or `gzip, chunked`, a body in the first coding, without its name: another body than the caller's, answered with a success.

Cause: the same as with responses: hyper decodes the last coding, and the names of all are removed as hop-by-hop.

Such requests are answered 501 (RFC 9112, section 6.1) with the outcome `unknown-coding` and are not sent.

Handled before: codings that don't end in `chunked`, lengths that are no number or differ, blanks in names (400); of a length beside chunks only the chunks reach the server.

--- a/crates/entry/src/connection/response.rs
+++ b/crates/entry/src/connection/response.rs
@@ -75,7 +75,7 @@
 /// # Errors
 ///
 /// Fails if it has another one, alone or besides.
-fn is_chunked(headers: &HeaderMap) -> Result<bool, ResponseError> {
+pub(crate) fn is_chunked(headers: &HeaderMap) -> Result<bool, ResponseError> {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
         (None, _) => Ok(false),
--- a/crates/entry/src/request/handle.rs
+++ b/crates/entry/src/request/handle.rs
@@ -8,6 +8,7 @@
 use super::headers::remove_hop_by_hop;
 use super::problem::Problem;
 use super::run;
+use crate::connection::response::is_chunked;
 use crate::platform_api::CallerHead;
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
@@ -67,6 +68,8 @@
         Authentication::Customer(customer) => Some(customer),
         Authentication::Failed => return Err(Problem::UnknownKey),
     };
+    // The server would take the body for another one, as the coding is not passed on.
+    is_chunked(request.headers()).map_err(|_| Problem::UnknownCoding)?;
     let mut headers = request.headers().clone();
     remove_hop_by_hop(&mut headers);
     instance.wire.remove_customer_headers(&mut headers);
--- a/crates/entry/src/request/problem.rs
+++ b/crates/entry/src/request/problem.rs
@@ -26,6 +26,9 @@
         /// Time after which the quota may allow the request.
         retry_after: Duration,
     },
+    /// The body has a transfer coding that this instance can't decode.
+    #[error("the transfer coding is not known")]
+    UnknownCoding,
     /// The body is longer than the configuration allows.
     #[error("body is longer than {limit_bytes} bytes")]
     BodyTooLong {
@@ -78,6 +81,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::UnknownCoding => StatusCode::NOT_IMPLEMENTED,
             Self::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTruncated => StatusCode::BAD_REQUEST,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -106,6 +110,7 @@
             Self::NoRoute => "no-route",
             Self::UnknownKey => "unknown-key",
             Self::OverQuota { .. } => "over-quota",
+            Self::UnknownCoding => "unknown-coding",
             Self::BodyTooLong { .. } => "body-too-long",
             Self::BodyTruncated => "body-cut",
             Self::BodyTimeout => "body-timeout",
