Check the responses of backend servers in the other proxy too

What callers saw: as with entry instances, a complete 200 with the framing or a part of the body in it after `chunkd`, `x, chunked` or a length beside another coding; a length that can't be read after `4, 4`.

Cause: a response counted as bounded if it had any length or coding.

The same `CheckedResponse` is made of each response. What fails is a broken exchange: 502 with an unknown outcome. A body that ends with its connection is refused as before.

Evidence: a_response_whose_framing_is_spoilt_is_a_bad_gateway and a_length_that_is_stated_twice_alike_is_told_once failed before and pass.

--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -69,7 +69,7 @@
         exchange.set_timeout(&mut request)?;
         match attempt::send(&exchange, &mut slot, &endpoint, request).await? {
             Attempt::Responded(response, connection) => {
-                headers::check_response(&method, &response)?;
+                let response = headers::check_response(&method, response)?;
                 return Ok(forward_response(exchange, response, connection, slot, &route));
             }
             Attempt::NotSent(returned) if attempts < MAX_ATTEMPTS => request = returned,
--- a/crates/runpind/src/request/headers.rs
+++ b/crates/runpind/src/request/headers.rs
@@ -1,9 +1,8 @@
 //! Hop-by-hop headers, and the headers that runpin reads and writes.
 
 use super::problem::Problem;
-use http::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRANSFER_ENCODING,
-};
+use entry::connection::response::{CheckedResponse, Framing};
+use http::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue, TE};
 use http::{Method, Request, Response, StatusCode, Version};
 use std::borrow::Cow;
 
@@ -85,22 +84,23 @@
     }
 }
 
-/// Refuses responses that can't be forwarded: a switch to another protocol, and a body that ends
-/// with its connection, because a truncated one looks complete.
-pub(super) fn check_response<B>(method: &Method, response: &Response<B>) -> Result<(), Problem> {
-    let status = response.status();
-    if status == StatusCode::SWITCHING_PROTOCOLS {
-        return Err(Problem::BrokenExchange);
-    }
-    let has_no_body = method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    let headers = response.headers();
-    let is_bounded =
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    match has_no_body || is_bounded {
-        true => Ok(()),
-        false => Err(Problem::UnboundedResponse),
+/// Refuses responses that can't be forwarded: a spoilt status or framing, and a body that ends with its
+/// connection, because a truncated one looks complete.
+pub(super) fn check_response<B>(
+    method: &Method,
+    response: Response<B>,
+) -> Result<Response<B>, Problem> {
+    let CheckedResponse { parts, framing, body } =
+        CheckedResponse::try_from(response).map_err(|why| {
+            log::info!(target: "request", why:%; "response refused");
+            Problem::BrokenExchange
+        })?;
+    let has_no_body = *method == Method::HEAD
+        || parts.status == StatusCode::NO_CONTENT
+        || parts.status == StatusCode::NOT_MODIFIED;
+    match framing == Framing::UntilClose && !has_no_body {
+        true => Err(Problem::UnboundedResponse),
+        false => Ok(Response::from_parts(parts, body)),
     }
 }
 
--- a/crates/runpind/tests/whole_answers.rs
+++ b/crates/runpind/tests/whole_answers.rs
@@ -48,6 +48,43 @@
     }
 }
 
+// Guards against a success with the framing in its body, or with a part of the body, for callers whose backend server
+// spoils its head.
+#[tokio::test]
+async fn a_response_whose_framing_is_spoilt_is_a_bad_gateway() {
+    let spoilt = [
+        ("200 OK", "Transfer-Encoding: chunkd"),
+        ("200 OK", "Transfer-Encoding: x, chunked"),
+        ("200 OK", "Transfer-Encoding: chunked, x"),
+        ("200 OK", "Transfer-Encoding: x\r\nContent-Length: 2"),
+        ("200 OK", "Transfer-Encoding: chunked\r\nContent-Length: 2"),
+        ("200 OK", "Transfer-Encoding: chunked\r\nContent-Length: x"),
+        ("200 OK", "Content-Length: 4x"),
+        ("200 OK", "Content-Lenght: 4"),
+        ("200 OK", "Transfer-Encodin: chunked"),
+        ("200 OK", "X A: b\r\nContent-Length: 4"),
+        ("000 X", "Content-Length: 4"),
+        ("101 X", "Content-Length: 4"),
+        ("600 X", "Content-Length: 4"),
+    ];
+    for (status, lines) in spoilt {
+        let head = format!("HTTP/1.1 {status}\r\n{lines}\r\n\r\n");
+        let response = forward(GET, &format!("{head}4\r\nbody\r\n0\r\n\r\n")).await;
+
+        assert_eq!(response.status(), 502, "{head:?}: {}", response.text);
+        assert!(response.has_header("runpin-outcome: unknown"), "{head:?}: {}", response.text);
+    }
+}
+
+// Guards against a success that callers can't read to its end, as the backend server states its length twice.
+#[tokio::test]
+async fn a_length_that_is_stated_twice_alike_is_told_once() {
+    let response = forward(GET, "HTTP/1.1 200 OK\r\nContent-Length: 4, 4\r\n\r\nbody").await;
+
+    assert!(response.has_header("content-length: 4"), "{}", response.text);
+    assert_eq!(response.body(), "body", "{}", response.text);
+}
+
 #[tokio::test]
 async fn response_shorter_than_declared_stays_short() {
     let response = forward(GET, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf").await;
