Let the other proxy write the head of a response before its body fails

What callers saw: no byte at all, the connection ended, for a request that a backend server had read, after a chunked body that broke at its begin.

The failure of a body is told one poll later; hyper writes what it has when a body is pending. The caller gets the head, and a body that is visibly incomplete.

--- a/crates/runpind/src/request/exchange.rs
+++ b/crates/runpind/src/request/exchange.rs
@@ -178,6 +178,8 @@
     slot: Slot,
     /// Ending to record once the body is complete.
     ending: Ending,
+    /// Why the body ends early, to be told once what came before it has been written.
+    failure: Option<BodyError>,
     _in_flight: InFlight,
 }
 
@@ -200,6 +202,7 @@
             measurement,
             slot,
             ending: if shed { Ending::Shed } else { Ending::Complete },
+            failure: None,
             _in_flight: in_flight,
         };
         if body.incoming.is_end_stream() {
@@ -225,21 +228,31 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
         if self.deadline.as_mut().poll(context).is_ready() {
             self.connection = None;
             return Poll::Ready(Some(Err(BodyError::Timeout)));
         }
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
-        match &frame {
-            None => self.complete(),
-            Some(Err(_)) => {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context)).transpose();
+        match frame {
+            Ok(frame) => {
+                if frame.is_none() || self.incoming.is_end_stream() {
+                    self.complete();
+                }
+                Poll::Ready(frame.map(Ok))
+            }
+            Err(error) => {
                 self.connection = None;
                 self.slot.record_ending(Ending::Failed);
+                self.failure = Some(BodyError::Truncated(error));
+                // hyper drops what it has not written when a body fails, and writes it when one is pending: the
+                // caller would get nothing at all, not even the head.
+                context.waker().wake_by_ref();
+                Poll::Pending
             }
-            Some(Ok(_)) if self.incoming.is_end_stream() => self.complete(),
-            Some(Ok(_)) => {}
         }
-        Poll::Ready(frame.map(|frame| frame.map_err(BodyError::Truncated)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/runpind/tests/whole_answers.rs
+++ b/crates/runpind/tests/whole_answers.rs
@@ -76,6 +76,18 @@
     }
 }
 
+// Guards against callers that get no answer at all, as the body breaks before its head is written.
+#[tokio::test]
+async fn a_body_that_breaks_at_once_does_not_take_its_head_with_it() {
+    for body in ["zz\r\nbody\r\n0\r\n\r\n", "4\r\nbodyXX"] {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let response = forward(GET, &format!("{head}{body}")).await;
+
+        assert!(response.text.starts_with("HTTP/1.1 "), "{body:?}: {:?}", response.text);
+        assert!(!response.text.ends_with("0\r\n\r\n"), "{body:?}: {:?}", response.text);
+    }
+}
+
 // Guards against a success that callers can't read to its end, as the backend server states its length twice.
 #[tokio::test]
 async fn a_length_that_is_stated_twice_alike_is_told_once() {
