Check the responses that `runpin` reads as those of backend servers

What operators saw: a report, or `version 2 is accepted`, from a response with `Transfer-Encoding: chunkd`, which may not be that of the instance.

Cause: the same as with backend servers: hyper's response was taken as it is.

A response that is none counts as not received: another instance is asked, or the outcome of a change is unknown (exit code 6).

Evidence: a_spoilt_response_is_none and a_change_with_a_spoilt_response_may_have_been_accepted failed before (exit code 0) and pass; sound responses, also without a length, are read as before.

--- a/crates/runpin/src/client.rs
+++ b/crates/runpin/src/client.rs
@@ -2,6 +2,9 @@
 
 use crate::error::CommandError;
 use bytes::Bytes;
+use entry::connection::remainder::Remainder;
+use entry::connection::response::CheckedResponse;
+use entry::request::server_stream::ServerStream;
 use http_body_util::{BodyExt, Full};
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request};
@@ -174,8 +177,12 @@
                 CallError::NoResponse(cause)
             }
         })?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
+        let CheckedResponse { parts, framing, body } = CheckedResponse::try_from(response)
+            .map_err(|error| CallError::NoResponse(error.to_string()))?;
+        let status = parts.status;
+        // What follows on the connection is not known here; a shortened body can't be decoded.
+        let body = ServerStream::new(body, framing, Remainder::default());
+        let body = body.collect().await;
         let body = body.map_err(|error| CallError::NoResponse(error.to_string()))?.to_bytes();
         if status.is_success() {
             return Ok(body);
