Keep at most 64 MiB of a response in `runpin`

What operators would see: an instance that sends without end makes the command keep all of it, 5.9 GB in the 10 s until its timeout.

Cause: the body was collected without a limit.

A body beyond 64 MiB ends the call as one without a response.

Evidence: a_response_without_end_takes_little_memory failed before (5,962,399,744 bytes taken, 96 MiB allowed) and passes.

--- a/crates/runpin/src/client.rs
+++ b/crates/runpin/src/client.rs
@@ -5,7 +5,7 @@
 use entry::connection::remainder::Remainder;
 use entry::connection::response::CheckedResponse;
 use entry::request::server_stream::ServerStream;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request};
 use hyper_util::client::legacy;
@@ -27,6 +27,9 @@
 /// Maximum time for a request, from connecting to the end of the response.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum bytes of a response body, many times the metrics and views of the largest fleets.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -182,7 +185,7 @@
         let status = parts.status;
         // What follows on the connection is not known here; a shortened body can't be decoded.
         let body = ServerStream::new(body, framing, Remainder::default());
-        let body = body.collect().await;
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|error| CallError::NoResponse(error.to_string()))?.to_bytes();
         if status.is_success() {
             return Ok(body);
--- a/crates/runpin/tests/spoilt_answers.rs
+++ b/crates/runpin/tests/spoilt_answers.rs
@@ -95,3 +95,16 @@
     let (code, printed) = run(&["config", "apply", &file], address).await;
     assert_eq!(code, OUTCOME_UNKNOWN, "{printed}");
 }
+
+/// Bytes of one response that may be taken, kernel buffers included.
+const MAX_TAKEN_BYTES: usize = 96 * 1024 * 1024;
+
+// Guards against a command that uses up the memory of the operator's machine, as a response has no end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_end_takes_little_memory() {
+    let (address, taken) = start("HTTP/1.1 200 OK\r\n\r\n".to_owned(), &[b' '; 64 * 1024]).await;
+    let (code, printed) = run(&["entry", "explain", "1"], address).await;
+    let taken = taken.load(Ordering::Relaxed);
+    assert!(taken <= MAX_TAKEN_BYTES, "{taken} bytes");
+    assert_eq!(code, UNREACHABLE, "{printed}");
+}
