Answer requests under way before a planned stop ends

What callers saw: a request that came before the stop, whose server takes longer than the grace period and whose route waits longer, was cut without an answer when the process ended, among them requests that may not be repeated.

Cause: the time of the stop was applied to requests that begin during it, not to those under way.

A relay that stops needs nothing: its senders keep the deadline, and answer 502 when its connections end.

--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -123,6 +123,8 @@
     pub resynced: watch::Sender<u64>,
     /// Time by which requests that arrive during a planned stop have to be answered.
     pub stop_deadline: Cell<Option<Time>>,
+    /// Time at which requests that are still under way in a planned stop are answered.
+    pub(crate) stop_answer_time: Cell<Option<Time>>,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
     /// Number of requests of other instances in flight.
@@ -231,6 +233,7 @@
             standstills: Rc::new(Standstills::new(Instant::now())),
             resynced: watch::Sender::new(0),
             stop_deadline: Cell::new(None),
+            stop_answer_time: Cell::new(None),
             in_flight: Cell::new(0),
             relayed_in_flight: Cell::new(0),
             accept_failed_at: Cell::new(None),
--- a/crates/entry/src/process/stop.rs
+++ b/crates/entry/src/process/stop.rs
@@ -10,6 +10,10 @@
 /// Fraction of the grace period after which the process ends in any case.
 const END_FRACTION: f64 = 0.95;
 
+/// Fraction of the grace period after which requests under way are answered that their outcome is unknown: the last
+/// moment from which the answers still get through.
+const ANSWER_FRACTION: f64 = 0.92;
+
 /// Fraction of the grace period that is the deadline of requests that arrive during the stop: it is sent
 /// to the backend server and leaves time for the response to get through.
 const DEADLINE_FRACTION: f64 = 0.88;
@@ -28,6 +32,7 @@
     let grace = instance.settings.stop_grace;
     log::info!(target: "process", in_flight = instance.in_flight.get(); "stopping");
     instance.stop_deadline.set(Some(started + grace.mul_f64(DEADLINE_FRACTION)));
+    instance.stop_answer_time.set(Some(started + grace.mul_f64(ANSWER_FRACTION)));
     instance.stop.send_replace(StopPhase::Leaving);
     tokio::time::sleep(leaving_time(grace)).await;
     instance.stop.send_replace(StopPhase::Closed);
