Log why a response that had begun was cut, with the request's id

What operators missed: a response that is cut as its body is spoilt, or as its server broke off, counted as `cut` and left no line; only one that went on after the deadline did.

One line `response cut` now tells the id, the server, the ground and the age for all of them. It replaces the line about bodies that have no end.

--- a/crates/entry/src/request/forward_response.rs
+++ b/crates/entry/src/request/forward_response.rs
@@ -6,6 +6,7 @@
 use super::headers::{keep_alive_timeout, remove_hop_by_hop};
 use super::outcome::ServerResponse;
 use super::pooled_body::PooledBody;
+use crate::process::millis::millis;
 use bytes::Bytes;
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
@@ -73,17 +74,20 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(None) => None,
-            _ if self.end.as_mut().poll(context).is_ready() => {
-                let id = self.exchange.head.request_id.as_deref().unwrap_or("");
-                log::info!(target: "request", id, server = &*self.guard.server.id; "{EndlessBody}");
-                Some(Err(EndlessBody.into()))
-            }
+            _ if self.end.as_mut().poll(context).is_ready() => Some(Err(EndlessBody.into())),
             Poll::Ready(frame) => frame,
             Poll::Pending => return Poll::Pending,
         };
         match &frame {
             None => self.exchange.record_outcome(ANSWERED),
-            Some(Err(_)) => {
+            Some(Err(why)) => {
+                let id = self.exchange.head.request_id.as_deref().unwrap_or("");
+                let age_ms = millis(self.exchange.age());
+                log::info!(
+                    target: "request",
+                    id, server = &*self.guard.server.id, why:%, age_ms;
+                    "response cut"
+                );
                 self.guard.set_ending(Ending::Failed);
                 self.exchange.record_outcome("cut");
             }
