--- a/crates/steering/benches/decisions/main.rs
+++ b/crates/steering/benches/decisions/main.rs
@@ -10,10 +10,11 @@
 
 #![allow(clippy::print_stdout, reason = "it prints its results")]
 
+mod services;
 mod simulation;
 
-use simulation::{Fault, Method, RECOVERED_MS, RUN_MS, SERVICES, Service, Simulation, WARM_UP_MS};
-use simulation::{ZONES, capacity_per_ms};
+use services::{SERVICES, Service, ZONES, capacity_per_ms};
+use simulation::{Fault, Method, RECOVERED_MS, RUN_MS, Simulation, WARM_UP_MS};
 use steering::admission::WAIT_FACTOR;
 
 const SEEDS: u64 = 20;
--- a/crates/steering/benches/decisions/simulation.rs
+++ b/crates/steering/benches/decisions/simulation.rs
@@ -1,5 +1,6 @@
 //! The simulation: callers, instances that use `steering`, and backend servers modelled as queues.
 
+use crate::services::{Service, ZONES, capacity_per_ms, site_capacity};
 use configuration::{BackendServer, Class, Site, ZoneIndex};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -12,7 +13,6 @@
 use steering::servers::picker::{LatencyWeighted, LeastInFlight, Picker, PowerOfTwo};
 use steering::servers::{Ending, Finding, Pool, Report, Servers};
 
-pub(crate) const ZONES: usize = 6;
 const INSTANCES: usize = 12;
 pub(crate) const RUN_MS: u64 = 6_000;
 /// Warm-up, which is excluded from the results.
@@ -21,7 +21,6 @@
 /// Time by which the other zones must have taken over from a lost one.
 pub(crate) const RECOVERED_MS: u64 = FAULT_MS + 3_000;
 const TIMEOUT_MS: u64 = 1_000;
-const TARGET_UTILIZATION: f64 = 0.9;
 const RETRY_PERCENT: f64 = 10.0;
 const BASELINE_ATTEMPTS: u32 = 3;
 /// Time after which a caller gives up on an instance that does not answer.
@@ -30,35 +29,6 @@
 const COLD_FACTOR: f64 = 4.0;
 const SLOW_FACTOR: f64 = 5.0;
 
-pub(crate) struct Service {
-    pub(crate) name: &'static str,
-    servers: usize,
-    slots: u32,
-    mean_ms: f64,
-    write_share: f64,
-    client_ms: u64,
-}
-
-const fn service(
-    name: &'static str,
-    servers: usize,
-    slots: u32,
-    mean_ms: f64,
-    write_share: f64,
-    client_ms: u64,
-) -> Service {
-    Service { name, servers, slots, mean_ms, write_share, client_ms }
-}
-
-pub(crate) const SERVICES: [Service; 6] = [
-    service("dossier", 24, 9, 30.0, 0.0, 3),
-    service("agenda", 12, 6, 40.0, 0.3, 3),
-    service("atelier", 12, 3, 60.0, 0.3, 3),
-    service("otsing-api", 18, 6, 15.0, 0.0, 1),
-    service("register-api", 12, 5, 30.0, 0.3, 1),
-    service("failid-api", 12, 3, 60.0, 0.3, 1),
-];
-
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Fault {
     None,
@@ -492,11 +462,3 @@
         }
     }
 }
-
-fn site_capacity(service: &Service) -> u32 {
-    ((service.servers / ZONES) as f64 * f64::from(service.slots) * TARGET_UTILIZATION) as u32
-}
-
-pub(crate) fn capacity_per_ms(service: &Service) -> f64 {
-    f64::from(site_capacity(service)) * ZONES as f64 / service.mean_ms
-}
