Take names that have a length's name within another word for misspelt ones

Cause: a name that holds the whole name of the length or the coding counted as another field, to let `X-Content-Length` pass.

It is another field only if the rest is further words, set off by a hyphen.

Evidence: a_length_with_a_misspelt_name_is_refused failed before (`xContent-Length: 12`) and passes; it also has names that are served, `X-Content-Length`, `Content-Length-Hint` and `Content-Language`.

--- a/crates/entry/src/connection/response.rs
+++ b/crates/entry/src/connection/response.rs
@@ -104,14 +104,15 @@
 /// Edits by which a name may differ from another one that it is taken for.
 const MAX_EDITS: usize = 3;
 
-/// Returns whether a name is that of a length or a transfer coding, or one of them with a few edits; one that
-/// contains the whole name of them is another field.
+/// Returns whether a name is that of a length or a transfer coding, or one of them with a few edits; one that has
+/// further words is another field.
 pub(crate) fn resembles_framing(name: &str) -> bool {
     let name = name.to_ascii_lowercase();
     [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|framing| {
         let framing = framing.as_str();
-        name == framing
-            || (!name.contains(framing) && strsim::osa_distance(&name, framing) <= MAX_EDITS)
+        let before = name.strip_suffix(framing).is_some_and(|words| words.ends_with('-'));
+        let after = name.strip_prefix(framing).is_some_and(|words| words.starts_with('-'));
+        !before && !after && strsim::osa_distance(&name, framing) <= MAX_EDITS
     })
 }
 
