Test crowds of callers that don't behave, at real processes with lowered limits

A trial ended a process: many large bodies of legal size at once, most of which stop just short of their end and stay. These tests start the daemons themselves with little memory or few descriptors in their settings, let a crowd of 400 callers (1,000 with heads only, 600 that say nothing) send part of a request and stay, and check that the process lives, that its peak memory and its open descriptors stay within the machine's, and that ordinary requests are answered while the crowd stays. They check no times and no shares, and run one at a time.

Crowds: bodies with a length, in large chunks, in chunks of 100 bytes and of one; whole bodies whose servers stand still; bodies that are passed on as they arrive; heads without end; silent connections at each of the five listeners; responses and updates that nobody reads; for the daemon with flags silent connections at its three listeners, uploads over HTTP/1.1 and HTTP/2, uploads of operators. Refusals are compared with what the servers ran. A single request at each limit has to be served.

--- a/crates/runpind/tests/common/mod.rs
+++ b/crates/runpind/tests/common/mod.rs
@@ -19,7 +19,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-const SECRET: &str = "0123456789abcdef";
+/// All keys and tokens.
+pub(crate) const SECRET: &str = "0123456789abcdef";
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The mock platform and the mock backend server that a daemon needs.
@@ -124,6 +125,7 @@
 pub(crate) struct DaemonProcess {
     child: Child,
     caller_address: SocketAddr,
+    peer_address: SocketAddr,
     admin_address: SocketAddr,
     /// Reserves the ports while the process may listen on them.
     _reserved: [Socket; 3],
@@ -137,6 +139,24 @@
 
 impl DaemonProcess {
     pub(crate) async fn start(deployment: &Deployment) -> Self {
+        Self::start_with(deployment, Command::new(env!("CARGO_BIN_EXE_runpind"))).await
+    }
+
+    /// Starts with lowered limits of memory and descriptors.
+    pub(crate) async fn start_limited(
+        deployment: &Deployment,
+        memory_mb: u64,
+        descriptors: usize,
+    ) -> Self {
+        let mut command = Command::new("sh");
+        command
+            .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"")])
+            .arg(env!("CARGO_BIN_EXE_runpind"))
+            .env("RUNPIND_MEMORY_MB", memory_mb.to_string());
+        Self::start_with(deployment, command).await
+    }
+
+    async fn start_with(deployment: &Deployment, mut command: Command) -> Self {
         let (reserved, [caller_address, peer_address, admin_address]) = reserve_ports();
         deployment.platform.set_entry_instances(vec![InstanceEntry {
             name: "one".into(),
@@ -145,7 +165,7 @@
             peer_address,
             state: InstanceState::Live,
         }]);
-        let child = Command::new(env!("CARGO_BIN_EXE_runpind"))
+        let child = command
             .args(["--name", "one", "--availability-zone", "n1"])
             .args(["--caller-address", &caller_address.to_string()])
             .args(["--peer-address", &peer_address.to_string()])
@@ -155,7 +175,8 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("runpind starts");
-        let daemon = Self { child, caller_address, admin_address, _reserved: reserved };
+        let daemon =
+            Self { child, caller_address, peer_address, admin_address, _reserved: reserved };
         daemon.wait_ready().await;
         daemon
     }
@@ -164,6 +185,20 @@
         self.caller_address
     }
 
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    pub(crate) fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Its process ID, if it has not exited.
+    pub(crate) fn running_id(&mut self) -> Option<u32> {
+        let status = self.child.try_wait().expect("status");
+        status.is_none().then(|| self.child.id())
+    }
+
     pub(crate) async fn get(&self, path: &str) -> Response {
         get(self.caller_address, path).await.expect("a response")
     }
