Limit the connections of each listener by the machine's descriptors and memory

Callers saw: nothing. 600 callers that connect to any one listener and say nothing used up the 512 descriptors of an instance; after that it accepted nobody at any listener and reached neither servers nor the store for as long as they stayed. 1,000 heads without end took 38 MB of a machine of 32.

Cause: no listener counted its connections, and `memory_mb` and `descriptors` of the settings were decoded and not used; only `idle_timeout_s` and `header_timeout_s` bounded a silent connection.

Change: `steering::machine` divides the descriptors, less 200 for files, and three eighths of the memory at 40 KiB a connection, between the listeners (callers 3/8, instances 1/8, look-ups 1/16, readiness and operators 1/64 each); the rest is for the instance's own connections. A new connection at a limit takes the place of the one that waits longest for its next request, whose caller loses nothing, else of one that has waited for a second or more for its caller to go on or to read; if there is none, it is closed unread. Counters and a log line for each.

Why it works: whatever a crowd leaves open is the first to go, so a caller that speaks at once gets in.

--- a/crates/entry/src/connection/head_timer.rs
+++ b/crates/entry/src/connection/head_timer.rs
@@ -53,13 +53,13 @@
     }
 }
 
-/// The body of a response; dropping it marks the request as answered.
-pub(super) struct GuardedBody<B> {
+/// The body of a response; dropping it, and its guard, marks the request as answered.
+pub(super) struct GuardedBody<B, G> {
     pub(super) body: B,
-    pub(super) _guard: AnsweringGuard,
+    pub(super) _guard: G,
 }
 
-impl<B: Body + Unpin> Body for GuardedBody<B> {
+impl<B: Body + Unpin, G: Unpin> Body for GuardedBody<B, G> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -2,9 +2,11 @@
 
 use super::dial::set_tcp_timeouts;
 use super::head_timer::{GuardedBody, HeadProgress, HeadTimer, track_reads};
+use super::open_connections::{ListenerKind, OpenConnection};
 use super::read_ahead::ReadAhead;
 use crate::process::instance::Instance;
 use crate::process::instance::StopPhase;
+use crate::process::room::has_connection_room;
 use crate::request::Caller;
 use crate::request::body::ResponseBody;
 use http::{Request, Response};
@@ -19,6 +21,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
+use steering::deployment::CallerLimits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
@@ -33,8 +36,15 @@
 const TURNS_OF_OPEN_CONNECTION: u32 = 1;
 
 /// Accepts connections and answers each request with `handler`, until a planned stop.
-pub(crate) fn listen<A, F>(instance: &Rc<Instance>, listener: TcpListener, handler: A)
-where
+///
+/// A connection beyond those that the listener may hold takes the place of one that waits for its caller; if there is
+/// none, it is closed.
+pub(crate) fn listen<A, F>(
+    instance: &Rc<Instance>,
+    kind: ListenerKind,
+    listener: TcpListener,
+    handler: A,
+) where
     A: Fn(Rc<Instance>, Request<Incoming>) -> F + Copy + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
@@ -48,7 +58,9 @@
             };
             match accepted {
                 Ok((stream, caller)) => {
-                    spawn_local(serve(instance.clone(), stream, caller.ip(), handler));
+                    if has_connection_room(&instance, kind, caller.ip()) {
+                        serve_in_task(&instance, kind, stream, caller.ip(), handler);
+                    }
                 }
                 Err(error) => {
                     log::warn!(target: "connection", error:%; "accept failed");
@@ -60,8 +72,14 @@
     });
 }
 
-async fn serve<A, F>(instance: Rc<Instance>, stream: TcpStream, caller: IpAddr, handler: A)
-where
+/// Adds a connection to the open ones, and serves it in a task of its own.
+fn serve_in_task<A, F>(
+    instance: &Rc<Instance>,
+    kind: ListenerKind,
+    stream: TcpStream,
+    caller: IpAddr,
+    handler: A,
+) where
     A: Fn(Rc<Instance>, Request<Incoming>) -> F + Copy + 'static,
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
@@ -71,19 +89,41 @@
         return;
     }
     let limits = instance.replica.borrow().configuration.content.limits;
+    let stream = ReadAhead::new(stream, limits.header_bytes.max(MIN_BUFFER_BYTES));
+    let open = instance.connections.add(kind, caller, stream.clone());
+    let instance = instance.clone();
+    spawn_local(async move {
+        tokio::select! {
+            () = serve(instance, stream, open.connection.clone(), limits, caller, handler) => {}
+            () = open.connection.ended() => {}
+        }
+    });
+}
+
+async fn serve<A, F>(
+    instance: Rc<Instance>,
+    stream: ReadAhead<TcpStream>,
+    open: Rc<OpenConnection>,
+    limits: CallerLimits,
+    caller: IpAddr,
+    handler: A,
+) where
+    A: Fn(Rc<Instance>, Request<Incoming>) -> F + Copy + 'static,
+    F: Future<Output = Response<ResponseBody>> + 'static,
+{
     let mut stop = instance.stop.subscribe();
     let instance_for_service = instance.clone();
     let progress = Rc::new(HeadProgress::default());
     let progress_for_service = progress.clone();
     let buffer_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
-    let stream = ReadAhead::new(stream, buffer_bytes);
     let stream_for_service = stream.clone();
     let turns = Cell::new(TURNS_OF_NEW_CONNECTION);
     let service = service_fn(move |mut request: Request<Incoming>| {
         let turns = turns.replace(TURNS_OF_OPEN_CONNECTION);
         let waited = time_waited(&instance_for_service, &stream_for_service, turns);
         request.extensions_mut().insert(Caller { host: caller, waited });
-        let guard = progress_for_service.head_complete();
+        request.extensions_mut().insert(open.id);
+        let guard = (progress_for_service.head_complete(), open.begin_request());
         let response = handler(instance_for_service.clone(), request);
         async move {
             let with_guard = |body| GuardedBody { body, _guard: guard };
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -7,6 +7,7 @@
 mod head_timer;
 pub(crate) mod http_client;
 pub(crate) mod listener;
+pub(crate) mod open_connections;
 pub mod pool;
 pub mod read_ahead;
 pub mod read_budget;
--- a/crates/entry/src/connection/read_ahead.rs
+++ b/crates/entry/src/connection/read_ahead.rs
@@ -32,6 +32,20 @@
     max_bytes: usize,
     /// Whether the reader itself waits for the stream.
     is_reader_waiting: bool,
+    /// Since when the other side takes nothing of what is written.
+    write_blocked_since: Option<Instant>,
+}
+
+impl<S> State<S> {
+    /// Records whether the other side takes what is written.
+    fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
+        if written.is_ready() {
+            self.write_blocked_since = None;
+        } else {
+            self.write_blocked_since.get_or_insert_with(Instant::now);
+        }
+        written
+    }
 }
 
 impl<S> Clone for ReadAhead<S> {
@@ -51,6 +65,7 @@
             last_read_at: now,
             max_bytes,
             is_reader_waiting: false,
+            write_blocked_since: None,
         })))
     }
 
@@ -64,6 +79,11 @@
         self.0.borrow().last_read_at
     }
 
+    /// Since when the other side takes nothing of what is written; `None` while it does, or nothing is.
+    pub fn write_blocked_since(&self) -> Option<Instant> {
+        self.0.borrow().write_blocked_since
+    }
+
     /// Forgets that the reader waits for the stream; call before polling the reader.
     pub fn begin_poll(&self) {
         self.0.borrow_mut().is_reader_waiting = false;
@@ -129,7 +149,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write(context, bytes)
+        let state = &mut *self.0.borrow_mut();
+        let written = Pin::new(&mut state.stream).poll_write(context, bytes);
+        state.record_write(written)
     }
 
     fn poll_write_vectored(
@@ -137,7 +159,9 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(context, slices)
+        let state = &mut *self.0.borrow_mut();
+        let written = Pin::new(&mut state.stream).poll_write_vectored(context, slices);
+        state.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/entry/src/process/instance.rs
+++ b/crates/entry/src/process/instance.rs
@@ -12,6 +12,7 @@
 use super::retry_budgets::RetryBudgets;
 use super::service_selectors::ServiceSelectors;
 use super::standstills::Standstills;
+use crate::connection::open_connections::OpenConnections;
 use crate::connection::pool::Pools;
 use crate::error::EntryError;
 use crate::platform_api::{SUBJECTS, Store, Wire};
@@ -25,6 +26,7 @@
 use std::time::{Duration, Instant};
 use steering::Time;
 use steering::deployment::Service;
+use steering::machine::{MachineLimits, MemoryPool};
 use steering::placement::bootstrap_delay::RegistrationState;
 use steering::placement::peer_update::StartId;
 use steering::placement::peers::FORGOTTEN_AFTER;
@@ -81,6 +83,10 @@
     pub(super) registrations: Registrations,
     /// Connections to backend servers.
     pub pools: Pools,
+    /// Connections that the listeners have open.
+    pub(crate) connections: Rc<OpenConnections>,
+    /// Memory for bodies.
+    pub memory: MemoryPool,
     /// The instances that relay requests to other regions.
     pub(crate) relays: RefCell<Relays>,
     /// Whether the backend servers are reached.
@@ -197,6 +203,7 @@
         let timings = Timings::from(&settings.terms);
         let retry_budgets = RetryBudgets::new(clock.clone(), settings.retry_terms);
         let own_host = settings.peer_address.ip();
+        let limits = MachineLimits::from(&settings.terms.machine);
         let zone = settings.availability_zone.clone();
         let roster = Roster::new(&settings.name, zone.clone(), settings.regions.clone())
             .with_limits(&timings);
@@ -211,6 +218,8 @@
             roster: RefCell::new(roster),
             peers: RefCell::new(Peers::in_zone(zone, timings.liveness)),
             registrations: Registrations::default(),
+            connections: Rc::new(OpenConnections::new(limits.connections)),
+            memory: MemoryPool::new(limits.buffer_bytes),
             pools: Pools::new(clock.clone(), timings.connections, own_host),
             relays: RefCell::new(relays),
             reach: RefCell::default(),
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -58,6 +58,10 @@
     customer_labels: RefCell<HashSet<Arc<str>>>,
     /// Look-ups by outcome.
     pub look_ups: IntCounterVec,
+    /// Connections ended while they waited for their callers, by listener, what they waited for and what was short.
+    pub ended_connections: IntCounterVec,
+    /// Connections closed when they were accepted, by listener.
+    pub refused_connections: IntCounterVec,
     /// Configuration version, number of backend servers and number of instances.
     pub state: IntGaugeVec,
 }
@@ -162,6 +166,16 @@
                 &["event"],
             )?,
             look_ups: counter("runpin_entry_look_ups_total", "Look-ups.", &["outcome"])?,
+            ended_connections: counter(
+                "runpin_entry_ended_connections_total",
+                "Connections ended for lack of room while they waited for their callers.",
+                &["listener", "waiting_for", "short_of"],
+            )?,
+            refused_connections: counter(
+                "runpin_entry_refused_connections_total",
+                "Connections closed for lack of room when they were accepted.",
+                &["listener"],
+            )?,
             registry,
         })
     }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod key;
 pub mod ledger;
 pub mod lookup;
+pub mod machine;
 pub mod membership;
 pub mod placement;
 pub mod policy;
