Reserve the memory of callers' bodies before it is taken

Callers saw: connections that closed without a response, as the process ended: it ran out of memory.

Cause: `CallerBody::read` buffered each body of up to 256 KiB before its request was sent, whatever others held; those in chunks grew a buffer by doubling. Nothing bounded the sum: 0.3 MB a caller, so 500 to 800 callers end a process of 160 or 260 MB.

Change: bodies draw from one pool of a quarter of the machine's memory, with a length at once and in chunks as they grow; a body that is passed on as it arrives draws 64 KiB for the buffers of its connections. A quarter of the pool is left to bodies of up to 16 KiB. If there is no memory, the connection that has waited longest (a second or more) for its caller is ended, one whose request has not been sent, or is sent in part, or that reads nothing; if there is none, the request is refused at once: 503 `no-memory`, with a time to come back, before any of it is sent. The rest of a refused body is read and dropped for up to a second and 1 MiB, as closing with unread bytes resets the connection and a caller that still writes would lose the refusal. The reservation is held by the bytes themselves until the last clone is dropped. The service of a route with several is drawn before the body is read, not after it.

Why it works: memory is bounded by the pool and not by the number of callers; what a crowd holds comes free after a second, so later bodies get in.

--- a/crates/entry/src/request/handle.rs
+++ b/crates/entry/src/request/handle.rs
@@ -2,12 +2,13 @@
 
 use super::body::ResponseBody;
 use super::caller::Caller;
-use super::caller_body::CallerBody;
+use super::caller_body::{BodyReader, CallerBody};
 use super::deadline::with_deadline;
 use super::exchange::{Exchange, InFlightGuard};
 use super::headers::remove_hop_by_hop;
 use super::problem::Problem;
 use super::run;
+use crate::connection::open_connections::ConnectionId;
 use crate::connection::response::is_chunked;
 use crate::platform_api::CallerHead;
 use crate::process::instance::Instance;
@@ -77,7 +78,16 @@
     let max_wait = head.deadline.unwrap_or(Duration::MAX).min(route.timeout);
     let deadline = started + max_wait;
     let deadline = instance.stop_deadline.get().map_or(deadline, |latest| latest.min(deadline));
-    let body = CallerBody::read(request, configuration.body_limit_bytes);
+    let service = instance.service_selectors.select(&route).ok_or(Problem::NoRoute)?;
+    let connection_id = request.extensions().get::<ConnectionId>();
+    let reader = BodyReader {
+        instance,
+        connection: connection_id.and_then(|id| instance.connections.get(*id)),
+        service: &service,
+        request_id: head.request_id.as_deref().unwrap_or(""),
+        limit_bytes: configuration.body_limit_bytes,
+    };
+    let body = reader.read(request.into_body());
     let body = with_deadline(instance, deadline, body).await.ok_or(Problem::BodyTimeout)??;
     let time_left = deadline.since(instance.clock.now());
     if waited >= max_wait / 2 {
@@ -91,7 +101,6 @@
     if time_left.is_zero() {
         return Err(Problem::TimeoutBeforeSend);
     }
-    let service = instance.service_selectors.select(&route).ok_or(Problem::NoRoute)?;
     let key_hash = match &head.affinity_key {
         Some(key) if route.affinity => name_hash(key) ^ name_hash(&service),
         _ => rand::random(),
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -41,7 +41,9 @@
 mod server_connection;
 pub mod server_stream;
 mod unfinished;
+mod unread;
 mod update;
+mod upload;
 
 pub(crate) use caller::Caller;
 pub use handle::handle;
--- a/crates/entry/src/request/problem.rs
+++ b/crates/entry/src/request/problem.rs
@@ -7,7 +7,7 @@
 
 /// Why this instance answers a request itself.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
-pub enum Problem {
+pub(super) enum Problem {
     /// No configuration is known yet.
     #[error("no configuration is known yet")]
     NoConfiguration,
@@ -35,6 +35,12 @@
         /// Longest body in bytes.
         limit_bytes: u64,
     },
+    /// There is no memory for the body; the request was not sent.
+    #[error("no memory for the body")]
+    NoMemory {
+        /// Time after which there may be some.
+        retry_after: Duration,
+    },
     /// The caller's body was truncated.
     #[error("body was cut")]
     BodyTruncated,
@@ -74,9 +80,20 @@
     Broken,
 }
 
+/// Mean time after which a caller is told to retry for lack of memory: half of that after which a body that stands
+/// still is given up for another one.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 impl Problem {
+    /// The problem that there is no memory for a body.
+    pub(super) fn no_memory() -> Self {
+        // Jitter spreads the retries of callers that were refused together.
+        let retry_after = NO_MEMORY_RETRY_AFTER.mul_f64(rand::random::<f64>() + 0.5);
+        Self::NoMemory { retry_after }
+    }
+
     /// Status of the response: 429 and 503 say that the request has not run and never will.
-    pub fn status(&self) -> StatusCode {
+    pub(super) fn status(&self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -87,6 +104,7 @@
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfiguration
             | Self::Joining
+            | Self::NoMemory { .. }
             | Self::NoCapacity { .. }
             | Self::CutOff { .. }
             | Self::AllRefused { .. }
@@ -98,12 +116,12 @@
     }
 
     /// Whether the response says that the request has not run and never will.
-    pub fn guarantees_not_run(&self) -> bool {
+    pub(super) fn guarantees_not_run(&self) -> bool {
         matches!(self.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
     }
 
     /// Name in logs and metrics.
-    pub fn as_str(&self) -> &'static str {
+    pub(super) fn as_str(&self) -> &'static str {
         match self {
             Self::NoConfiguration => "no-configuration",
             Self::Joining => "joining",
@@ -112,6 +130,7 @@
             Self::OverQuota { .. } => "over-quota",
             Self::UnknownCoding => "unknown-coding",
             Self::BodyTooLong { .. } => "body-too-long",
+            Self::NoMemory { .. } => "no-memory",
             Self::BodyTruncated => "body-cut",
             Self::BodyTimeout => "body-timeout",
             Self::NoCapacity { .. } => "no-room",
@@ -125,13 +144,14 @@
     }
 
     /// The response for the caller.
-    pub fn response(&self) -> Response<ResponseBody> {
+    pub(super) fn response(&self) -> Response<ResponseBody> {
         let mut response = Response::new(full_body(format!("{self}\n")));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         let retry_after = match self {
-            Self::NoCapacity { retry_after }
+            Self::NoMemory { retry_after }
+            | Self::NoCapacity { retry_after }
             | Self::CutOff { retry_after }
             | Self::AllRefused { retry_after }
             | Self::OverQuota { retry_after } => Some(*retry_after),
