End an upload that stands still when its service has no room

Callers saw: 503 `no-room` for every request of a service, for as long as the deadlines of 63 uploads ran that stopped short of their end.

Cause: a body over 256 KiB is passed on as it arrives, so its request holds a slot from its head on, and nothing ended one whose caller didn't go on.

Change: when no backend server has room, the upload to the service that has waited longest for its caller, and for a second or more, is ended, and its slot is used. Its connection closes without a response: it was sent in part, so nothing is promised. One whose server doesn't read is not ended, as the instance doesn't wait for its caller then.

Why it works: a slot is held against others only while bytes arrive.

--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -12,8 +12,10 @@
 use super::progress::Progress;
 use super::unfinished::Unfinished;
 use crate::process::millis::millis;
+use crate::process::room;
 use http::{Response, StatusCode};
 use std::time::Instant;
+use steering::placement::Choice;
 
 /// Attempts after which a request is refused if the last one did not run it.
 ///
@@ -123,7 +125,7 @@
                 // During a suspension a backend server may have started to drain, or an
                 // availability zone may have been evacuated.
                 exchange.instance.wait_for_resync().await;
-                choose(exchange, progress)?
+                choose_with_room(exchange, progress).await?
             }
         };
         let (outcome, unsent_body) =
@@ -173,6 +175,20 @@
     }
 }
 
+/// Chooses a backend server; if none has room, an upload that waits for its caller is ended for it.
+///
+/// # Errors
+///
+/// As [`choose`].
+async fn choose_with_room(exchange: &Exchange, progress: &Progress) -> Result<Choice, Problem> {
+    let chosen = choose(exchange, progress);
+    let is_full = matches!(chosen, Err(Problem::NoCapacity { .. }));
+    match is_full && room::free_slot(&exchange.instance, &exchange.service).await {
+        true => choose(exchange, progress),
+        false => chosen,
+    }
+}
+
 /// Whether to retry at another backend server after an error response; takes from the retry budget.
 fn may_retry_failure(
     exchange: &Exchange,
