Reserve the memory of buffered responses too

Callers saw: nothing yet; 400 callers that read nothing of responses of 120 kB took 39 MB of a machine of 32.

Cause: a response of up to 128 KiB was read whole from its server and kept until its caller had read it, whatever others held.

Change: it draws from the pool of the bodies until it is written; if there is no memory, it is passed on as it arrives, and the server waits for the caller.

Evidence: `responses_that_callers_do_not_read` failed before; 29 MB after it, with the limit of connections.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -163,7 +163,7 @@
     }
     let after = guard.sent_at.elapsed();
     let stream = ServerStream::new(incoming, framing, connection.remainder.clone());
-    match ServerBody::read(stream).await {
+    match ServerBody::read(stream, &instance.memory).await {
         Ok(body) => {
             let is_server_error = parts.status.is_server_error();
             record_request_success(exchange);
--- a/crates/entry/src/request/body.rs
+++ b/crates/entry/src/request/body.rs
@@ -1,11 +1,13 @@
 //! Bodies of requests and responses.
 
 use super::server_stream::{ServerBodyError, ServerStream};
+use crate::process::held_bytes::hold;
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use std::error::Error;
 use std::pin::Pin;
+use steering::machine::MemoryPool;
 
 /// Longest response body in bytes that is buffered before it is forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 128 * 1024;
@@ -33,18 +35,23 @@
 }
 
 impl ServerBody {
-    /// Buffers the body if its length is known and short, or if it has ended already.
+    /// Buffers the body if its length is known and short and there is memory for it, or if it has ended already.
     ///
     /// # Errors
     ///
     /// Fails if the body is known by now to be truncated, or not to end where the head says.
-    pub async fn read(mut stream: ServerStream) -> Result<Self, ServerBodyError> {
-        if stream.length().is_none_or(|length| length > MAX_BUFFERED_RESPONSE_BYTES) {
+    pub async fn read(
+        mut stream: ServerStream,
+        memory: &MemoryPool,
+    ) -> Result<Self, ServerBodyError> {
+        let length = stream.length().filter(|length| *length <= MAX_BUFFERED_RESPONSE_BYTES);
+        let reservation = length.and_then(|length| memory.reserve(length as usize));
+        let Some(reservation) = reservation else {
             return Ok(match stream.has_ended_early()? {
                 true => Self::Buffered(Bytes::new()),
                 false => Self::Streaming(stream),
             });
-        }
+        };
         let mut buffer = BytesMut::new();
         while let Some(frame) = stream.frame().await {
             if let Ok(data) = frame?.into_data() {
@@ -52,6 +59,6 @@
             }
         }
         stream.check_remainder()?;
-        Ok(Self::Buffered(buffer.freeze()))
+        Ok(Self::Buffered(hold(buffer.freeze(), reservation)))
     }
 }
--- a/crates/entry/src/request/not_forwarded.rs
+++ b/crates/entry/src/request/not_forwarded.rs
@@ -77,7 +77,7 @@
     }
     let idle_timeout = keep_alive_timeout(&parts.headers);
     let stream = ServerStream::new(body, framing, connection.remainder.clone());
-    let body = ServerBody::read(stream).await;
+    let body = ServerBody::read(stream, &instance.memory).await;
     if let (Ok(idle_timeout), Ok(ServerBody::Buffered(_))) = (idle_timeout, body) {
         instance.pools.release(connection, idle_timeout);
     }
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -221,8 +221,8 @@
     }
     // A rejection may come once more.
     let idle_timeout = keep_alive_timeout(&parts.headers).ok().filter(|_| !server_head.not_run);
-    let body =
-        ServerBody::read(ServerStream::new(body, framing, connection.remainder.clone())).await?;
+    let stream = ServerStream::new(body, framing, connection.remainder.clone());
+    let body = ServerBody::read(stream, &instance.memory).await?;
     let reusable = idle_timeout.map(|idle_timeout| (connection, idle_timeout));
     remove_hop_by_hop(&mut parts.headers);
     Ok(Response::from_parts(parts, response_body(instance, body, reusable, in_flight)))
