Reserve the memory of updates and of responses to operators

Callers saw: nothing yet; 400 askers that read nothing of an update with 10,000 backend servers took 39 MB of a machine of 32.

Cause: each asker that isn't up to date, or doesn't take a compressed body, gets an encoding of its own, which was kept until it was read; likewise metrics and status.

Change: these draw from the pool of the bodies, including the part that callers' larger bodies leave, so that a crowd of callers doesn't keep instances from their updates; without memory they are answered 503, as while the state is not complete, which instances ask again after. Full updates that all askers share draw nothing.

--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -25,6 +25,7 @@
 mod headers;
 pub(crate) mod health_check;
 mod hedge;
+mod held_response;
 pub(crate) mod lookup;
 mod not_forwarded;
 pub(crate) mod operators;
--- a/crates/entry/src/request/operators.rs
+++ b/crates/entry/src/request/operators.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface for operators: metrics, status, and decisions about requests.
 
 use super::body::{ResponseBody, full_body};
+use super::held_response::held_response;
 use super::rollouts;
 use crate::error::EntryError;
 use crate::process::arm_counts::FlowCounts;
@@ -124,26 +125,35 @@
     let path = request.uri().path();
     if let Some(request_id) = path.strip_prefix(REQUESTS_PATH) {
         let found = instance.recent_decisions.borrow().find(request_id);
-        return if found.is_empty() { empty_response(StatusCode::NOT_FOUND) } else { json(&found) };
+        return match found.is_empty() {
+            true => empty_response(StatusCode::NOT_FOUND),
+            false => json(&instance, &found).await,
+        };
     }
     if let Some(name) = path.strip_prefix(CUSTOMERS_PATH) {
         let found = customer_status(&instance, name);
-        return found.map_or_else(|| empty_response(StatusCode::NOT_FOUND), |found| json(&found));
+        return match found {
+            None => empty_response(StatusCode::NOT_FOUND),
+            Some(found) => json(&instance, &found).await,
+        };
     }
     match path {
-        METRICS_PATH => metrics(&instance).unwrap_or_else(|error| {
-            log::warn!(target: "process", error:%; "failed to render metrics");
-            empty_response(StatusCode::INTERNAL_SERVER_ERROR)
-        }),
-        ARMS_PATH => json(&arm_counts(&instance)),
-        STATUS_PATH => json(&instance_status(&instance)),
-        TERMS_PATH => json(&TermsDescription::from(&instance.settings.terms)),
-        ROLLOUTS_PATH => json(&rollouts::statuses(&instance)),
+        METRICS_PATH => match render_metrics(&instance) {
+            Ok(text) => held_response(&instance, text.into()).await,
+            Err(error) => {
+                log::warn!(target: "process", error:%; "failed to render metrics");
+                empty_response(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        },
+        ARMS_PATH => json(&instance, &arm_counts(&instance)).await,
+        STATUS_PATH => json(&instance, &instance_status(&instance)).await,
+        TERMS_PATH => json(&instance, &TermsDescription::from(&instance.settings.terms)).await,
+        ROLLOUTS_PATH => json(&instance, &rollouts::statuses(&instance)).await,
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
 
-fn metrics(instance: &Instance) -> Result<Response<ResponseBody>, EntryError> {
+fn render_metrics(instance: &Instance) -> Result<Vec<u8>, EntryError> {
     let state_gauge = &instance.metrics.state;
     let set = |subject: &str, value: u64| {
         state_gauge.with_label_values(&[subject]).set(i64::try_from(value).unwrap_or(i64::MAX));
@@ -151,7 +161,7 @@
     set("configuration-version", instance.replica.borrow().configuration.content.version);
     set("backend-servers", instance.roster.borrow().server_count() as u64);
     set("instances", instance.peers.borrow().alive_count(Instant::now()) as u64 + 1);
-    Ok(Response::new(full_body(instance.metrics.render()?)))
+    instance.metrics.render()
 }
 
 fn instance_status(instance: &Instance) -> Status {
@@ -237,10 +247,10 @@
     Arms { incarnation, flows: instance.arm_counts.borrow().flow_counts() }
 }
 
-fn json<T: Serialize>(value: &T) -> Response<ResponseBody> {
+async fn json<T: Serialize>(instance: &Instance, value: &T) -> Response<ResponseBody> {
     match serde_json::to_vec(value) {
         Ok(text) => {
-            let mut response = Response::new(full_body(text));
+            let mut response = held_response(instance, text.into()).await;
             let json = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, json);
             response
--- a/crates/entry/src/request/update.rs
+++ b/crates/entry/src/request/update.rs
@@ -1,6 +1,7 @@
 //! Serves updates of the deployment's state to other instances.
 
 use super::body::{ResponseBody, full_body};
+use super::held_response::held_response;
 use crate::connection::encoding::{DEFLATE, deflate};
 use crate::process::instance::Instance;
 use crate::version::exchange::{self, UPDATE_PATH};
@@ -23,7 +24,7 @@
     let is_available = instance.replica.borrow().is_complete() && instance.is_resynced();
     let status = match request.uri().path() {
         UPDATE_PATH if is_available => match encode_update(&instance, &request) {
-            Ok(response) => return response,
+            Ok(update) => return response(&instance, update).await,
             Err(error) => {
                 log::warn!(target: "process", error:%; "failed to encode an update");
                 StatusCode::INTERNAL_SERVER_ERROR
@@ -46,10 +47,18 @@
     Body(#[from] std::io::Error),
 }
 
+/// An encoded update.
+struct EncodedUpdate {
+    bytes: Bytes,
+    is_compressed: bool,
+    /// Whether all responses share the bytes.
+    is_cached: bool,
+}
+
 fn encode_update(
     instance: &Instance,
     request: &Request<Incoming>,
-) -> Result<Response<ResponseBody>, EncodeError> {
+) -> Result<EncodedUpdate, EncodeError> {
     let accepts_deflate =
         request.headers().get(ACCEPT_ENCODING).is_some_and(|value| value == DEFLATE);
     let as_of = exchange::decode_revisions(request.uri().query());
@@ -57,9 +66,10 @@
     let wants_full_update = as_of.iter().all(|revision| *revision == 0);
     if !(wants_full_update && accepts_deflate) {
         let bytes = postcard::to_allocvec(&replica.update_since(as_of))?;
-        let is_encoded = accepts_deflate && bytes.len() >= MIN_ENCODED_BYTES;
-        let bytes = if is_encoded { deflate(&bytes)? } else { bytes };
-        return Ok(response(bytes.into(), is_encoded));
+        let is_compressed = accepts_deflate && bytes.len() >= MIN_ENCODED_BYTES;
+        let bytes = if is_compressed { deflate(&bytes)? } else { bytes };
+        let bytes = bytes.into();
+        return Ok(EncodedUpdate { bytes, is_compressed, is_cached: false });
     }
     // When many instances start at once, all request a full update, so the response is cached.
     let revisions = (replica.revisions(), replica.all_as_of().map(|revision| revision > 0));
@@ -67,16 +77,20 @@
     if let Some((cached_revisions, bytes)) = &*cache
         && *cached_revisions == revisions
     {
-        return Ok(response(bytes.clone(), true));
+        return Ok(EncodedUpdate { bytes: bytes.clone(), is_compressed: true, is_cached: true });
     }
     let bytes: Bytes = deflate(&postcard::to_allocvec(&replica.update_since(as_of))?)?.into();
     *cache = Some((revisions, bytes.clone()));
-    Ok(response(bytes, true))
+    Ok(EncodedUpdate { bytes, is_compressed: true, is_cached: true })
 }
 
-fn response(bytes: Bytes, is_encoded: bool) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(bytes));
-    if is_encoded {
+async fn response(instance: &Instance, update: EncodedUpdate) -> Response<ResponseBody> {
+    let EncodedUpdate { bytes, is_compressed, is_cached } = update;
+    let mut response = match is_cached {
+        true => Response::new(full_body(bytes)),
+        false => held_response(instance, bytes).await,
+    };
+    if is_compressed && response.status() == StatusCode::OK {
         response.headers_mut().insert(CONTENT_ENCODING, HeaderValue::from_static(DEFLATE));
     }
     response
