Count a relayed request until its response has been passed on

The count of requests under way for other instances, which bounds the memory of a relay, ended when the response had begun, while a long body still used the buffers of two connections. Found by reading; no test shows it, as the limits of connections bound the same memory now.

--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -153,7 +153,7 @@
     if is_cut_off(!instance.pools.has_idle(server, request_id)) {
         return Err(RelayError::CutOff);
     }
-    let _relayed = RelayedGuard::enter(instance)?;
+    let relayed = RelayedGuard::enter(instance)?;
     let limit = connection_limit(instance, &service);
     let started = Instant::now();
     let acquired = instance.pools.acquire(server, *address, limit, request_id).await;
@@ -225,10 +225,10 @@
     let body = ServerBody::read(stream, &instance.memory).await?;
     let reusable = idle_timeout.map(|idle_timeout| (connection, idle_timeout));
     remove_hop_by_hop(&mut parts.headers);
-    Ok(Response::from_parts(parts, response_body(instance, body, reusable, in_flight)))
+    Ok(Response::from_parts(parts, response_body(instance, body, reusable, (in_flight, relayed))))
 }
 
-/// Counts a relayed request until its response has begun.
+/// Counts a relayed request until its response has been passed on, as far as it is not buffered.
 struct RelayedGuard(Rc<Instance>);
 
 impl RelayedGuard {
@@ -314,7 +314,7 @@
     instance: &Instance,
     body: ServerBody,
     reusable: Option<(Connection, Option<Duration>)>,
-    in_flight: InFlightGuard,
+    guards: (InFlightGuard, RelayedGuard),
 ) -> ResponseBody {
     match body {
         ServerBody::Buffered(bytes) => {
@@ -326,8 +326,8 @@
         ServerBody::Streaming(incoming) => {
             let body = PooledBody::new(incoming, instance.pools.clone(), reusable);
             Box::pin(body.map_frame(move |frame| {
-                // A planned stop waits until the body has been sent.
-                let _ = &in_flight;
+                // A planned stop waits until the body has been sent, and its buffers are in use until then.
+                let _ = &guards;
                 frame
             }))
         }
