Limit connections, requests and windows of the daemon with flags

Callers saw: nothing; 600 silent connections used up the 512 descriptors of a daemon, at the listeners for callers and operators, and 345 at that for instances until the handshake timed out.

Cause: no listener counted its connections, and HTTP/2 had the library's windows: 1 MiB a connection, 200 requests on each, 400 KiB of each response.

Change: the division of `steering::machine`, with `--memory-mb` (default 160) and the descriptors that the process may open; a new connection at a limit takes the place of the one that has been idle longest, else it is closed. Connections of instances have a quarter of the descriptors, 512 as before at most. HTTP/2: 32 requests at a time, 64 KiB of each and 128 KiB of all sent ahead, 16 KiB of a response that wait.

--- a/crates/runpind/src/connection/listener.rs
+++ b/crates/runpind/src/connection/listener.rs
@@ -1,10 +1,12 @@
 //! Accepts connections and serves HTTP/1.1 and HTTP/2 on them.
 
+use super::open_connections::{OpenConnections, OpenGuard};
 use crate::error::DaemonError;
 use crate::process::Process;
 use crate::request::body::Body;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -23,7 +25,16 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Largest request head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
+pub(crate) const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// Requests at a time on one connection with HTTP/2.
+const MAX_STREAMS: u32 = 32;
+
+/// Bytes of one request, and of all requests of a connection, that a caller may send ahead with HTTP/2, and bytes of a
+/// response that wait to be sent.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+const CONNECTION_WINDOW_BYTES: u32 = 128 << 10;
+const MAX_SEND_BUFFER_BYTES: usize = 16 << 10;
 
 /// Time for which a connection without a request stays open after the listener closes, because its
 /// first request may be in transit.
@@ -52,8 +63,9 @@
 }
 
 impl Listener {
-    /// Starts accepting connections, and handles their requests with `serve`.
-    pub fn start<F, S>(listener: TcpListener, process: Arc<Process>, serve: S) -> Self
+    /// Starts accepting connections, of which at most `limit` are open at a time, and handles their requests with
+    /// `serve`.
+    pub fn start<F, S>(listener: TcpListener, limit: usize, process: Arc<Process>, serve: S) -> Self
     where
         F: Future<Output = Response<Body>> + Send + 'static,
         S: Fn(Arc<Process>, SocketAddr, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
@@ -63,6 +75,7 @@
         let aborting = CancellationToken::new();
         let accept_task = tokio::spawn(accept(
             listener,
+            Arc::new(OpenConnections::new(limit)),
             process,
             serve,
             connections.clone(),
@@ -98,6 +111,7 @@
 
 async fn accept<F, S>(
     listener: TcpListener,
+    open: Arc<OpenConnections>,
     process: Arc<Process>,
     serve: S,
     connections: TaskTracker,
@@ -118,7 +132,12 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let connection = serve_connection(stream, peer, process.clone(), serve, closing.clone());
+        let Some(guard) = open.add(peer.ip()) else {
+            log::info!("connection of {peer} refused for lack of room");
+            continue;
+        };
+        let closing = closing.clone();
+        let connection = serve_connection(stream, peer, guard, process.clone(), serve, closing);
         let aborting = aborting.clone();
         connections.spawn(async move {
             tokio::select! {
@@ -132,6 +151,7 @@
 async fn serve_connection<F, S>(
     stream: TcpStream,
     peer: SocketAddr,
+    open: OpenGuard,
     process: Arc<Process>,
     serve: S,
     closing: CancellationToken,
@@ -143,16 +163,24 @@
     let _ = stream.set_nodelay(true);
     let first_request = CancellationToken::new();
     let request_seen = first_request.clone();
+    let requests = open.request_counter();
     let service = service_fn(move |request: Request<Incoming>| {
         request_seen.cancel();
         let version = request.version();
         let process = process.clone();
+        let under_way = requests.begin();
         async move {
             let mut response = serve(process.clone(), peer, request).await;
             if process.is_draining() && version < Version::HTTP_2 {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            let counted = response.map(|body| {
+                body.map_frame(move |frame| {
+                    let _ = &under_way;
+                    frame
+                })
+            });
+            Ok::<_, Infallible>(counted)
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
@@ -161,12 +189,20 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEAD_BYTES as u32)
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(MAX_SEND_BUFFER_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // The caller notices a connection error itself, so the error is ignored here.
     tokio::select! {
         _ = connection.as_mut() => {}
+        () = open.ended() => {}
         () = wait_until_closable(closing, first_request) => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
--- a/crates/runpind/src/connection/mod.rs
+++ b/crates/runpind/src/connection/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod dialer;
 pub mod listener;
+mod open_connections;
 pub mod pool;
--- a/crates/runpind/src/process/daemon.rs
+++ b/crates/runpind/src/process/daemon.rs
@@ -67,8 +67,10 @@
         background.spawn(platform_budget::update_rate(process.clone(), budget.regular));
         background.spawn(routing::run(process.clone()));
         background.spawn(shares::run(process.clone()));
-        let callers = Listener::start(callers, process.clone(), request::serve_caller);
-        let admin = Listener::start(admin, process.clone(), request::serve_admin);
+        let limits = process.limits.connections;
+        let callers =
+            Listener::start(callers, limits.callers, process.clone(), request::serve_caller);
+        let admin = Listener::start(admin, limits.operators, process.clone(), request::serve_admin);
         log::info!(
             "incarnation {} listening for callers on {}",
             process.incarnation,
--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 pub mod logging;
 pub mod lookup_cache;
+mod machine;
 pub mod membership;
 pub mod membership_metrics;
 pub mod metrics;
@@ -46,12 +47,15 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use steering::Incarnation;
+use steering::machine::MachineLimits;
 use tokio::sync::Notify;
 
 /// State shared by all requests and tasks of one daemon.
 pub struct Process {
     /// Validated settings, with the actual addresses of the listeners.
     pub settings: Settings,
+    /// What callers get of the machine.
+    pub limits: MachineLimits,
     /// Incarnation of this instance, drawn at random at each start.
     pub incarnation: Incarnation,
     /// Clock used for all decisions.
@@ -111,11 +115,13 @@
         metrics: Metrics,
     ) -> Result<Self, prometheus::Error> {
         let name = settings.name.clone();
+        let limits = machine::limits(&settings);
         let shares = ShareState::new(incarnation, name, clock.now(), metrics.registry())?;
         let membership = MembershipState::new(&settings, incarnation, metrics.membership.clone());
         let ledger = LedgerState::new(incarnation, clock.clone(), metrics.ledger.clone());
         Ok(Self {
             settings,
+            limits,
             incarnation,
             clock,
             dialer,
--- a/crates/runpind/src/process/peers.rs
+++ b/crates/runpind/src/process/peers.rs
@@ -3,6 +3,7 @@
 use super::configuration::answer::{answer_chunk, answer_manifest};
 use super::gossip;
 use super::ledger::hand_over::answer_hand_over;
+use super::machine::max_peer_connections;
 use super::peer_metrics::PeerMetrics;
 use super::{Process, shares};
 use crate::connection::dialer::{Dialer, Endpoint};
@@ -17,9 +18,6 @@
 use std::sync::Arc;
 use steering::Incarnation;
 
-/// Maximum number of concurrent connections from other instances.
-const MAX_CONNECTIONS: usize = 512;
-
 /// Creates the peer transport of a daemon.
 pub fn transport(
     settings: &Settings,
@@ -38,7 +36,7 @@
         keys,
         connect: Arc::new(DialedConnect(dialer)),
         observer: Arc::new(metrics),
-        max_connections: MAX_CONNECTIONS,
+        max_connections: max_peer_connections(),
     }))
 }
 
--- a/crates/runpind/src/settings.rs
+++ b/crates/runpind/src/settings.rs
@@ -49,6 +49,9 @@
     /// the listener, in milliseconds; default 10000 (RUNPIND_DRAIN_NOTICE_MS)
     #[argh(option)]
     pub drain_notice_ms: Option<String>,
+    /// memory of the machine in MB, of which callers get a part; default 160 (RUNPIND_MEMORY_MB)
+    #[argh(option)]
+    pub memory_mb: Option<String>,
     /// for tests: take the caller's address from the header `runpin-caller-address`, `true` or
     /// `false`; default `false` (RUNPIND_TRUST_CALLER_HEADER)
     #[argh(option)]
@@ -115,6 +118,8 @@
     /// Longest time between the start of a planned stop and the closing of the listener, in
     /// milliseconds, during which callers can look up other instances.
     pub drain_notice_ms: u64,
+    /// Memory of the machine, in MB.
+    pub memory_mb: u32,
     /// Whether the caller's address is taken from a header.
     pub trust_caller_header: bool,
 }
@@ -122,6 +127,12 @@
 const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 600_000;
 
 const DEFAULT_DRAIN_NOTICE_MS: u64 = 10_000;
+
+/// Memory of the smallest machines, in MB.
+const DEFAULT_MEMORY_MB: u32 = 160;
+
+/// Memory with which the daemon can run at all, in MB.
+const MIN_MEMORY_MB: u32 = 32;
 const MIN_SECRET_BYTES: usize = 16;
 const MAX_PEER_KEYS: usize = 2;
 
@@ -141,6 +152,7 @@
             (&mut self.log_format, "RUNPIND_LOG_FORMAT"),
             (&mut self.drain_timeout_ms, "RUNPIND_DRAIN_TIMEOUT_MS"),
             (&mut self.drain_notice_ms, "RUNPIND_DRAIN_NOTICE_MS"),
+            (&mut self.memory_mb, "RUNPIND_MEMORY_MB"),
             (&mut self.trust_caller_header, "RUNPIND_TRUST_CALLER_HEADER"),
         ];
         for (field, name) in fields {
@@ -245,6 +257,7 @@
         let log_format = setting!(raw, log_format, "log-format", "RUNPIND_LOG_FORMAT");
         let drain = setting!(raw, drain_timeout_ms, "drain-timeout-ms", "RUNPIND_DRAIN_TIMEOUT_MS");
         let notice = setting!(raw, drain_notice_ms, "drain-notice-ms", "RUNPIND_DRAIN_NOTICE_MS");
+        let memory = setting!(raw, memory_mb, "memory-mb", "RUNPIND_MEMORY_MB");
         let trust = setting!(
             raw,
             trust_caller_header,
@@ -280,6 +293,11 @@
                 "a number of milliseconds",
                 |text| text.parse().ok(),
             )?,
+            memory_mb: memory.parse_or(
+                DEFAULT_MEMORY_MB,
+                "a number of MB, 32 or more",
+                |text| text.parse().ok().filter(|memory_mb| *memory_mb >= MIN_MEMORY_MB),
+            )?,
             trust_caller_header: trust
                 .parse_or(false, "`true` or `false`", |text| text.parse().ok())?,
         })
--- a/crates/runpind/tests/fleet/mod.rs
+++ b/crates/runpind/tests/fleet/mod.rs
@@ -284,6 +284,7 @@
         log_format: LogFormat::Text,
         drain_timeout_ms: 10_000,
         drain_notice_ms: 0,
+        memory_mb: 160,
         trust_caller_header: true,
     }
 }
--- a/crates/runpind/tests/instances/mod.rs
+++ b/crates/runpind/tests/instances/mod.rs
@@ -309,6 +309,7 @@
         log_format: LogFormat::Text,
         drain_timeout_ms: 1_000,
         drain_notice_ms: 0,
+        memory_mb: 160,
         trust_caller_header: false,
     }
 }
