End an upload that stands still when its slot is needed, in the daemon with flags

Callers saw: 503 for every request of a service while uploads that stop short of their end held its slots.

Cause: a request holds a slot from the first byte of its head; its body is passed on as it arrives.

Change: the body of a request on its way says since when its next part is awaited; when a request finds no slot, the body that has stood still longest, and for a second or more, fails. Its request was sent in part: outcome `unknown`.

--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -27,6 +27,7 @@
 pub mod routing;
 pub mod shares;
 pub mod signal;
+pub mod uploads;
 
 use crate::connection::dialer::Dialer;
 use crate::connection::pool::Pools;
@@ -49,6 +50,7 @@
 use steering::Incarnation;
 use steering::machine::MachineLimits;
 use tokio::sync::Notify;
+use uploads::Uploads;
 
 /// State shared by all requests and tasks of one daemon.
 pub struct Process {
@@ -90,6 +92,8 @@
     pub shares: ShareState,
     /// Measurements of each arm.
     pub arms: ArmMeasurements,
+    /// Bodies of requests on their way to backend servers.
+    pub uploads: Arc<Uploads>,
     /// Prometheus metrics.
     pub metrics: Metrics,
     /// Set once a planned stop has started.
@@ -139,6 +143,7 @@
             routing: Routing::new(incarnation.0),
             shares,
             arms: ArmMeasurements::default(),
+            uploads: Arc::default(),
             metrics,
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/runpind/src/request/body.rs
+++ b/crates/runpind/src/request/body.rs
@@ -17,6 +17,9 @@
     /// The request's timeout passed.
     #[error("the timeout passed before the body was whole")]
     Timeout,
+    /// The caller did not go on, and the slot of its request was needed.
+    #[error("the body stands still")]
+    Stalled,
 }
 
 /// Returns a body with the given bytes.
--- a/crates/runpind/src/request/forward.rs
+++ b/crates/runpind/src/request/forward.rs
@@ -19,6 +19,7 @@
 use super::retry::Retry;
 use super::route::{self, Route};
 use super::state::Exchange;
+use super::upload::upload;
 use crate::connection::dialer::Endpoint;
 use crate::connection::pool::PooledConnection;
 use configuration::SiteIndex;
@@ -50,7 +51,10 @@
 /// While there is no capacity, the request waits in the queue of its service.
 async fn send(exchange: Exchange, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
     let mut admission = Admission::new(request.headers());
-    let (mut retry, mut request) = Retry::for_request(&exchange, prepare(request));
+    let service = exchange.service().name.clone();
+    let uploads = exchange.process.uploads.clone();
+    let request = prepare(request).map(|body| upload(body, &uploads, &service));
+    let (mut retry, mut request) = Retry::for_request(&exchange, request);
     let method = request.method().clone();
     admission.wait_for_turn(&exchange).await?;
     let mut route = route::choose(&exchange);
@@ -61,6 +65,7 @@
     let mut attempts = 0;
     loop {
         let Some((site, mut slot, endpoint)) = acquire_slot(&exchange, &route) else {
+            uploads.end_one(&service);
             admission.wait_for_capacity(&exchange).await?;
             continue;
         };
--- a/crates/runpind/src/request/mod.rs
+++ b/crates/runpind/src/request/mod.rs
@@ -28,6 +28,7 @@
 mod retry;
 mod route;
 mod state;
+mod upload;
 
 use crate::process::Process;
 use body::Body;
