Read one text of an operator at a time

Operators saw: nothing yet; eight uploads of client blocks of 20 MB took 168 MB of a machine of 96.

Cause: each text, of up to 64 MiB, was collected in memory, in parts and then once more as a whole, and nothing counted them.

Change: one text is read at a time, into the memory that it states; others are answered 503 at once.

--- a/crates/runpind/src/process/mod.rs
+++ b/crates/runpind/src/process/mod.rs
@@ -49,7 +49,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use steering::Incarnation;
 use steering::machine::MachineLimits;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use uploads::Uploads;
 
 /// State shared by all requests and tasks of one daemon.
@@ -94,6 +94,8 @@
     pub arms: ArmMeasurements,
     /// Bodies of requests on their way to backend servers.
     pub uploads: Arc<Uploads>,
+    /// Permit to read the text of a change by an operator.
+    pub operator_uploads: Semaphore,
     /// Prometheus metrics.
     pub metrics: Metrics,
     /// Set once a planned stop has started.
@@ -144,6 +146,7 @@
             shares,
             arms: ArmMeasurements::default(),
             uploads: Arc::default(),
+            operator_uploads: Semaphore::new(1),
             metrics,
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/runpind/src/request/admin/error.rs
+++ b/crates/runpind/src/request/admin/error.rs
@@ -36,6 +36,12 @@
     /// The body is too large or was truncated.
     #[error("the text is cut short or over {0} bytes")]
     TooLarge(usize),
+    /// Another text is being read.
+    #[error("another text is being read: try again")]
+    Busy,
+    /// The body did not go on.
+    #[error("the text did not go on")]
+    Stalled,
     /// The body is not UTF-8 text.
     #[error("the text is not UTF-8")]
     NotText,
@@ -85,7 +91,8 @@
             | AdminError::NotText
             | AdminError::Drain(_) => StatusCode::BAD_REQUEST,
             AdminError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            AdminError::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
+            AdminError::Stalled => StatusCode::REQUEST_TIMEOUT,
+            AdminError::NoConfiguration | AdminError::Busy => StatusCode::SERVICE_UNAVAILABLE,
             AdminError::Acceptance(error) => acceptance_status(error),
             AdminError::Lookup(problem) => problem.status(),
             AdminError::Metrics(_) | AdminError::Format(_) => StatusCode::INTERNAL_SERVER_ERROR,
