Test a crowd through a relay, and one that asks for updates at a machine that the state fits into

`updates_of_instances_that_are_not_read` was wrong: without any caller the state of 10,000 backend servers takes 32 MB at its peak, which is all of the machine that the test gave it, so its bound said nothing of the crowd. The store pages as the platform's does.

`RUNPIND_BINARY` names another build of the daemon, as in the other tests with real processes.

--- a/crates/runpind/tests/crowds/entry.rs
+++ b/crates/runpind/tests/crowds/entry.rs
@@ -1,15 +1,15 @@
 //! Crowds at the listeners of an entry instance.
 
 use crate::common::caller::{request_text, send};
-use crate::common::objects::{configuration, register, route, server_spec};
+use crate::common::objects::{configuration, register_in_zone, route, server_spec};
 use crate::common::server::{MockBackendServer, ResponseMode};
 use crate::common::store::MockStore;
 use crate::crowd::{Crowd, chunks, ordinary_request};
 use crate::measure::{FILE_DESCRIPTORS, open_descriptors, peak_memory_mb};
 use crate::process::{host, spawn};
 use crate::run;
-use serde_json::json;
-use std::net::SocketAddr;
+use serde_json::{Value, json};
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -32,6 +32,18 @@
 /// Backend servers that an instance knows beside them, as in a large fleet.
 const KNOWN_SERVERS: usize = 10_000;
 
+/// Objects on a page of a list, as many as the platform's store sends.
+const STORE_PAGE: usize = 500;
+
+/// Environment variable that names another build of the daemon to test.
+const BINARY_VARIABLE: &str = "RUNPIND_BINARY";
+
+/// Requests by which an instance knows that another one relays.
+const REQUESTS_UNTIL_RELAYED: usize = 60;
+
+/// Interval at which a condition is checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Seconds for which routes allow a request to last, longer than a test.
 const TIMEOUT_S: f64 = 120.0;
 
@@ -51,6 +63,9 @@
 /// A machine whose memory a crowd without bodies, or with small ones, exceeds.
 const LEAST_MEMORY: Machine = Machine { memory_mb: 32, descriptors: 4_100 };
 
+/// A machine whose memory a crowd exceeds beside the state of a large fleet, which takes up to 32 MB.
+const MEMORY_OF_LARGE_STATE: Machine = Machine { memory_mb: 40, descriptors: 4_100 };
+
 /// A machine whose descriptors a crowd without requests exceeds.
 const FEW_DESCRIPTORS: Machine = Machine { memory_mb: 64, descriptors: 512 };
 
@@ -69,21 +84,15 @@
     (OPERATOR_PORT, "/metrics"),
 ];
 
-/// An instance as a real process, with its store and backend servers.
-pub(crate) struct Instance {
-    machine: Machine,
-    host: std::net::IpAddr,
-    pub(crate) servers: Vec<Rc<MockBackendServer>>,
-    process: Child,
-    _folder: tempfile::TempDir,
+/// The store, and the backend servers that routes lead to.
+struct Platform {
     store: Rc<MockStore>,
+    servers: Vec<Rc<MockBackendServer>>,
 }
 
-impl Instance {
-    /// Starts an instance and waits until it is ready.
-    pub(crate) async fn start(machine: Machine) -> Self {
-        static STARTED: AtomicUsize = AtomicUsize::new(0);
-        let host = host(STARTED.fetch_add(1, Ordering::Relaxed));
+impl Platform {
+    /// Starts a store and backend servers in an availability zone.
+    async fn start(zone: &str) -> Rc<Self> {
         let store = MockStore::start().await;
         let mut content = configuration("00000001", &routes());
         content["limits"]["max_body_bytes"] = MAX_BODY_BYTES.into();
@@ -93,43 +102,82 @@
         let mut servers = Vec::new();
         for number in 0..SERVERS {
             let server = MockBackendServer::start(&format!("i-{number}")).await;
-            register(&store, &server, "ready");
+            register_in_zone(&store, &server, zone);
             servers.push(server);
         }
+        Rc::new(Self { store, servers })
+    }
+
+    fn set_mode(&self, mode: ResponseMode) {
+        self.servers.iter().for_each(|server| server.set_mode(mode));
+    }
+}
+
+/// An instance as a real process.
+pub(crate) struct Instance {
+    machine: Machine,
+    host: IpAddr,
+    platform: Rc<Platform>,
+    process: Child,
+    _folder: tempfile::TempDir,
+}
+
+impl Instance {
+    /// Starts an instance with backend servers in its availability zone, and waits until it is ready.
+    pub(crate) async fn start(machine: Machine) -> Self {
+        Self::start_in("north-a", machine, &Platform::start("north-a").await, None).await
+    }
+
+    /// Starts an instance in an availability zone that knows another one, and waits until it is ready.
+    async fn start_in(
+        zone: &str,
+        machine: Machine,
+        platform: &Rc<Platform>,
+        seed: Option<&Instance>,
+    ) -> Self {
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let host = host(STARTED.fetch_add(1, Ordering::Relaxed));
         let folder = tempfile::tempdir().expect("a folder");
         let settings = folder.path().join("settings.json");
-        let text = settings_text(machine, host, store.address);
-        std::fs::write(&settings, text).expect("the settings are written");
-        let binary = Path::new(env!("CARGO_BIN_EXE_runpind"));
+        let mut content = settings_of(zone, machine, host, platform.store.address);
+        if let Some(seed) = seed {
+            content["seeds"] = json!([SocketAddr::new(seed.host, PEER_PORT).to_string()]);
+        }
+        std::fs::write(&settings, content.to_string()).expect("the settings are written");
+        let binary = std::env::var(BINARY_VARIABLE);
+        let binary = binary.unwrap_or_else(|_| env!("CARGO_BIN_EXE_runpind").to_owned());
         let log = folder.path().join("log");
-        let process =
-            spawn(binary, &settings, &log, machine.descriptors).expect("the instance starts");
-        let instance = Self { machine, host, servers, process, _folder: folder, store };
+        let process = spawn(Path::new(&binary), &settings, &log, machine.descriptors)
+            .expect("the instance starts");
+        let platform = platform.clone();
+        let instance = Self { machine, host, platform, process, _folder: folder };
         while instance.ask(READINESS_PORT, "/api/readiness").await != 200 {
-            sleep(Duration::from_millis(50)).await;
+            sleep(POLL_INTERVAL).await;
         }
         instance
     }
 
+    /// Waits until what it tells operators contains a text.
+    async fn wait_until_told(&self, path: &str, text: &str) {
+        let operators = SocketAddr::new(self.host, OPERATOR_PORT);
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        while !String::from_utf8_lossy(&send(operators, &request).await.body).contains(text) {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Adds backend servers to the store that no route leads to, and waits until the instance knows them.
     async fn know_many_servers(&self) {
-        self.store.page_size.set(KNOWN_SERVERS);
+        let store = &self.platform.store;
+        store.page_size.set(STORE_PAGE);
         for number in 0..KNOWN_SERVERS {
             let address = SocketAddr::from(([127, 0, 0, 1], 9));
             let mut spec = server_spec(address, "south-a", "v1", "ready");
             spec["service"] = "other".into();
-            self.store.put("servers", &format!("known-{number}"), spec);
+            store.put("servers", &format!("known-{number}"), spec);
         }
-        let status = "GET /v1/status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         let all = format!("\"backend_servers\":{}", KNOWN_SERVERS + SERVERS);
-        loop {
-            let operators = SocketAddr::new(self.host, OPERATOR_PORT);
-            let body = send(operators, status).await.body;
-            if String::from_utf8_lossy(&body).contains(&all) {
-                return;
-            }
-            sleep(Duration::from_millis(50)).await;
-        }
+        self.wait_until_told("/v1/status", &all).await;
     }
 
     pub(crate) fn caller_address(&self) -> SocketAddr {
@@ -181,7 +229,7 @@
     fn assert_promises_kept(&self, crowd: &Crowd) {
         let promised = crowd.promised_not_run();
         println!("{} were told that their request has not run", promised.len());
-        for server in &self.servers {
+        for server in &self.platform.servers {
             for arrival in server.arrivals.borrow().iter() {
                 let id = arrival.header("x-request-id").unwrap_or_default();
                 assert!(!promised.iter().any(|promised| promised == id), "{id} has run");
@@ -190,15 +238,15 @@
     }
 }
 
-fn routes() -> [serde_json::Value; 3] {
+fn routes() -> [Value; 3] {
     ["idempotent", "non_idempotent", "upload"].map(|kind| route(kind, TIMEOUT_S))
 }
 
-fn settings_text(machine: Machine, host: std::net::IpAddr, store: SocketAddr) -> String {
+fn settings_of(zone: &str, machine: Machine, host: IpAddr, store: SocketAddr) -> Value {
     let at = |port: u16| SocketAddr::new(host, port).to_string();
     json!({
-        "name": "one",
-        "availability_zone": "north-a",
+        "name": format!("one-{zone}"),
+        "availability_zone": zone,
         "regions": { "north-a": "north", "south-a": "south" },
         "caller_address": at(CALLER_PORT),
         "readiness_address": at(READINESS_PORT),
@@ -214,7 +262,6 @@
             "machine": { "memory_mb": machine.memory_mb, "descriptors": machine.descriptors },
         },
     })
-    .to_string()
 }
 
 /// The head of a request of a crowd, which its caller would wait for as long as the test lasts.
@@ -263,7 +310,7 @@
 fn whole_bodies_that_servers_do_not_answer() {
     run(async {
         let mut instance = Instance::start(LITTLE_MEMORY).await;
-        instance.servers.iter().for_each(|server| server.set_mode(ResponseMode::Held));
+        instance.platform.set_mode(ResponseMode::Held);
         let head = crowd_head("non_idempotent", "Content-Length: 262144\r\n");
 
         let crowd =
@@ -272,11 +319,43 @@
         instance.assert_within_limits();
         instance.assert_promises_kept(&crowd);
         drop(crowd);
-        instance.servers.iter().for_each(|server| server.set_mode(ResponseMode::Success));
+        instance.platform.set_mode(ResponseMode::Success);
         instance.assert_bears().await;
     });
 }
 
+#[test]
+fn whole_bodies_through_a_relay_that_servers_do_not_answer() {
+    run(async {
+        let platform = Platform::start("south-a").await;
+        let mut relay = Instance::start_in("south-a", LITTLE_MEMORY, &platform, None).await;
+        let mut sender =
+            Instance::start_in("north-a", LITTLE_MEMORY, &platform, Some(&relay)).await;
+        let to = sender.caller_address();
+        let text = request_text("idempotent", "first", "", "");
+        let passed_on = "runpin_entry_relayed_total{outcome=\"passed-on\"}";
+        tokio::join!(relay.wait_until_told("/metrics", passed_on), async {
+            // The sender uses the relay from when it knows that it serves.
+            for _ in 0..REQUESTS_UNTIL_RELAYED {
+                ordinary_request(to, &text).await;
+                sleep(POLL_INTERVAL).await;
+            }
+        });
+        platform.set_mode(ResponseMode::Held);
+        let head = crowd_head("non_idempotent", "Content-Length: 200000\r\n");
+
+        let crowd = Crowd::gather(to, CALLERS, &head, &[b'x'; 200_000]).await;
+
+        relay.assert_within_limits();
+        sender.assert_within_limits();
+        sender.assert_promises_kept(&crowd);
+        drop(crowd);
+        platform.set_mode(ResponseMode::Success);
+        sender.assert_bears().await;
+        relay.assert_bears().await;
+    });
+}
+
 #[test]
 fn heads_without_end() {
     run(async {
@@ -335,7 +414,8 @@
     run(async {
         let mut instance = Instance::start(LEAST_MEMORY).await;
         let body = "x".repeat(120_000);
-        instance.servers.iter().for_each(|server| drop(server.body.replace(body.clone())));
+        let servers = &instance.platform.servers;
+        servers.iter().for_each(|server| drop(server.body.replace(body.clone())));
         let requests = crowd_head("idempotent", "").repeat(8);
 
         let _crowd = Crowd::gather_deaf(instance.caller_address(), CALLERS, &requests).await;
@@ -347,12 +427,12 @@
 #[test]
 fn updates_of_instances_that_are_not_read() {
     run(async {
-        let mut instance = Instance::start(LEAST_MEMORY).await;
+        let mut instance = Instance::start(MEMORY_OF_LARGE_STATE).await;
         instance.know_many_servers().await;
         let request = "GET /v1/knowledge HTTP/1.1\r\nHost: x\r\n\r\n";
 
         let to = SocketAddr::new(instance.host, PEER_PORT);
-        let _crowd = Crowd::gather_deaf(to, CALLERS, request).await;
+        let _crowd = Crowd::gather_deaf(to, CALLERS_WITHOUT_BODY, request).await;
 
         instance.assert_bears().await;
         instance.assert_all_listeners_answer().await;
