Leave an upload that is complete to its response when slots are needed

An upload counted as one until its connection's next request, so that one whose whole body had been sent on could be ended for its slot once its caller didn't read the response for a second. Found by reading, no test: only an upload of which the rest is awaited is ended now.

--- a/crates/entry/src/connection/open_connections.rs
+++ b/crates/entry/src/connection/open_connections.rs
@@ -127,8 +127,9 @@
         since.map(|since| (waiting, now.saturating_duration_since(since)))
     }
 
-    fn is_upload_to(&self, service: &str) -> bool {
-        matches!(&*self.used_for.borrow(), Use::Upload(used) if **used == *service)
+    fn awaits_upload_to(&self, service: &str) -> bool {
+        let is_upload = matches!(&*self.used_for.borrow(), Use::Upload(used) if **used == *service);
+        is_upload && self.waiting_since.get().is_some()
     }
 }
 
@@ -207,7 +208,7 @@
 
     /// Ends an upload to a service, if one waits for its caller.
     pub(crate) fn end_upload_to(&self, service: &str) -> Option<Ended> {
-        self.end_longest_waiting(|open| open.is_upload_to(service))
+        self.end_longest_waiting(|open| open.awaits_upload_to(service))
     }
 
     fn end_longest_waiting(&self, is_eligible: impl Fn(&OpenConnection) -> bool) -> Option<Ended> {
