Take a connection whose response is unread for one that waits for its reader

A request ends when its response has been handed to the HTTP library, while the last bytes may still wait for the caller. Such a connection counted as one without a request: it was the first to be ended for another connection, with its response, and never ended for memory, though its response holds some. Found by reading, no test of its own.

Now a connection with unwritten bytes waits for its reader: it is ended only after a second, after those without a request, and for memory too.

--- a/crates/entry/src/connection/open_connections.rs
+++ b/crates/entry/src/connection/open_connections.rs
@@ -114,22 +114,22 @@
 
     /// What it waits for, and for how long; `None` while the instance has work to do for it.
     fn waiting(&self, now: Instant) -> Option<(Waiting, Duration)> {
-        let waiting = match &*self.used_for.borrow() {
-            Use::Idle => Waiting::Request,
-            Use::Body => Waiting::Body,
-            Use::Upload(_) if self.waiting_since.get().is_some() => Waiting::Upload,
-            Use::Upload(_) | Use::Request => Waiting::Reader,
-        };
-        let since = match waiting {
-            Waiting::Reader => self.stream.write_blocked_since(),
-            Waiting::Request | Waiting::Body | Waiting::Upload => self.waiting_since.get(),
+        // The last bytes of a response may be unread when its request has ended.
+        let (waiting, since) = match (&*self.used_for.borrow(), self.stream.write_blocked_since()) {
+            (Use::Body, _) => (Waiting::Body, self.waiting_since.get()),
+            (Use::Upload(_), _) if self.waiting_since.get().is_some() => {
+                (Waiting::Upload, self.waiting_since.get())
+            }
+            (Use::Idle, None) => (Waiting::Request, self.waiting_since.get()),
+            (Use::Idle | Use::Upload(_) | Use::Request, blocked_since) => {
+                (Waiting::Reader, blocked_since)
+            }
         };
         since.map(|since| (waiting, now.saturating_duration_since(since)))
     }
 
-    fn awaits_upload_to(&self, service: &str) -> bool {
-        let is_upload = matches!(&*self.used_for.borrow(), Use::Upload(used) if **used == *service);
-        is_upload && self.waiting_since.get().is_some()
+    fn is_upload_to(&self, service: &str) -> bool {
+        matches!(&*self.used_for.borrow(), Use::Upload(used) if **used == *service)
     }
 }
 
@@ -198,26 +198,31 @@
 
     /// Ends a connection of a listener, if one waits for its caller.
     pub(crate) fn end_one_of(&self, listener: ListenerKind) -> Option<Ended> {
-        self.end_longest_waiting(|open| open.listener == listener)
+        self.end_longest_waiting(|open, _| open.listener == listener)
     }
 
     /// Ends a connection that holds memory, if one waits for its caller.
     pub(crate) fn end_one_with_memory(&self) -> Option<Ended> {
-        self.end_longest_waiting(|open| !matches!(*open.used_for.borrow(), Use::Idle))
+        self.end_longest_waiting(|_, waiting| waiting != Waiting::Request)
     }
 
     /// Ends an upload to a service, if one waits for its caller.
     pub(crate) fn end_upload_to(&self, service: &str) -> Option<Ended> {
-        self.end_longest_waiting(|open| open.awaits_upload_to(service))
+        self.end_longest_waiting(|open, waiting| {
+            waiting == Waiting::Upload && open.is_upload_to(service)
+        })
     }
 
-    fn end_longest_waiting(&self, is_eligible: impl Fn(&OpenConnection) -> bool) -> Option<Ended> {
+    fn end_longest_waiting(
+        &self,
+        is_eligible: impl Fn(&OpenConnection, Waiting) -> bool,
+    ) -> Option<Ended> {
         let now = Instant::now();
         let (id, waiting, waited) = {
             let by_id = self.by_id.borrow();
-            let waiting = by_id.values().filter(|open| is_eligible(open)).filter_map(|open| {
+            let waiting = by_id.values().filter_map(|open| {
                 let (waiting, waited) = open.waiting(now)?;
-                Some((open.id, waiting, waited))
+                is_eligible(open, waiting).then_some((open.id, waiting, waited))
             });
             longest_waiting(waiting)?
         };
