State the length of the daemon's own responses again

Since the connections of the daemon with flags are counted, its own responses (refusals, look-ups, those to operators) were sent in chunks: the adapter that held the count hides the size of a body (http-body-util's `MapFrame` has no `size_hint`). Found by reading, before it was released.

--- a/crates/runpind/src/connection/listener.rs
+++ b/crates/runpind/src/connection/listener.rs
@@ -1,12 +1,12 @@
 //! Accepts connections and serves HTTP/1.1 and HTTP/2 on them.
 
+use super::counted_body::CountedBody;
 use super::open_connections::{OpenConnections, OpenGuard};
 use crate::error::DaemonError;
 use crate::process::Process;
 use crate::request::body::Body;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -174,13 +174,7 @@
             if process.is_draining() && version < Version::HTTP_2 {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            let counted = response.map(|body| {
-                body.map_frame(move |frame| {
-                    let _ = &under_way;
-                    frame
-                })
-            });
-            Ok::<_, Infallible>(counted)
+            Ok::<_, Infallible>(response.map(|body| CountedBody { body, _under_way: under_way }))
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
--- a/crates/runpind/src/connection/mod.rs
+++ b/crates/runpind/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! State that lives as long as one connection.
 
+mod counted_body;
 pub mod dialer;
 pub mod listener;
 mod open_connections;
--- a/crates/runpind/tests/bad_input.rs
+++ b/crates/runpind/tests/bad_input.rs
@@ -62,6 +62,17 @@
     assert!(is_problem(&response, 404, "unknown-service"), "{}", response.text);
 }
 
+#[tokio::test]
+async fn refusal_states_its_length() {
+    let (_backend, daemon) = start().await;
+
+    let request = "GET /nothing HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let response = exchange(daemon.caller_address(), request).await;
+
+    let length = format!("content-length: {}", response.body().len());
+    assert!(response.has_header(&length), "{}", response.text);
+}
+
 #[tokio::test]
 async fn http_1_0_is_refused_because_truncation_is_undetectable() {
     let (_backend, daemon) = start().await;
