End uploads that stand still until a request has room, not one for each

Suspected by the code: each refused request ended one upload, but the servers' queues were estimated to be too long until several had ended, and a request was refused in the meantime though every slot was held by a body that stood still.

Now uploads that stand still are ended one after the other until a server is chosen, 64 at most.

--- a/crates/entry/src/request/run.rs
+++ b/crates/entry/src/request/run.rs
@@ -22,6 +22,9 @@
 /// The attempts that may have run the request are limited by the route instead.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Uploads that are ended at most for one choice; a queue that was long needs several to be short enough.
+const MAX_ENDED_UPLOADS: usize = 64;
+
 /// Runs a request; records and logs its outcome.
 pub(super) async fn run(
     exchange: Exchange,
@@ -175,18 +178,21 @@
     }
 }
 
-/// Chooses a backend server; if none has room, an upload that waits for its caller is ended for it.
+/// Chooses a backend server; if none has room, uploads that wait for their callers are ended until one has.
 ///
 /// # Errors
 ///
 /// As [`choose`].
 async fn choose_with_room(exchange: &Exchange, progress: &Progress) -> Result<Choice, Problem> {
-    let chosen = choose(exchange, progress);
-    let is_full = matches!(chosen, Err(Problem::NoCapacity { .. }));
-    match is_full && room::free_slot(&exchange.instance, &exchange.service).await {
-        true => choose(exchange, progress),
-        false => chosen,
+    let mut chosen = choose(exchange, progress);
+    for _ in 0..MAX_ENDED_UPLOADS {
+        let is_full = matches!(chosen, Err(Problem::NoCapacity { .. }));
+        if !is_full || !room::free_slot(&exchange.instance, &exchange.service).await {
+            break;
+        }
+        chosen = choose(exchange, progress);
     }
+    chosen
 }
 
 /// Whether to retry at another backend server after an error response; takes from the retry budget.
