Sharpen the case of slow readers, and drop a case that an earlier one shows

Cause: case 1 shows the same fault as the case of a server that gets requests after it has left.

Change: that case is removed and its number given to the case of uploads; the readers of case 4 read 500 kB at 60 kB/s, which is cut without any pause.

--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -8,20 +8,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Zones of a small site with three regions, each with its region.
-pub const ZONES: [(&str, &str); 6] = [
-    ("namur-jambes", "namur"),
-    ("liege-ans", "liege"),
-    ("hainaut-mons", "hainaut"),
-    ("namur-gembloux", "namur"),
-    ("liege-seraing", "liege"),
-    ("hainaut-charleroi", "hainaut"),
-];
-
 /// A running deployment; its processes end when it is dropped.
 pub struct Deployment {
     pub record: Record,
-    pub store: Store,
     pub servers: Vec<Server>,
     pub instances: Vec<Instance>,
     folder: PathBuf,
@@ -111,7 +100,7 @@
     for ((zone, _), of_zone) in zones.iter().zip(instances_per_zone) {
         for number in 0..*of_zone {
             let index = instances.len();
-            let address = store.listen(&format!("{store_host}:0"), index);
+            let address = store.listen(&format!("{store_host}:0"));
             let seeds = &hosts[..count.min(3)];
             let name = format!("edge-{zone}-{}", number + 1);
             instances.push(fleet::prepare(
@@ -127,7 +116,7 @@
             ));
         }
     }
-    let mut deployment = Deployment { record, store, servers, instances, folder };
+    let mut deployment = Deployment { record, servers, instances, folder };
     deployment.instances.iter_mut().for_each(Instance::start);
     let ready = fleet::wait_until(Duration::from_secs(20), || {
         deployment.instances.iter().all(Instance::is_ready)
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -19,9 +19,7 @@
 
 /// An entry instance.
 pub struct Instance {
-    pub name: String,
-    pub host: String,
-    pub zone: String,
+    host: String,
     settings: PathBuf,
     log: PathBuf,
     binary: PathBuf,
@@ -150,9 +148,7 @@
     let path = folder.join(format!("{name}.json"));
     std::fs::write(&path, settings.to_string()).expect("a settings file");
     Instance {
-        name: name.to_owned(),
         host: host.to_owned(),
-        zone: zone.to_owned(),
         settings: path,
         log: folder.join(format!("{name}.log")),
         binary: binary.to_owned(),
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,7 +5,6 @@
 
 mod client;
 mod deployment;
-mod drain;
 mod fleet;
 mod http;
 mod readers;
@@ -34,7 +33,6 @@
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
         "readers" => readers::run(folder, with_trouble),
-        "drain" => drain::run(folder, with_trouble),
         "uploads" => uploads::run(folder, with_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standins-2/src/readers.rs
+++ b/review/standins-2/src/readers.rs
@@ -14,10 +14,10 @@
 const STALLED: usize = 8;
 
 /// Bytes of an answer.
-const ANSWER_BYTES: usize = 131_000;
+const ANSWER_BYTES: usize = 500_000;
 
 /// Bytes that a slow link carries in a second.
-const SLOW_BYTES_PER_S: f64 = 28_000.0;
+const SLOW_BYTES_PER_S: f64 = 60_000.0;
 
 /// Bytes that a client reads before its link stands still, and for how long that does; `idle_timeout_s` is 15.
 const READ_BEFORE_STALL: usize = 20_000;
@@ -25,7 +25,7 @@
 
 /// Segment size and receive buffer of a client: those of an ordinary network and a small window.
 const SEGMENT_BYTES: u32 = 1448;
-const WINDOW_BYTES: usize = 16 * 1024;
+const WINDOW_BYTES: usize = 32 * 1024;
 
 /// How a client reads.
 #[derive(Clone, Copy, Debug)]
@@ -64,7 +64,7 @@
             _ => others += 1,
         }
     }
-    let runs: usize = deployment.servers.iter().map(|server| server.arrivals().len()).sum();
+    let runs: usize = deployment.servers.iter().map(|server| server.runs()).sum();
     record.say(&format!(
         "{runs} runs; connections closed without a complete answer: {steady} of {STEADY} with a slow link, {stalled} of {STALLED} with one that stood still; {others} other failures"
     ));
@@ -99,7 +99,7 @@
     connection.send(&request("POST", &format!("/book/{ANSWER_BYTES}"), &id, 12_000, 100))?;
     let begun = Instant::now();
     let (mut read, mut has_stalled) = (0, false);
-    let ending = connection.read(Duration::from_secs(8), |bytes| {
+    let ending = connection.read(Duration::from_secs(11), |bytes| {
         read += bytes;
         match pace {
             Pace::AtOnce => {}
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
@@ -16,15 +16,6 @@
 /// Bytes of an answer to a path that names no length.
 const ANSWER_BYTES: usize = 400;
 
-/// A request that arrived at a server.
-#[derive(Clone, Debug)]
-pub struct Arrival {
-    /// Seconds since the start.
-    pub at: f64,
-    /// Its identity.
-    pub id: String,
-}
-
 /// A server; clones share it.
 #[derive(Clone)]
 pub struct Server(Arc<Inner>);
@@ -40,10 +31,7 @@
     /// Requests at work.
     at_work: Mutex<usize>,
     slot_free: Condvar,
-    is_leaving: AtomicBool,
-    has_ended: AtomicBool,
-    arrivals: Mutex<Vec<Arrival>>,
-    streams: Mutex<Vec<TcpStream>>,
+    runs: Mutex<usize>,
     record: Record,
 }
 
@@ -60,21 +48,12 @@
             present: Mutex::new(0),
             at_work: Mutex::new(0),
             slot_free: Condvar::new(),
-            is_leaving: AtomicBool::new(false),
-            has_ended: AtomicBool::new(false),
-            arrivals: Mutex::default(),
-            streams: Mutex::default(),
+            runs: Mutex::default(),
             record: record.clone(),
         }));
         let accepting = server.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if accepting.0.has_ended.load(Ordering::SeqCst) {
-                    return;
-                }
-                if let Ok(stream) = stream.try_clone() {
-                    accepting.0.streams.lock().expect("streams").push(stream);
-                }
                 let server = accepting.clone();
                 std::thread::spawn(move || server.serve(stream));
             }
@@ -82,11 +61,6 @@
         server
     }
 
-    /// Identity of the server.
-    pub fn id(&self) -> &str {
-        &self.0.id
-    }
-
     /// Sets how long it works on a request.
     pub fn set_work(&self, work_ms: u64) {
         self.0.work_ms.store(work_ms, Ordering::SeqCst);
@@ -100,26 +74,9 @@
         })
     }
 
-    /// From now on its answers say that it closes their connections.
-    pub fn begin_leaving(&self) {
-        self.0.is_leaving.store(true, Ordering::SeqCst);
-    }
-
-    /// Ends it as the end of its process does; returns how many requests it was working on.
-    pub fn end(&self) -> usize {
-        self.0.has_ended.store(true, Ordering::SeqCst);
-        let present = self.present();
-        for stream in self.0.streams.lock().expect("streams").drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
-        // Wakes the thread that accepts, which then drops the listener.
-        let _ = TcpStream::connect(self.0.address);
-        present
-    }
-
-    /// What has arrived so far.
-    pub fn arrivals(&self) -> Vec<Arrival> {
-        self.0.arrivals.lock().expect("arrivals").clone()
+    /// Requests that it has run so far.
+    pub fn runs(&self) -> usize {
+        *self.0.runs.lock().expect("runs")
     }
 
     fn present(&self) -> usize {
@@ -131,20 +88,14 @@
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
-            if self.0.has_ended.load(Ordering::SeqCst) {
-                return;
-            }
             let id = head.field("x-request-id").unwrap_or("").to_owned();
-            let is_leaving = self.0.is_leaving.load(Ordering::SeqCst);
-            let connection =
-                if is_leaving { "Connection: close\r\n" } else { "Keep-Alive: timeout=10\r\n" };
+            let connection = "Keep-Alive: timeout=10\r\n";
             let present = self.present();
             let load_now = load(present);
             let own = &self.0.id;
             if head.target().1 == "/health" {
-                let status = if is_leaving { "503 Leaving" } else { "200 OK" };
                 let answer = format!(
-                    "HTTP/1.1 {status}\r\nX-Instance-Id: {own}\r\n{load_now}{connection}Content-Length: 0\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {own}\r\n{load_now}{connection}Content-Length: 0\r\n\r\n"
                 );
                 if writer.write_all(answer.as_bytes()).is_err() {
                     return;
@@ -178,8 +129,7 @@
                 return;
             }
             slot.begin_work();
-            let at = self.0.record.now();
-            self.0.arrivals.lock().expect("arrivals").push(Arrival { at, id: id.clone() });
+            *self.0.runs.lock().expect("runs") += 1;
             self.0.record.line(&format!("run id={id} server={own}"));
             std::thread::sleep(Duration::from_millis(self.0.work_ms.load(Ordering::SeqCst)));
             // A path may end with the length of its answer.
@@ -194,7 +144,7 @@
             answer.resize(answer.len() + length, b'b');
             let written = writer.write_all(&answer);
             self.0.record.line(&format!("answer made id={id} server={own} ok={}", written.is_ok()));
-            if written.is_err() || is_leaving {
+            if written.is_err() {
                 return;
             }
         }
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -28,8 +28,6 @@
     forgotten: u64,
     objects: BTreeMap<(String, String), Value>,
     history: VecDeque<Change>,
-    /// Watches that wait, by the listener that they came to and their kind.
-    watches: BTreeMap<(usize, String), usize>,
 }
 
 /// The store; clones share it.
@@ -37,15 +35,15 @@
 pub struct Store(Arc<(Mutex<State>, Condvar)>);
 
 impl Store {
-    /// Serves the store at one more address, for the instance with this number.
-    pub fn listen(&self, address: &str, instance: usize) -> SocketAddr {
+    /// Serves the store at an address.
+    pub fn listen(&self, address: &str) -> SocketAddr {
         let listener = TcpListener::bind(address).expect("an address for the store");
         let bound = listener.local_addr().expect("the address of the store");
         let store = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = store.clone();
-                std::thread::spawn(move || store.serve(stream, instance));
+                std::thread::spawn(move || store.serve(stream));
             }
         });
         bound
@@ -59,28 +57,14 @@
         rev
     }
 
-    /// Removes an object.
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut state = self.0.0.lock().expect("the store");
-        delete(&mut state, kind, name);
-        self.0.1.notify_all();
-    }
-
-    /// Numbers of the instances that have a watch of this kind waiting.
-    pub fn watchers(&self, kind: &str) -> Vec<usize> {
-        let state = self.0.0.lock().expect("the store");
-        let waiting = state.watches.iter().filter(|((_, of), count)| of == kind && **count > 0);
-        waiting.map(|((instance, _), _)| *instance).collect()
-    }
-
-    fn serve(&self, stream: TcpStream, instance: usize) {
+    fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
             let Ok(body) = read_body(&mut reader, &head) else { return };
             let (method, target) = head.target();
-            let (status, answer) = self.answer(method, target, &body, instance);
+            let (status, answer) = self.answer(method, target, &body);
             let text = answer.to_string();
             let message = format!(
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
@@ -92,7 +76,7 @@
         }
     }
 
-    fn answer(&self, method: &str, target: &str, body: &[u8], instance: usize) -> (u16, Value) {
+    fn answer(&self, method: &str, target: &str, body: &[u8]) -> (u16, Value) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
@@ -103,7 +87,7 @@
             if let Some(after) = query.get("watch").and_then(|rev| rev.parse().ok()) {
                 let wait = query.get("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
                 drop(state);
-                return self.watch(kind, after, Duration::from_millis(wait), instance);
+                return self.watch(kind, after, Duration::from_millis(wait));
             }
             let after = query.get("after").copied().unwrap_or("");
             let found: Vec<&Value> = state
@@ -154,15 +138,13 @@
         answer
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration, instance: usize) -> (u16, Value) {
-        let key = (instance, kind.to_owned());
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, Value) {
         let deadline = Instant::now() + wait;
         let mut state = self.0.0.lock().expect("the store");
         forget(&mut state);
         if after < state.forgotten {
             return (410, Value::Null);
         }
-        *state.watches.entry(key.clone()).or_default() += 1;
         let events = loop {
             let events: Vec<Value> = state
                 .history
@@ -176,9 +158,6 @@
             }
             state = self.0.1.wait_timeout(state, left).expect("the store").0;
         };
-        if let Some(count) = state.watches.get_mut(&key) {
-            *count -= 1;
-        }
         (200, json!({ "events": events, "as_of": state.rev }))
     }
 }
